--- /dev/null
+++ b/internal/transporter/stream.go
@@ -0,0 +1,112 @@
+package transporter
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+)
+
+// Stream carries messages of one long exchange in both directions.
+type Stream struct {
+	raw         *yamux.Stream
+	transport   *Transport
+	stop        func() bool
+	sendMu      sync.Mutex
+	recvTimeout atomic.Int64
+	ended       atomic.Bool
+}
+
+func newStream(ctx context.Context, t *Transport, raw *yamux.Stream) *Stream {
+	_ = raw.SetDeadline(time.Time{})
+	s := &Stream{raw: raw, transport: t}
+	s.stop = context.AfterFunc(ctx, s.end)
+	return s
+}
+
+// SetRecvTimeout bounds each later Recv; 0 removes the bound.
+func (s *Stream) SetRecvTimeout(d time.Duration) { s.recvTimeout.Store(int64(d)) }
+
+// Send writes one message within the exchange timeout. It may be called from several goroutines.
+func (s *Stream) Send(m proto.Message) error {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	_ = s.raw.SetWriteDeadline(time.Now().Add(s.transport.exchangeTimeout()))
+	return writeFrame(s.raw, m, s.transport.maxFrameBytes())
+}
+
+// Recv reads the next message. It returns io.EOF when the other side has closed the stream.
+func (s *Stream) Recv(m proto.Message) error {
+	if d := time.Duration(s.recvTimeout.Load()); d > 0 {
+		_ = s.raw.SetReadDeadline(time.Now().Add(d))
+	}
+	if s.ended.Load() {
+		return net.ErrClosed
+	}
+	return readFrame(s.raw, m, s.transport.maxFrameBytes())
+}
+
+// Close ends the stream.
+func (s *Stream) Close() error {
+	s.stop()
+	s.end()
+	return nil
+}
+
+// end unblocks a Recv in progress; closing a yamux stream alone leaves its reader waiting for the other side.
+func (s *Stream) end() {
+	s.ended.Store(true)
+	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
+	_ = s.raw.Close()
+}
+
+// activityConn records when bytes last arrived.
+type activityConn struct {
+	net.Conn
+	lastRead atomic.Int64
+}
+
+func (c *activityConn) touch() { c.lastRead.Store(time.Now().UnixNano()) }
+
+// Read implements net.Conn.
+func (c *activityConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.touch()
+	}
+	return n, err
+}
+
+func (o *outbound) drop() {
+	o.mu.Lock()
+	session := o.session
+	o.session = nil
+	o.mu.Unlock()
+	if session != nil {
+		_ = session.Close()
+	}
+}
+
+func (o *outbound) dropSession(s *yamux.Session) {
+	o.mu.Lock()
+	if o.session == s {
+		o.session = nil
+	}
+	o.mu.Unlock()
+	_ = s.Close()
+}
+
+// dropIfSilent closes the session when nothing has arrived since an exchange began: such a connection may never recover,
+// while a new one works.
+func (o *outbound) dropIfSilent(since time.Time) {
+	o.mu.Lock()
+	conn := o.conn
+	o.mu.Unlock()
+	if conn != nil && conn.lastRead.Load() < since.UnixNano() {
+		o.drop()
+	}
+}
--- /dev/null
+++ b/internal/transporter/transporter.go
@@ -0,0 +1,511 @@
+// Package transporter carries the exchanges between the system's own processes.
+//
+// Each pair of hosts shares one yamux session over TCP, and each exchange has a stream and a deadline of its own. A session
+// that falls silent is dropped, and the next exchange dials again.
+package transporter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter/transporterpb"
+)
+
+// Defaults of a Transport.
+const (
+	DefaultMaxFrameBytes   = 16 << 20
+	DefaultDialTimeout     = time.Second
+	DefaultExchangeTimeout = 5 * time.Second
+	DefaultKeepAlive       = time.Second
+	minBackoff             = 20 * time.Millisecond
+	maxBackoff             = time.Second
+	maxStreamsPerSession   = 4096
+)
+
+// Peer is the authenticated other end of an exchange.
+type Peer struct {
+	HostID string
+	Zone   string
+	Addr   string
+}
+
+// Handler answers one exchange.
+type Handler func(ctx context.Context, peer Peer, payload []byte) ([]byte, error)
+
+// StreamHandler serves one stream until it returns.
+type StreamHandler func(ctx context.Context, peer Peer, s *Stream) error
+
+// RemoteError is a failure that the other end reported.
+type RemoteError struct {
+	Method  string
+	Code    string
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("%s: remote error %s: %s", e.Method, e.Code, e.Message)
+}
+
+// Coder is implemented by errors that carry a code to the other end.
+type Coder interface {
+	error
+	ErrorCode() string
+}
+
+// Codes of remote errors that the transport itself reports.
+const (
+	CodeInternal      = "internal"
+	CodeUnknownMethod = "unknown_method"
+)
+
+// Transport connects this host with the system's other processes. Set the exported fields before Run.
+type Transport struct {
+	HostID     string
+	Zone       string
+	ListenAddr string
+	// AdvertiseAddr is the address that peers use; it defaults to the bound address.
+	AdvertiseAddr string
+	// Key is the shared key that both ends prove.
+	Key             []byte
+	MaxFrameBytes   int
+	DialTimeout     time.Duration
+	ExchangeTimeout time.Duration
+	KeepAlive       time.Duration
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	streams  map[string]StreamHandler
+	sessions map[string]*outbound
+	inbound  map[*yamux.Session]struct{}
+	listener net.Listener
+	closed   bool
+	wg       sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// outbound is the session towards one address, with the back-off of its dials.
+type outbound struct {
+	mu       sync.Mutex
+	session  *yamux.Session
+	conn     *activityConn
+	failures int
+	retryAt  time.Time
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+func (t *Transport) dialTimeout() time.Duration { return orDefault(t.DialTimeout, DefaultDialTimeout) }
+
+func (t *Transport) exchangeTimeout() time.Duration {
+	return orDefault(t.ExchangeTimeout, DefaultExchangeTimeout)
+}
+
+func (t *Transport) maxFrameBytes() int { return orDefault(t.MaxFrameBytes, DefaultMaxFrameBytes) }
+
+func (t *Transport) yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = orDefault(t.KeepAlive, DefaultKeepAlive)
+	c.ConnectionWriteTimeout = 2 * c.KeepAliveInterval
+	c.AcceptBacklog = maxStreamsPerSession
+	return c
+}
+
+// Handle registers the handler of a method. Call it before Run.
+func (t *Transport) Handle(method string, h Handler) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.handlers == nil {
+		t.handlers = make(map[string]Handler)
+	}
+	t.handlers[method] = h
+}
+
+// HandleStream registers the handler of a streaming method. Call it before Run.
+func (t *Transport) HandleStream(method string, h StreamHandler) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.streams == nil {
+		t.streams = make(map[string]StreamHandler)
+	}
+	t.streams[method] = h
+}
+
+// Listen binds the listen address, so that Addr is known before Run.
+func (t *Transport) Listen() error {
+	l, err := net.Listen("tcp", t.ListenAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for peers on %s", t.ListenAddr)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listener = l
+	return nil
+}
+
+// Addr returns the address that peers use.
+func (t *Transport) Addr() string {
+	if t.AdvertiseAddr != "" {
+		return t.AdvertiseAddr
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listener != nil {
+		return t.listener.Addr().String()
+	}
+	return t.ListenAddr
+}
+
+// Run accepts sessions until ctx ends or Close is called.
+func (t *Transport) Run(ctx context.Context) error {
+	t.mu.Lock()
+	bound := t.listener != nil
+	t.mu.Unlock()
+	if !bound {
+		if err := t.Listen(); err != nil {
+			return err
+		}
+	}
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil
+	}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	l, runCtx := t.listener, t.ctx
+	t.mu.Unlock()
+	stop := context.AfterFunc(runCtx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if runCtx.Err() != nil {
+				return nil
+			}
+			var temporary interface{ Timeout() bool }
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return eris.Wrap(err, "accept peer")
+		}
+		if !t.spawn(func() { t.accept(runCtx, conn) }) {
+			_ = conn.Close()
+			return nil
+		}
+	}
+}
+
+// spawn runs fn unless the transport is closed; Close waits for it.
+func (t *Transport) spawn(fn func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		fn()
+	}()
+	return true
+}
+
+// Close ends all sessions and waits for their handlers.
+func (t *Transport) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	if t.cancel != nil {
+		t.cancel()
+	}
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+	for s := range t.inbound {
+		_ = s.Close()
+	}
+	outs := make([]*outbound, 0, len(t.sessions))
+	for _, o := range t.sessions {
+		outs = append(outs, o)
+	}
+	t.mu.Unlock()
+	for _, o := range outs {
+		o.drop()
+	}
+	t.wg.Wait()
+	return nil
+}
+
+func (t *Transport) accept(ctx context.Context, conn net.Conn) {
+	peer, err := t.handshakeAccept(conn)
+	if err != nil {
+		klog.Warningf("transporter: refused peer remote=%s reason=%q", conn.RemoteAddr(), err)
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, t.yamuxConfig())
+	if err != nil {
+		klog.Errorf("transporter: cannot start session peer=%s reason=%q", peer.HostID, err)
+		_ = conn.Close()
+		return
+	}
+	if !t.track(session) {
+		_ = session.Close()
+		return
+	}
+	defer t.untrack(session)
+	slots := make(chan struct{}, maxStreamsPerSession)
+	for {
+		raw, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			klog.Warningf("transporter: refused stream peer=%s reason=%q", peer.HostID, "too many streams")
+			_ = raw.Close()
+			continue
+		}
+		started := t.spawn(func() {
+			defer func() { <-slots }()
+			t.serve(ctx, peer, raw)
+		})
+		if !started {
+			_ = raw.Close()
+			return
+		}
+	}
+}
+
+func (t *Transport) track(s *yamux.Session) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	if t.inbound == nil {
+		t.inbound = make(map[*yamux.Session]struct{})
+	}
+	t.inbound[s] = struct{}{}
+	return true
+}
+
+func (t *Transport) untrack(s *yamux.Session) {
+	_ = s.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inbound, s)
+}
+
+func (t *Transport) serve(ctx context.Context, peer Peer, raw *yamux.Stream) {
+	defer func() { _ = raw.Close() }()
+	_ = raw.SetReadDeadline(time.Now().Add(t.exchangeTimeout()))
+	req := &transporterpb.Request{}
+	if err := readFrame(raw, req, t.maxFrameBytes()); err != nil {
+		klog.Warningf("transporter: dropped exchange peer=%s reason=%q", peer.HostID, err)
+		return
+	}
+	t.mu.Lock()
+	handler, unary := t.handlers[req.GetMethod()]
+	stream, streaming := t.streams[req.GetMethod()]
+	t.mu.Unlock()
+	switch {
+	case unary:
+		t.serveCall(ctx, peer, raw, req, handler)
+	case streaming:
+		t.serveStream(ctx, peer, raw, req, stream)
+	default:
+		klog.Warningf("transporter: refused exchange peer=%s method=%s reason=%q", peer.HostID, req.GetMethod(), "unknown method")
+		t.reply(raw, &transporterpb.Reply{ErrorCode: CodeUnknownMethod, ErrorMessage: "unknown method " + req.GetMethod()})
+	}
+}
+
+func (t *Transport) serveCall(ctx context.Context, peer Peer, raw *yamux.Stream, req *transporterpb.Request, h Handler) {
+	timeout := t.exchangeTimeout()
+	if ms := req.GetTimeoutMs(); ms > 0 {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	payload, err := h(ctx, peer, req.GetPayload())
+	reply := &transporterpb.Reply{Payload: payload}
+	if err != nil {
+		reply = &transporterpb.Reply{ErrorCode: codeOf(err), ErrorMessage: err.Error()}
+	}
+	t.reply(raw, reply)
+}
+
+func (t *Transport) reply(raw *yamux.Stream, reply *transporterpb.Reply) {
+	_ = raw.SetWriteDeadline(time.Now().Add(t.exchangeTimeout()))
+	if err := writeFrame(raw, reply, t.maxFrameBytes()); err != nil {
+		klog.V(1).Infof("transporter: cannot reply reason=%q", err)
+	}
+}
+
+func (t *Transport) serveStream(ctx context.Context, peer Peer, raw *yamux.Stream, req *transporterpb.Request, h StreamHandler) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := newStream(ctx, t, raw)
+	defer func() { _ = s.Close() }()
+	if err := h(ctx, peer, s); err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
+		klog.V(1).Infof("transporter: stream ended peer=%s method=%s reason=%q", peer.HostID, req.GetMethod(), err)
+	}
+}
+
+func codeOf(err error) string {
+	var c Coder
+	if errors.As(err, &c) {
+		return c.ErrorCode()
+	}
+	return CodeInternal
+}
+
+// Call performs one exchange and decodes the answer into resp. Without a deadline in ctx the exchange timeout applies.
+func (t *Transport) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, t.exchangeTimeout())
+	defer cancel()
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return eris.Wrapf(err, "encode %s", method)
+	}
+	started := time.Now()
+	raw, out, err := t.openStream(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = raw.Close() }()
+	deadline, _ := ctx.Deadline()
+	_ = raw.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	reply := &transporterpb.Reply{}
+	request := &transporterpb.Request{Method: method, TimeoutMs: max(1, time.Until(deadline).Milliseconds()), Payload: payload}
+	err = writeFrame(raw, request, t.maxFrameBytes())
+	if err == nil {
+		err = readFrame(raw, reply, t.maxFrameBytes())
+	}
+	if err != nil {
+		out.dropIfSilent(started)
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return eris.Wrapf(err, "call %s at %s", method, addr)
+	}
+	if reply.GetErrorCode() != "" {
+		return &RemoteError{Method: method, Code: reply.GetErrorCode(), Message: reply.GetErrorMessage()}
+	}
+	return eris.Wrapf(proto.Unmarshal(reply.GetPayload(), resp), "decode answer of %s", method)
+}
+
+// Open starts a stream; it ends when ctx ends or either side closes it.
+func (t *Transport) Open(ctx context.Context, addr, method string) (*Stream, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, t.exchangeTimeout())
+	defer cancel()
+	raw, _, err := t.openStream(dialCtx, addr)
+	if err != nil {
+		return nil, err
+	}
+	_ = raw.SetWriteDeadline(time.Now().Add(t.exchangeTimeout()))
+	if err := writeFrame(raw, &transporterpb.Request{Method: method}, t.maxFrameBytes()); err != nil {
+		_ = raw.Close()
+		return nil, eris.Wrapf(err, "open %s at %s", method, addr)
+	}
+	return newStream(ctx, t, raw), nil
+}
+
+// DropSession closes the session towards addr, so that the next exchange dials again.
+func (t *Transport) DropSession(addr string) {
+	t.mu.Lock()
+	o := t.sessions[addr]
+	t.mu.Unlock()
+	if o != nil {
+		o.drop()
+	}
+}
+
+func (t *Transport) openStream(ctx context.Context, addr string) (*yamux.Stream, *outbound, error) {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil, nil, eris.New("transport is closed")
+	}
+	if t.sessions == nil {
+		t.sessions = make(map[string]*outbound)
+	}
+	o := t.sessions[addr]
+	if o == nil {
+		o = &outbound{}
+		t.sessions[addr] = o
+	}
+	t.mu.Unlock()
+	session, err := t.sessionTo(ctx, o, addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	raw, err := session.OpenStream()
+	if err != nil {
+		o.dropSession(session)
+		return nil, nil, eris.Wrapf(err, "open stream to %s", addr)
+	}
+	return raw, o, nil
+}
+
+// sessionTo returns the live session towards addr, or dials one unless a recent failure asks for patience.
+func (t *Transport) sessionTo(ctx context.Context, o *outbound, addr string) (*yamux.Session, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.session != nil && !o.session.IsClosed() {
+		return o.session, nil
+	}
+	if wait := time.Until(o.retryAt); wait > 0 {
+		return nil, eris.Errorf("dial %s: backing off for %v after %d failures", addr, wait.Round(time.Millisecond), o.failures)
+	}
+	session, conn, err := t.dial(ctx, addr)
+	if err != nil {
+		o.failures++
+		backoff := min(maxBackoff, minBackoff<<min(o.failures, 6))
+		o.retryAt = time.Now().Add(backoff/2 + rand.N(backoff/2))
+		return nil, eris.Wrapf(err, "dial %s", addr)
+	}
+	o.session, o.conn, o.failures, o.retryAt = session, conn, 0, time.Time{}
+	return session, nil
+}
+
+func (t *Transport) dial(ctx context.Context, addr string) (*yamux.Session, *activityConn, error) {
+	dialer := net.Dialer{Timeout: t.dialTimeout()}
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	if _, err := t.handshakeDial(raw); err != nil {
+		_ = raw.Close()
+		return nil, nil, err
+	}
+	conn := &activityConn{Conn: raw}
+	conn.touch()
+	session, err := yamux.Client(conn, t.yamuxConfig())
+	if err != nil {
+		_ = raw.Close()
+		return nil, nil, err
+	}
+	return session, conn, nil
+}
--- /dev/null
+++ b/internal/transporter/transporter_test.go
@@ -0,0 +1,216 @@
+package transporter_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+func start(t *testing.T, tr *transporter.Transport) *transporter.Transport {
+	t.Helper()
+	tr.ListenAddr = "127.0.0.1:0"
+	if tr.Key == nil {
+		tr.Key = []byte("shared")
+	}
+	if err := tr.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := tr.Run(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		_ = tr.Close()
+		wg.Wait()
+	})
+	return tr
+}
+
+func echo(ctx context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	return payload, ctx.Err()
+}
+
+// Guards against answers of concurrent exchanges being mixed up.
+func TestCallReturnsOwnAnswer(t *testing.T) {
+	server := &transporter.Transport{HostID: "b", Zone: "z2"}
+	server.Handle("echo", echo)
+	start(t, server)
+	client := start(t, &transporter.Transport{HostID: "a", Zone: "z1"})
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Go(func() {
+			got := &wrapperspb.Int64Value{}
+			if err := client.Call(t.Context(), server.Addr(), "echo", wrapperspb.Int64(int64(i)), got); err != nil {
+				t.Error(err)
+				return
+			}
+			if diff := cmp.Diff(int64(i), got.GetValue()); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a host without the shared key joining.
+func TestWrongKeyIsRefused(t *testing.T) {
+	server := &transporter.Transport{HostID: "b"}
+	server.Handle("echo", echo)
+	start(t, server)
+	client := start(t, &transporter.Transport{HostID: "a", Key: []byte("other")})
+	err := client.Call(t.Context(), server.Addr(), "echo", wrapperspb.Int64(1), &wrapperspb.Int64Value{})
+	var refused *transporter.HandshakeError
+	if !errors.As(err, &refused) {
+		t.Fatalf("got %v, want a HandshakeError", err)
+	}
+}
+
+// Guards against an unknown method or an oversized frame going unreported.
+func TestBadExchanges(t *testing.T) {
+	server := &transporter.Transport{HostID: "b"}
+	server.Handle("echo", echo)
+	start(t, server)
+	client := start(t, &transporter.Transport{HostID: "a", MaxFrameBytes: 1 << 10})
+	err := client.Call(t.Context(), server.Addr(), "nothing", wrapperspb.Int64(1), &wrapperspb.Int64Value{})
+	var remote *transporter.RemoteError
+	if !errors.As(err, &remote) || remote.Code != transporter.CodeUnknownMethod {
+		t.Errorf("got %v, want code %s", err, transporter.CodeUnknownMethod)
+	}
+	err = client.Call(t.Context(), server.Addr(), "echo", wrapperspb.Bytes(make([]byte, 2<<10)), &wrapperspb.BytesValue{})
+	var size *transporter.FrameSizeError
+	if !errors.As(err, &size) {
+		t.Errorf("got %v, want a FrameSizeError", err)
+	}
+}
+
+// Guards against a stream that loses messages or cannot be ended by either side.
+func TestStreamCarriesMessagesBothWays(t *testing.T) {
+	server := &transporter.Transport{HostID: "b"}
+	server.HandleStream("count", func(_ context.Context, _ transporter.Peer, s *transporter.Stream) error {
+		for {
+			m := &wrapperspb.Int64Value{}
+			if err := s.Recv(m); err != nil {
+				return err
+			}
+			if err := s.Send(wrapperspb.Int64(m.GetValue() * 2)); err != nil {
+				return err
+			}
+			if m.GetValue() == 9 {
+				return nil
+			}
+		}
+	})
+	start(t, server)
+	client := start(t, &transporter.Transport{HostID: "a"})
+	s, err := client.Open(t.Context(), server.Addr(), "count")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := range 10 {
+		m := &wrapperspb.Int64Value{}
+		if err := s.Send(wrapperspb.Int64(int64(i))); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Recv(m); err != nil || m.GetValue() != int64(2*i) {
+			t.Fatalf("message %d: got %d, %v", i, m.GetValue(), err)
+		}
+	}
+	if err := s.Recv(&wrapperspb.Int64Value{}); !errors.Is(err, io.EOF) {
+		t.Fatalf("got %v, want io.EOF", err)
+	}
+}
+
+// muteRelay forwards bytes until it is muted, and then drops what arrives without closing; new connections work.
+type muteRelay struct {
+	net.Listener
+	target string
+	mu     sync.Mutex
+	muted  map[net.Conn]*bool
+}
+
+func (r *muteRelay) run() {
+	for {
+		c, err := r.Accept()
+		if err != nil {
+			return
+		}
+		up, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		mute := new(bool)
+		r.mu.Lock()
+		r.muted[c] = mute
+		r.mu.Unlock()
+		go r.pipe(up, c, mute)
+		go r.pipe(c, up, mute)
+	}
+}
+
+func (r *muteRelay) pipe(dst, src net.Conn, mute *bool) {
+	defer dst.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		drop := *mute
+		r.mu.Unlock()
+		if !drop {
+			_, _ = dst.Write(buf[:n])
+		}
+	}
+}
+
+func (r *muteRelay) muteAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.muted {
+		*m = true
+	}
+}
+
+// Guards against a connection that went silent for good blocking the path to a host that new connections reach.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	server := &transporter.Transport{HostID: "b"}
+	server.Handle("echo", echo)
+	start(t, server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &muteRelay{Listener: l, target: server.Addr(), muted: map[net.Conn]*bool{}}
+	go relay.run()
+	t.Cleanup(func() { _ = l.Close() })
+	client := start(t, &transporter.Transport{HostID: "a"})
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		return client.Call(ctx, l.Addr().String(), "echo", wrapperspb.Int64(1), &wrapperspb.Int64Value{})
+	}
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	relay.muteAll()
+	if err := call(); err == nil {
+		t.Fatal("a call over the silent connection succeeded")
+	}
+	if err := call(); err != nil {
+		t.Fatalf("the call after a silent exchange failed: %v", err)
+	}
+}
