--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -152,8 +152,10 @@
 type InterruptedError struct {
 	Endpoint string
 	Cause    Cause
-	Status   int
-	Err      error
+	// Status and Body are set when the endpoint answered with an error status.
+	Status int
+	Body   []byte
+	Err    error
 }
 
 // Error implements error.
--- /dev/null
+++ b/internal/connector/exchange.go
@@ -0,0 +1,168 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/rotisserie/eris"
+)
+
+// Timeouts bound the phases of an exchange with an endpoint.
+type Timeouts struct {
+	// Connect bounds the TCP connect.
+	Connect time.Duration
+	// FirstByte bounds the wait for the response header after the request was written.
+	FirstByte time.Duration
+	// Gap bounds the silence between two reads of the response. Engines send SSE comments while they compute.
+	Gap time.Duration
+	// Total bounds the whole exchange; 0 means no bound.
+	Total time.Duration
+}
+
+// DefaultTimeouts returns the timeouts that serve uses unless settings change them.
+func DefaultTimeouts() Timeouts {
+	return Timeouts{Connect: 500 * time.Millisecond, FirstByte: 5 * time.Second, Gap: 5 * time.Second}
+}
+
+// maxResponseBytes bounds the memory that one whole response may take.
+const maxResponseBytes = 64 << 20
+
+// exchange is one request on a connection of its own. A pooled connection may have gone silent for good, and a request
+// written on it could not be repeated.
+type exchange struct {
+	endpoint string
+	conn     network.Conn
+	resp     *protocol.Response
+	stop     func() bool
+	cancel   context.CancelFunc
+	ctx      context.Context
+	timeouts Timeouts
+}
+
+// open connects, calls sent, writes the request and reads the response header.
+func open(ctx context.Context, endpoint, addr string, call Call, timeouts Timeouts, sent func()) (*exchange, error) {
+	ctx, cancel := withTotal(ctx, timeouts.Total)
+	conn, err := dial(ctx, addr, timeouts.Connect)
+	if err != nil {
+		cancel()
+		return nil, &NotSentError{Endpoint: endpoint, Err: err}
+	}
+	e := &exchange{endpoint: endpoint, conn: conn, resp: &protocol.Response{}, cancel: cancel, ctx: ctx, timeouts: timeouts}
+	e.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	request := newRequest(addr, call)
+	sent()
+	_ = conn.SetWriteTimeout(timeouts.FirstByte)
+	err = req.Write(request, conn)
+	if err == nil {
+		err = conn.Flush()
+	}
+	if err != nil {
+		return nil, e.fail(err)
+	}
+	_ = conn.SetReadTimeout(timeouts.FirstByte)
+	if err := resp.ReadHeaderBodyStream(e.resp, conn, maxResponseBytes, e.release); err != nil {
+		return nil, e.fail(err)
+	}
+	_ = conn.SetReadTimeout(timeouts.Gap)
+	return e, nil
+}
+
+func withTotal(ctx context.Context, total time.Duration) (context.Context, context.CancelFunc) {
+	if total > 0 {
+		return context.WithTimeout(ctx, total)
+	}
+	return context.WithCancel(ctx)
+}
+
+// dial connects within the timeout or until ctx ends, whichever is first.
+func dial(ctx context.Context, addr string, timeout time.Duration) (network.Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	conn, err := standard.NewDialer().DialConnection("tcp", addr, timeout, nil)
+	return conn, eris.Wrapf(err, "connect to %s", addr)
+}
+
+func newRequest(addr string, call Call) *protocol.Request {
+	r := &protocol.Request{}
+	r.SetMethod(call.Method)
+	r.SetRequestURI("http://" + addr + call.Path)
+	for name, value := range call.Header {
+		r.Header.Set(name, value)
+	}
+	if call.RequestID != "" {
+		r.Header.Set(HeaderRequestID, call.RequestID)
+	}
+	r.Header.SetConnectionClose(true)
+	r.SetBody(call.Body)
+	return r
+}
+
+func (e *exchange) release(bool) error { return nil }
+
+// fail closes the exchange and classifies its error.
+func (e *exchange) fail(err error) error {
+	cause := CauseReset
+	var timeout net.Error
+	// The library reports some read timeouts as errors of its own that do not wrap the cause.
+	libraryTimeout := errors.Is(err, hertzerrors.ErrTimeout)
+	switch {
+	case e.ctx.Err() != nil && errors.Is(e.ctx.Err(), context.Canceled):
+		cause = CauseCanceled
+	case libraryTimeout, errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(), e.ctx.Err() != nil:
+		cause = CauseSilent
+	}
+	e.close()
+	return &InterruptedError{Endpoint: e.endpoint, Cause: cause, Err: err}
+}
+
+func (e *exchange) close() {
+	e.stop()
+	e.cancel()
+	_ = e.conn.Close()
+}
+
+// readAll returns the whole response body and closes the exchange.
+func (e *exchange) readAll() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e.resp.BodyStream(), maxResponseBytes+1))
+	if err != nil {
+		return nil, e.fail(err)
+	}
+	e.close()
+	if len(body) > maxResponseBytes {
+		return nil, &InterruptedError{
+			Endpoint: e.endpoint, Cause: CauseProtocol, Status: e.resp.StatusCode(),
+			Err: eris.Errorf("response is above %d bytes", maxResponseBytes),
+		}
+	}
+	return body, nil
+}
+
+// rejected reads the body of an error status and closes the exchange.
+func (e *exchange) rejected() error {
+	status := e.resp.StatusCode()
+	body, err := e.readAll()
+	if err != nil {
+		return err
+	}
+	cause := CauseRejected
+	if status == statusNotFound {
+		cause = CauseNotFound
+	}
+	return &InterruptedError{
+		Endpoint: e.endpoint, Cause: cause, Status: status, Body: body, Err: eris.Errorf("status %d", status),
+	}
+}
--- /dev/null
+++ b/internal/connector/service.go
@@ -0,0 +1,48 @@
+package connector
+
+import (
+	"context"
+	"strings"
+)
+
+// HTTPService reaches a plain service over HTTP.
+type HTTPService struct {
+	name     string
+	addr     string
+	timeouts Timeouts
+}
+
+var _ Service = (*HTTPService)(nil)
+
+// NewService returns the service of an endpoint at addr.
+func NewService(name, addr string, timeouts Timeouts) *HTTPService {
+	return &HTTPService{name: name, addr: addr, timeouts: timeouts}
+}
+
+// Do performs one call and returns the whole answer, whatever its status.
+func (s *HTTPService) Do(ctx context.Context, call Call, sent func()) (*Response, error) {
+	x, err := open(ctx, s.name, s.addr, call, s.timeouts, sent)
+	if err != nil {
+		return nil, err
+	}
+	response := &Response{Status: x.resp.StatusCode(), Header: make(map[string]string)}
+	x.resp.Header.VisitAll(func(key, value []byte) {
+		if !hopByHop(string(key)) {
+			response.Header[string(key)] = string(value)
+		}
+	})
+	response.Body, err = x.readAll()
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// hopByHop reports whether a header concerns one connection only and must not be passed on.
+func hopByHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length", "date", "server":
+		return true
+	}
+	return false
+}
