--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -26,6 +26,9 @@
 	// Owner is the entry host, with its incarnation, that may dispatch.
 	Owner    string
 	Endpoint string
+	// Attempt orders the intents of one owner, so that a delayed message of an earlier attempt changes nothing. The
+	// control client sets it.
+	Attempt uint64
 }
 
 // Outcome is the final answer of an order.
@@ -35,8 +38,16 @@
 	Status  int
 	Header  map[string]string
 	Body    []byte
+	// Truncated is true when the ledger had no room for the body; the order is concluded all the same.
+	Truncated bool
 }
 
+// Outcomes that an order can be concluded with.
+const (
+	OutcomeDone    = "done"
+	OutcomeUnknown = "unknown"
+)
+
 // Record is the ledger's entry of one order.
 type Record struct {
 	Intent
@@ -44,6 +55,8 @@
 	Outcome *Outcome
 	// Granted is true in the answer to the one intent that may dispatch.
 	Granted bool
-	// RecordedUnixMS is the leader's wall clock at the intent, in milliseconds.
+	// RecordedUnixMS is the leader's wall clock at the intent, in milliseconds. It is for display only.
 	RecordedUnixMS int64
+	// ChangedMS is the ledger clock at the last change; the retention counts from it.
+	ChangedMS int64
 }
