--- a/internal/transporter/handshake.go
+++ b/internal/authenticator/authenticator.go
@@ -1,4 +1,8 @@
-package transporter
+// Package authenticator performs the handshake between two of the system's processes.
+//
+// Both ends prove the shared key by an HMAC over both nonces and identities. The handshake authenticates the connection;
+// it does not encrypt it, so the hosts' network must be trusted for confidentiality.
+package authenticator
 
 import (
 	"crypto/hmac"
@@ -11,7 +15,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/transporter/transporterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/authenticator/authenticatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/framer"
 )
 
 const (
@@ -22,6 +27,24 @@
 	handshakeFrameBytes = 4 << 10
 )
 
+// Peer is the authenticated other end of a connection.
+type Peer struct {
+	HostID string
+	Zone   string
+	// Addr is where the peer accepts connections.
+	Addr string
+}
+
+// Authenticator holds this host's identity and the shared key.
+type Authenticator struct {
+	HostID string
+	Zone   string
+	Addr   string
+	Key    []byte
+	// Timeout bounds the whole handshake.
+	Timeout time.Duration
+}
+
 // HandshakeError reports a peer that was refused, or that refused this host.
 type HandshakeError struct {
 	Remote string
@@ -33,23 +56,23 @@
 	return fmt.Sprintf("handshake with %s: %s", e.Remote, e.Reason)
 }
 
-func (t *Transport) hello() (*transporterpb.Hello, error) {
+func (a *Authenticator) hello() (*authenticatorpb.Hello, error) {
 	nonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(nonce); err != nil {
 		return nil, eris.Wrap(err, "read nonce")
 	}
-	return &transporterpb.Hello{
+	return &authenticatorpb.Hello{
 		Version: protocolVersion,
-		HostId:  t.HostID,
-		Zone:    t.Zone,
-		Addr:    t.Addr(),
+		HostId:  a.HostID,
+		Zone:    a.Zone,
+		Addr:    a.Addr,
 		Nonce:   nonce,
 	}, nil
 }
 
 // proof binds the role, both nonces and both identities, so that a proof cannot be reflected or moved.
-func (t *Transport) proof(role string, dialer, listener *transporterpb.Hello) []byte {
-	mac := hmac.New(sha256.New, t.Key)
+func (a *Authenticator) proof(role string, dialer, listener *authenticatorpb.Hello) []byte {
+	mac := hmac.New(sha256.New, a.Key)
 	for _, part := range [][]byte{
 		[]byte(role),
 		dialer.GetNonce(), []byte(dialer.GetHostId()), []byte(dialer.GetZone()), []byte(dialer.GetAddr()),
@@ -61,7 +84,7 @@
 	return mac.Sum(nil)
 }
 
-func checkHello(remote string, h *transporterpb.Hello) error {
+func checkHello(remote string, h *authenticatorpb.Hello) error {
 	if h.GetVersion() != protocolVersion {
 		return &HandshakeError{Remote: remote, Reason: fmt.Sprintf("protocol version %d, want %d", h.GetVersion(), protocolVersion)}
 	}
@@ -71,36 +94,37 @@
 	return nil
 }
 
-func peerOf(h *transporterpb.Hello) Peer {
+func peerOf(h *authenticatorpb.Hello) Peer {
 	return Peer{HostID: h.GetHostId(), Zone: h.GetZone(), Addr: h.GetAddr()}
 }
 
-func (t *Transport) handshakeDial(conn net.Conn) (Peer, error) {
+// Dial performs the dialer's side and returns the authenticated listener.
+func (a *Authenticator) Dial(conn net.Conn) (Peer, error) {
 	remote := conn.RemoteAddr().String()
-	_ = conn.SetDeadline(time.Now().Add(t.dialTimeout()))
-	own, err := t.hello()
+	_ = conn.SetDeadline(time.Now().Add(a.Timeout))
+	own, err := a.hello()
 	if err != nil {
 		return Peer{}, err
 	}
-	if err := writeFrame(conn, own, handshakeFrameBytes); err != nil {
+	if err := framer.Write(conn, own, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "send hello")
 	}
-	theirs := &transporterpb.Hello{}
-	if err := readFrame(conn, theirs, handshakeFrameBytes); err != nil {
+	theirs := &authenticatorpb.Hello{}
+	if err := framer.Read(conn, theirs, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "receive hello")
 	}
 	if err := checkHello(remote, theirs); err != nil {
 		return Peer{}, err
 	}
-	if !hmac.Equal(theirs.GetProof(), t.proof("listener", own, theirs)) {
+	if !hmac.Equal(theirs.GetProof(), a.proof("listener", own, theirs)) {
 		return Peer{}, &HandshakeError{Remote: remote, Reason: "the listener does not hold the shared key"}
 	}
-	answer := &transporterpb.Proof{Proof: t.proof("dialer", own, theirs)}
-	if err := writeFrame(conn, answer, handshakeFrameBytes); err != nil {
+	answer := &authenticatorpb.Proof{Proof: a.proof("dialer", own, theirs)}
+	if err := framer.Write(conn, answer, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "send proof")
 	}
-	welcome := &transporterpb.Welcome{}
-	if err := readFrame(conn, welcome, handshakeFrameBytes); err != nil {
+	welcome := &authenticatorpb.Welcome{}
+	if err := framer.Read(conn, welcome, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "receive welcome")
 	}
 	if welcome.GetError() != "" {
@@ -109,33 +133,34 @@
 	return peerOf(theirs), conn.SetDeadline(time.Time{})
 }
 
-func (t *Transport) handshakeAccept(conn net.Conn) (Peer, error) {
+// Accept performs the listener's side and returns the authenticated dialer.
+func (a *Authenticator) Accept(conn net.Conn) (Peer, error) {
 	remote := conn.RemoteAddr().String()
-	_ = conn.SetDeadline(time.Now().Add(t.dialTimeout()))
-	theirs := &transporterpb.Hello{}
-	if err := readFrame(conn, theirs, handshakeFrameBytes); err != nil {
+	_ = conn.SetDeadline(time.Now().Add(a.Timeout))
+	theirs := &authenticatorpb.Hello{}
+	if err := framer.Read(conn, theirs, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "receive hello")
 	}
 	if err := checkHello(remote, theirs); err != nil {
 		return Peer{}, err
 	}
-	own, err := t.hello()
+	own, err := a.hello()
 	if err != nil {
 		return Peer{}, err
 	}
-	own.Proof = t.proof("listener", theirs, own)
-	if err := writeFrame(conn, own, handshakeFrameBytes); err != nil {
+	own.Proof = a.proof("listener", theirs, own)
+	if err := framer.Write(conn, own, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "send hello")
 	}
-	answer := &transporterpb.Proof{}
-	if err := readFrame(conn, answer, handshakeFrameBytes); err != nil {
+	answer := &authenticatorpb.Proof{}
+	if err := framer.Read(conn, answer, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "receive proof")
 	}
-	if !hmac.Equal(answer.GetProof(), t.proof("dialer", theirs, own)) {
-		_ = writeFrame(conn, &transporterpb.Welcome{Error: "wrong shared key"}, handshakeFrameBytes)
+	if !hmac.Equal(answer.GetProof(), a.proof("dialer", theirs, own)) {
+		_ = framer.Write(conn, &authenticatorpb.Welcome{Error: "wrong shared key"}, handshakeFrameBytes)
 		return Peer{}, &HandshakeError{Remote: remote, Reason: "the dialer does not hold the shared key"}
 	}
-	if err := writeFrame(conn, &transporterpb.Welcome{}, handshakeFrameBytes); err != nil {
+	if err := framer.Write(conn, &authenticatorpb.Welcome{}, handshakeFrameBytes); err != nil {
 		return Peer{}, eris.Wrap(err, "send welcome")
 	}
 	return peerOf(theirs), conn.SetDeadline(time.Time{})
--- a/internal/transporter/stream.go
+++ b/internal/transporter/stream.go
@@ -9,6 +9,8 @@
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/framer"
 )
 
 // Stream carries messages of one long exchange in both directions.
@@ -36,7 +38,7 @@
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
 	_ = s.raw.SetWriteDeadline(time.Now().Add(s.transport.exchangeTimeout()))
-	return writeFrame(s.raw, m, s.transport.maxFrameBytes())
+	return framer.Write(s.raw, m, s.transport.maxFrameBytes())
 }
 
 // Recv reads the next message. It returns io.EOF when the other side has closed the stream.
@@ -47,7 +49,7 @@
 	if s.ended.Load() {
 		return net.ErrClosed
 	}
-	return readFrame(s.raw, m, s.transport.maxFrameBytes())
+	return framer.Read(s.raw, m, s.transport.maxFrameBytes())
 }
 
 // Close ends the stream.
@@ -63,50 +65,3 @@
 	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
 	_ = s.raw.Close()
 }
-
-// activityConn records when bytes last arrived.
-type activityConn struct {
-	net.Conn
-	lastRead atomic.Int64
-}
-
-func (c *activityConn) touch() { c.lastRead.Store(time.Now().UnixNano()) }
-
-// Read implements net.Conn.
-func (c *activityConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.touch()
-	}
-	return n, err
-}
-
-func (o *outbound) drop() {
-	o.mu.Lock()
-	session := o.session
-	o.session = nil
-	o.mu.Unlock()
-	if session != nil {
-		_ = session.Close()
-	}
-}
-
-func (o *outbound) dropSession(s *yamux.Session) {
-	o.mu.Lock()
-	if o.session == s {
-		o.session = nil
-	}
-	o.mu.Unlock()
-	_ = s.Close()
-}
-
-// dropIfSilent closes the session when nothing has arrived since an exchange began: such a connection may never recover,
-// while a new one works.
-func (o *outbound) dropIfSilent(since time.Time) {
-	o.mu.Lock()
-	conn := o.conn
-	o.mu.Unlock()
-	if conn != nil && conn.lastRead.Load() < since.UnixNano() {
-		o.drop()
-	}
-}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -19,6 +18,8 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/authenticator"
+	"github.com/dragonflycroft/dragonflycroft/internal/framer"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter/transporterpb"
 )
 
@@ -34,11 +35,7 @@
 )
 
 // Peer is the authenticated other end of an exchange.
-type Peer struct {
-	HostID string
-	Zone   string
-	Addr   string
-}
+type Peer = authenticator.Peer
 
 // Handler answers one exchange.
 type Handler func(ctx context.Context, peer Peer, payload []byte) ([]byte, error)
@@ -96,15 +93,6 @@
 	cancel   context.CancelFunc
 }
 
-// outbound is the session towards one address, with the back-off of its dials.
-type outbound struct {
-	mu       sync.Mutex
-	session  *yamux.Session
-	conn     *activityConn
-	failures int
-	retryAt  time.Time
-}
-
 func orDefault[T comparable](v, def T) T {
 	var zero T
 	if v == zero {
@@ -121,6 +109,10 @@
 
 func (t *Transport) maxFrameBytes() int { return orDefault(t.MaxFrameBytes, DefaultMaxFrameBytes) }
 
+func (t *Transport) authenticator() *authenticator.Authenticator {
+	return &authenticator.Authenticator{HostID: t.HostID, Zone: t.Zone, Addr: t.Addr(), Key: t.Key, Timeout: t.dialTimeout()}
+}
+
 func (t *Transport) yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
@@ -255,7 +247,7 @@
 }
 
 func (t *Transport) accept(ctx context.Context, conn net.Conn) {
-	peer, err := t.handshakeAccept(conn)
+	peer, err := t.authenticator().Accept(conn)
 	if err != nil {
 		klog.Warningf("transporter: refused peer remote=%s reason=%q", conn.RemoteAddr(), err)
 		_ = conn.Close()
@@ -320,7 +312,7 @@
 	defer func() { _ = raw.Close() }()
 	_ = raw.SetReadDeadline(time.Now().Add(t.exchangeTimeout()))
 	req := &transporterpb.Request{}
-	if err := readFrame(raw, req, t.maxFrameBytes()); err != nil {
+	if err := framer.Read(raw, req, t.maxFrameBytes()); err != nil {
 		klog.Warningf("transporter: dropped exchange peer=%s reason=%q", peer.HostID, err)
 		return
 	}
@@ -356,7 +348,7 @@
 
 func (t *Transport) reply(raw *yamux.Stream, reply *transporterpb.Reply) {
 	_ = raw.SetWriteDeadline(time.Now().Add(t.exchangeTimeout()))
-	if err := writeFrame(raw, reply, t.maxFrameBytes()); err != nil {
+	if err := framer.Write(raw, reply, t.maxFrameBytes()); err != nil {
 		klog.V(1).Infof("transporter: cannot reply reason=%q", err)
 	}
 }
@@ -399,9 +391,9 @@
 	defer stop()
 	reply := &transporterpb.Reply{}
 	request := &transporterpb.Request{Method: method, TimeoutMs: max(1, time.Until(deadline).Milliseconds()), Payload: payload}
-	err = writeFrame(raw, request, t.maxFrameBytes())
+	err = framer.Write(raw, request, t.maxFrameBytes())
 	if err == nil {
-		err = readFrame(raw, reply, t.maxFrameBytes())
+		err = framer.Read(raw, reply, t.maxFrameBytes())
 	}
 	if err != nil {
 		out.dropIfSilent(started)
@@ -425,7 +417,7 @@
 		return nil, err
 	}
 	_ = raw.SetWriteDeadline(time.Now().Add(t.exchangeTimeout()))
-	if err := writeFrame(raw, &transporterpb.Request{Method: method}, t.maxFrameBytes()); err != nil {
+	if err := framer.Write(raw, &transporterpb.Request{Method: method}, t.maxFrameBytes()); err != nil {
 		_ = raw.Close()
 		return nil, eris.Wrapf(err, "open %s at %s", method, addr)
 	}
@@ -441,71 +433,3 @@
 		o.drop()
 	}
 }
-
-func (t *Transport) openStream(ctx context.Context, addr string) (*yamux.Stream, *outbound, error) {
-	t.mu.Lock()
-	if t.closed {
-		t.mu.Unlock()
-		return nil, nil, eris.New("transport is closed")
-	}
-	if t.sessions == nil {
-		t.sessions = make(map[string]*outbound)
-	}
-	o := t.sessions[addr]
-	if o == nil {
-		o = &outbound{}
-		t.sessions[addr] = o
-	}
-	t.mu.Unlock()
-	session, err := t.sessionTo(ctx, o, addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	raw, err := session.OpenStream()
-	if err != nil {
-		o.dropSession(session)
-		return nil, nil, eris.Wrapf(err, "open stream to %s", addr)
-	}
-	return raw, o, nil
-}
-
-// sessionTo returns the live session towards addr, or dials one unless a recent failure asks for patience.
-func (t *Transport) sessionTo(ctx context.Context, o *outbound, addr string) (*yamux.Session, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.session != nil && !o.session.IsClosed() {
-		return o.session, nil
-	}
-	if wait := time.Until(o.retryAt); wait > 0 {
-		return nil, eris.Errorf("dial %s: backing off for %v after %d failures", addr, wait.Round(time.Millisecond), o.failures)
-	}
-	session, conn, err := t.dial(ctx, addr)
-	if err != nil {
-		o.failures++
-		backoff := min(maxBackoff, minBackoff<<min(o.failures, 6))
-		o.retryAt = time.Now().Add(backoff/2 + rand.N(backoff/2))
-		return nil, eris.Wrapf(err, "dial %s", addr)
-	}
-	o.session, o.conn, o.failures, o.retryAt = session, conn, 0, time.Time{}
-	return session, nil
-}
-
-func (t *Transport) dial(ctx context.Context, addr string) (*yamux.Session, *activityConn, error) {
-	dialer := net.Dialer{Timeout: t.dialTimeout()}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	if _, err := t.handshakeDial(raw); err != nil {
-		_ = raw.Close()
-		return nil, nil, err
-	}
-	conn := &activityConn{Conn: raw}
-	conn.touch()
-	session, err := yamux.Client(conn, t.yamuxConfig())
-	if err != nil {
-		_ = raw.Close()
-		return nil, nil, err
-	}
-	return session, conn, nil
-}
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -12,6 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/authenticator"
+	"github.com/dragonflycroft/dragonflycroft/internal/framer"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -70,7 +72,7 @@
 	start(t, server)
 	client := start(t, &transporter.Transport{HostID: "a", Key: []byte("other")})
 	err := client.Call(t.Context(), server.Addr(), "echo", wrapperspb.Int64(1), &wrapperspb.Int64Value{})
-	var refused *transporter.HandshakeError
+	var refused *authenticator.HandshakeError
 	if !errors.As(err, &refused) {
 		t.Fatalf("got %v, want a HandshakeError", err)
 	}
@@ -88,7 +90,7 @@
 		t.Errorf("got %v, want code %s", err, transporter.CodeUnknownMethod)
 	}
 	err = client.Call(t.Context(), server.Addr(), "echo", wrapperspb.Bytes(make([]byte, 2<<10)), &wrapperspb.BytesValue{})
-	var size *transporter.FrameSizeError
+	var size *framer.SizeError
 	if !errors.As(err, &size) {
 		t.Errorf("got %v, want a FrameSizeError", err)
 	}
