--- /dev/null
+++ b/internal/persister/file.go
@@ -0,0 +1,58 @@
+package persister
+
+import (
+	"errors"
+	"io"
+	"os"
+)
+
+// File is what the persister needs of an open file.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// FS is what the persister needs of a file system; tests substitute one that fails.
+type FS interface {
+	ReadFile(name string) ([]byte, error)
+	OpenFile(name string, flag int) (File, error)
+	Rename(from, to string) error
+	MkdirAll(dir string) error
+	SyncDir(dir string) error
+}
+
+// OS is the file system of the host.
+type OS struct{}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// OpenFile implements FS.
+func (OS) OpenFile(name string, flag int) (File, error) { return os.OpenFile(name, flag, fileMode) }
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, folderMode) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+func writeSync(f File, data []byte) error {
+	n, err := f.Write(data)
+	if err != nil {
+		return err
+	}
+	if n < len(data) {
+		return io.ErrShortWrite
+	}
+	return f.Sync()
+}
--- /dev/null
+++ b/internal/replicator/snapshot.go
@@ -0,0 +1,81 @@
+package replicator
+
+import "slices"
+
+func (c *Core) onChunk(m Message) {
+	if c.role == Leader || m.Chunk == nil {
+		return
+	}
+	c.hear(m)
+	r := Message{Kind: SnapshotResponse, Chunk: &Chunk{Index: m.Chunk.Index}}
+	if m.Chunk.Index <= c.commit {
+		c.assembly = nil
+		r.Match = c.commit
+		c.reply(m, r)
+		return
+	}
+	if !c.collect(m.Chunk) {
+		r.Chunk.Offset = uint64(len(c.assembled(m.Chunk)))
+		c.reply(m, r)
+		return
+	}
+	c.install()
+	r.Match = m.Chunk.Index
+	c.reply(m, r)
+}
+
+// assembled returns what has arrived of the snapshot that a chunk belongs to.
+func (c *Core) assembled(chunk *Chunk) []byte {
+	a := c.assembly
+	if a == nil || a.Index != chunk.Index || a.Term != chunk.Term || a.Total != chunk.Total {
+		return nil
+	}
+	return a.Data
+}
+
+// collect adds a chunk; it reports whether the snapshot is complete.
+func (c *Core) collect(chunk *Chunk) bool {
+	have := c.assembled(chunk)
+	if have == nil {
+		c.assembly = &Chunk{Index: chunk.Index, Term: chunk.Term, Members: chunk.Members, Total: chunk.Total, Data: []byte{}}
+	}
+	if chunk.Offset != uint64(len(have)) || uint64(len(have)+len(chunk.Data)) > chunk.Total {
+		return false
+	}
+	c.assembly.Data = append(c.assembly.Data, chunk.Data...)
+	return uint64(len(c.assembly.Data)) == chunk.Total
+}
+
+// install replaces the log by the assembled snapshot.
+func (c *Core) install() {
+	a := c.assembly
+	c.assembly = nil
+	c.snap = Snapshot{Index: a.Index, Term: a.Term, Members: slices.Clone(a.Members), Data: a.Data}
+	if term, ok := c.log.term(a.Index); ok && term == a.Term {
+		c.log.compact(a.Index)
+	} else {
+		c.log.reset(a.Index, a.Term)
+	}
+	c.stable = min(max(c.stable, a.Index), c.log.last())
+	c.commit, c.handed = a.Index, a.Index
+	c.reloadMembers()
+	snap := c.snap
+	c.out.Snapshot = &snap
+}
+
+func (c *Core) onChunkResponse(m Message) {
+	p := c.accepts(m)
+	if p == nil || m.Reject || p.snapshot == nil || m.Chunk == nil || m.Chunk.Index != p.snapshot.Index {
+		return
+	}
+	p.inflight = 0
+	p.offset = min(m.Chunk.Offset, uint64(len(p.snapshot.Data)))
+	if m.Match < p.snapshot.Index {
+		return
+	}
+	p.snapshot = nil
+	p.match = max(p.match, m.Match)
+	p.probe()
+	p.probing = false
+	c.advanceCommit()
+}
