controller: client, agent and replicated state

The client retries commands that are idempotent by key or id; the agent keeps configuration, roles and the shed level of a host, with every validity counted from the time its heartbeat was sent.

--- /dev/null
+++ b/internal/applier/failure.go
@@ -0,0 +1,107 @@
+package applier
+
+import (
+	"errors"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+)
+
+// Codes of failures on the wire and in the log.
+const (
+	codeStaleVersion   = "stale_version"
+	codePatchID        = "patch_id"
+	codeInvalid        = "invalid"
+	codeStaleEpoch     = "stale_epoch"
+	codeMalformed      = "malformed"
+	codeDigestMismatch = "digest_mismatch"
+	codeLedgerFull     = "ledger_full"
+	codeNotOwner       = "not_owner"
+	codeUnknownOrder   = "unknown_order"
+	codeConcluded      = "concluded"
+	codeInvalidIntent  = "invalid_intent"
+	codeWithdrawn      = "withdrawn"
+)
+
+// EncodeFailure returns the message form of an error.
+func EncodeFailure(err error) *controllerpb.Failure {
+	f := &controllerpb.Failure{Code: codeMalformed, Message: err.Error()}
+	var (
+		stale    *StaleVersionError
+		patchID  *PatchIDError
+		invalid  *configurer.InvalidError
+		epoch    *StaleEpochError
+		mismatch *recorder.DigestMismatchError
+		full     *recorder.LedgerFullError
+		owner    *recorder.NotOwnerError
+		unknown  *recorder.UnknownOrderError
+		done     *recorder.ConcludedError
+		intent   *recorder.InvalidIntentError
+		gone     *recorder.WithdrawnError
+	)
+	switch {
+	case errors.As(err, &stale):
+		f.Code, f.Base, f.Current = codeStaleVersion, stale.Base, stale.Current
+	case errors.As(err, &patchID):
+		f.Code, f.Id, f.Message = codePatchID, patchID.ID, patchID.Reason
+	case errors.As(err, &invalid):
+		f.Code, f.Message = codeInvalid, ""
+		for _, p := range invalid.Problems {
+			f.Problems = append(f.Problems, &controllerpb.Problem{Path: p.Path, Message: p.Message})
+		}
+	case errors.As(err, &epoch):
+		f.Code, f.Base, f.Current = codeStaleEpoch, epoch.Previous, epoch.Current
+	case errors.As(err, &mismatch):
+		f.Code, f.Key = codeDigestMismatch, keyProto(mismatch.Key)
+	case errors.As(err, &full):
+		f.Code, f.Orders, f.Bytes = codeLedgerFull, int64(full.Orders), full.Bytes
+	case errors.As(err, &owner):
+		f.Code, f.Key, f.Owner, f.Asked = codeNotOwner, keyProto(owner.Key), owner.Owner, owner.Asked
+	case errors.As(err, &unknown):
+		f.Code, f.Key = codeUnknownOrder, keyProto(unknown.Key)
+	case errors.As(err, &done):
+		f.Code, f.Key = codeConcluded, keyProto(done.Key)
+	case errors.As(err, &intent):
+		f.Code, f.Message = codeInvalidIntent, intent.Reason
+	case errors.As(err, &gone):
+		f.Code, f.Key = codeWithdrawn, keyProto(gone.Key)
+	}
+	return f
+}
+
+// DecodeFailure returns the typed error of a failure, or nil.
+func DecodeFailure(f *controllerpb.Failure) error {
+	switch f.GetCode() {
+	case "":
+		return nil
+	case codeStaleVersion:
+		return &StaleVersionError{Base: f.GetBase(), Current: f.GetCurrent()}
+	case codePatchID:
+		return &PatchIDError{ID: f.GetId(), Reason: f.GetMessage()}
+	case codeInvalid:
+		e := &configurer.InvalidError{}
+		for _, p := range f.GetProblems() {
+			e.Problems = append(e.Problems, configurer.Problem{Path: p.GetPath(), Message: p.GetMessage()})
+		}
+		return e
+	case codeStaleEpoch:
+		return &StaleEpochError{Previous: f.GetBase(), Current: f.GetCurrent()}
+	case codeDigestMismatch:
+		return &recorder.DigestMismatchError{Key: KeyOf(f.GetKey())}
+	case codeLedgerFull:
+		return &recorder.LedgerFullError{Orders: int(f.GetOrders()), Bytes: f.GetBytes()}
+	case codeNotOwner:
+		return &recorder.NotOwnerError{Key: KeyOf(f.GetKey()), Owner: f.GetOwner(), Asked: f.GetAsked()}
+	case codeUnknownOrder:
+		return &recorder.UnknownOrderError{Key: KeyOf(f.GetKey())}
+	case codeConcluded:
+		return &recorder.ConcludedError{Key: KeyOf(f.GetKey())}
+	case codeInvalidIntent:
+		return &recorder.InvalidIntentError{Reason: f.GetMessage()}
+	case codeWithdrawn:
+		return &recorder.WithdrawnError{Key: KeyOf(f.GetKey())}
+	default:
+		return &MalformedCommandError{Reason: f.GetMessage()}
+	}
+}
--- /dev/null
+++ b/internal/applier/machine.go
@@ -0,0 +1,353 @@
+package applier
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+)
+
+// Bounds of the replicated state.
+const (
+	// maxRevisions keeps the history of about three days at 1,800 changes a day. A patch id older than that names a stale
+	// version, so that it is refused even though its first result is forgotten.
+	maxRevisions    = 5_000
+	maxHistoryBytes = 32 << 20
+	maxRefusals     = 1_000
+	maxPatchIDBytes = 128
+	maxRemoved      = 4_096
+)
+
+// Machine is the replicated state. Apply, Snapshot and Restore are called by the log; the other methods may be called from
+// any goroutine.
+type Machine struct {
+	// OnChange is called after an applied command, without a lock. Set it before the log runs.
+	OnChange func()
+
+	mu             sync.RWMutex
+	version        uint64
+	document       []byte
+	config         *configurer.Config
+	history        []Revision
+	historyBytes   int
+	accepted       map[string]patchRecord
+	refused        map[string]patchRecord
+	refusedOrder   []string
+	roles          map[string]Assignment
+	members        map[string]Member
+	membersVersion uint64
+	ledger         *recorder.Ledger
+	clockAt        time.Time
+}
+
+// patchRecord is the first result of a patch id.
+type patchRecord struct {
+	digest  [sha256.Size]byte
+	version uint64
+	failure *controllerpb.Failure
+}
+
+// New returns an empty state.
+func New() *Machine {
+	m := &Machine{}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	m.version, m.document, m.config, m.history, m.historyBytes = 0, nil, nil, nil, 0
+	m.accepted, m.refused, m.refusedOrder = map[string]patchRecord{}, map[string]patchRecord{}, nil
+	m.roles, m.members, m.membersVersion = map[string]Assignment{}, map[string]Member{}, 0
+	m.ledger = recorder.New(recorder.Limits{})
+	m.clockAt = time.Now()
+}
+
+// Apply implements the state machine of the log. The result is an encoded controllerpb.Result.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	cmd := &controllerpb.Command{}
+	var result *controllerpb.Result
+	if err := proto.Unmarshal(command, cmd); err != nil {
+		result = &controllerpb.Result{Failure: EncodeFailure(&MalformedCommandError{Reason: err.Error()})}
+		klog.Errorf("applier: malformed command index=%d reason=%q", index, err)
+	} else {
+		m.mu.Lock()
+		result = m.apply(cmd)
+		m.mu.Unlock()
+	}
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(result)
+	if err != nil {
+		klog.Errorf("applier: cannot encode result index=%d reason=%q", index, err)
+	}
+	if m.OnChange != nil {
+		m.OnChange()
+	}
+	return out
+}
+
+func (m *Machine) apply(cmd *controllerpb.Command) *controllerpb.Result {
+	if cmd.GetClockMs() > m.ledger.ClockMS() {
+		m.ledger.Advance(cmd.GetClockMs())
+		m.clockAt = time.Now()
+	}
+	result := &controllerpb.Result{}
+	var err error
+	switch body := cmd.GetBody().(type) {
+	case *controllerpb.Command_PatchConfig:
+		result.Number, err = m.patchConfig(cmd.GetUnixMs(), body.PatchConfig)
+	case *controllerpb.Command_GrantRole:
+		result.Number, err = m.grantRole(body.GrantRole)
+	case *controllerpb.Command_IntendOrder:
+		var record recorder.Record
+		if record, err = m.ledger.Intend(intentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
+			result.Order = OrderProto(record)
+		}
+	case *controllerpb.Command_ConcludeOrder:
+		c := body.ConcludeOrder
+		err = m.ledger.Conclude(KeyOf(c.GetKey()), c.GetOwner(), outcomeOf(c.GetOutcome()))
+	case *controllerpb.Command_WithdrawOrder:
+		w := body.WithdrawOrder
+		err = m.ledger.Withdraw(KeyOf(w.GetKey()), w.GetOwner(), w.GetAttempt())
+	case *controllerpb.Command_ExpireOrders:
+		m.ledger.Sweep(m.ownerLives())
+		m.ledger.Expire()
+	case *controllerpb.Command_PutMember:
+		result.Number = m.putMember(body.PutMember)
+	case *controllerpb.Command_RemoveMember:
+		m.removeMember(body.RemoveMember)
+	default:
+		err = &MalformedCommandError{Reason: "no body"}
+	}
+	if err != nil {
+		result.Failure = EncodeFailure(err)
+	}
+	return result
+}
+
+func patchDigest(p *controllerpb.PatchConfig) [sha256.Size]byte {
+	return sha256.Sum256(append(binary.BigEndian.AppendUint64(nil, p.GetBase()), p.GetBody()...))
+}
+
+func (m *Machine) patchConfig(unixMS int64, p *controllerpb.PatchConfig) (uint64, error) {
+	if p.GetId() == "" || len(p.GetId()) > maxPatchIDBytes {
+		return 0, &PatchIDError{ID: p.GetId(), Reason: fmt.Sprintf("must have 1 to %d bytes", maxPatchIDBytes)}
+	}
+	digest := patchDigest(p)
+	first, known := m.accepted[p.GetId()]
+	if !known {
+		first, known = m.refused[p.GetId()]
+	}
+	if known {
+		if first.digest != digest {
+			return 0, &PatchIDError{ID: p.GetId(), Reason: "was used with another patch"}
+		}
+		return first.version, DecodeFailure(first.failure)
+	}
+	if err := m.tryPatch(unixMS, p); err != nil {
+		m.refuse(p.GetId(), patchRecord{digest: digest, failure: EncodeFailure(err)})
+		return 0, err
+	}
+	m.accepted[p.GetId()] = patchRecord{digest: digest, version: m.version}
+	return m.version, nil
+}
+
+func (m *Machine) tryPatch(unixMS int64, p *controllerpb.PatchConfig) error {
+	if p.GetBase() != m.version {
+		return &StaleVersionError{Base: p.GetBase(), Current: m.version}
+	}
+	cfg, document, err := configurer.Apply(m.document, p.GetBody())
+	if err != nil {
+		return err
+	}
+	m.version++
+	m.document, m.config = document, cfg
+	m.ledger.SetLimits(ledgerLimits(cfg))
+	m.history = append(m.history, Revision{
+		Version: m.version, PatchID: p.GetId(), Author: p.GetAuthor(), Base: p.GetBase(),
+		Time: time.UnixMilli(unixMS).UTC(), Patch: p.GetBody(),
+	})
+	m.historyBytes += len(p.GetBody())
+	for len(m.history) > maxRevisions || (m.historyBytes > maxHistoryBytes && len(m.history) > 1) {
+		m.historyBytes -= len(m.history[0].Patch)
+		delete(m.accepted, m.history[0].PatchID)
+		m.history[0] = Revision{}
+		m.history = m.history[1:]
+	}
+	return nil
+}
+
+func ledgerLimits(cfg *configurer.Config) recorder.Limits {
+	return recorder.Limits{
+		Retention: time.Duration(cfg.Limits.OrderRetentionMS) * time.Millisecond,
+		MaxOrders: cfg.Limits.MaxOrders,
+	}
+}
+
+func (m *Machine) refuse(id string, r patchRecord) {
+	m.refused[id] = r
+	m.refusedOrder = append(m.refusedOrder, id)
+	if len(m.refusedOrder) > maxRefusals {
+		delete(m.refused, m.refusedOrder[0])
+		m.refusedOrder = slices.Delete(m.refusedOrder, 0, 1)
+	}
+}
+
+func (m *Machine) grantRole(g *controllerpb.GrantRole) (uint64, error) {
+	current := m.roles[g.GetRole()]
+	if current.Epoch != g.GetPreviousEpoch() {
+		return 0, &StaleEpochError{Previous: g.GetPreviousEpoch(), Current: current.Epoch}
+	}
+	m.roles[g.GetRole()] = Assignment{Host: g.GetHost(), Incarnation: g.GetIncarnation(), Epoch: current.Epoch + 1}
+	return current.Epoch + 1, nil
+}
+
+// putMember records a process. The incarnation is assigned here, so that it grows although hosts without a disk forget it
+// and although their wall clocks may go back.
+func (m *Machine) putMember(p *controllerpb.PutMember) uint64 {
+	current, known := m.members[p.GetHost()]
+	same := known && current.Nonce == p.GetNonce()
+	if !same && current.Incarnation != p.GetPreviousIncarnation() {
+		return current.Incarnation
+	}
+	next := Member{
+		Host: p.GetHost(), Nonce: p.GetNonce(), Incarnation: current.Incarnation, Zone: p.GetZone(), Addr: p.GetAddr(),
+		CallersAddr: p.GetCallersAddr(), Control: p.GetControl(), Version: current.Version,
+	}
+	if same && next == current {
+		return current.Incarnation
+	}
+	if !same {
+		m.ledger.OwnerLost(current.Owner())
+		next.Incarnation++
+	}
+	m.membersVersion++
+	next.Version = m.membersVersion
+	m.members[next.Host] = next
+	return next.Incarnation
+}
+
+func (m *Machine) removeMember(r *controllerpb.RemoveMember) {
+	current, known := m.members[r.GetHost()]
+	if !known || current.Removed || current.Incarnation != r.GetIncarnation() {
+		return
+	}
+	m.ledger.OwnerLost(current.Owner())
+	m.membersVersion++
+	current.Removed, current.Version = true, m.membersVersion
+	m.members[current.Host] = current
+	m.forgetRemoved()
+}
+
+// forgetRemoved bounds the members that are remembered for their incarnation number, the oldest first.
+func (m *Machine) forgetRemoved() {
+	var removed []Member
+	for _, member := range m.members {
+		if member.Removed {
+			removed = append(removed, member)
+		}
+	}
+	if len(removed) <= maxRemoved {
+		return
+	}
+	oldest := slices.MinFunc(removed, func(a, b Member) int { return int(a.Version) - int(b.Version) })
+	delete(m.members, oldest.Host)
+}
+
+func (m *Machine) ownerLives() func(string) bool {
+	live := make(map[string]bool, len(m.members))
+	for _, member := range m.members {
+		live[member.Owner()] = !member.Removed
+	}
+	return func(owner string) bool { return live[owner] }
+}
+
+// Config returns the current version, its document and its decoded form, which must not be changed.
+func (m *Machine) Config() (version uint64, document []byte, cfg *configurer.Config) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.version, m.document, m.config
+}
+
+// History returns up to limit revisions from a version on, in ascending order.
+func (m *Machine) History(from uint64, limit int) []Revision {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	at, _ := slices.BinarySearchFunc(m.history, from, func(r Revision, v uint64) int {
+		if r.Version < v {
+			return -1
+		}
+		return int(min(r.Version-v, 1))
+	})
+	rest := m.history[at:]
+	return slices.Clone(rest[:min(len(rest), max(limit, 0))])
+}
+
+// Roles returns the holder of each role that was ever granted.
+func (m *Machine) Roles() map[string]Assignment {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return maps.Clone(m.roles)
+}
+
+// Members returns the members that are not removed, sorted by host, and the members' version.
+func (m *Machine) Members() ([]Member, uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]Member, 0, len(m.members))
+	for _, member := range m.members {
+		if !member.Removed {
+			out = append(out, member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
+	return out, m.membersVersion
+}
+
+// Member returns the last known process of a host, also when it was removed.
+func (m *Machine) Member(host string) (Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	member, ok := m.members[host]
+	return member, ok
+}
+
+// Order returns an order of the ledger.
+func (m *Machine) Order(key recorder.Key) (recorder.Record, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.ledger.Lookup(key)
+}
+
+// Orders returns the number of orders held and their estimated memory in bytes.
+func (m *Machine) Orders() (int, int64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.ledger.Len(), m.ledger.Bytes()
+}
+
+// ClockMS returns the ledger clock moved on by the monotonic time since it was last advanced. It never runs ahead of real
+// time, so that no order leaves the ledger early because of a wall clock that jumps.
+func (m *Machine) ClockMS() int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.ledger.ClockMS() + time.Since(m.clockAt).Milliseconds()
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/applier/snapshot.go
@@ -0,0 +1,131 @@
+package applier
+
+import (
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+)
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := &controllerpb.Snapshot{
+		ConfigVersion: m.version, Document: m.document, MembersVersion: m.membersVersion, ClockMs: m.ledger.ClockMS(),
+	}
+	for _, r := range m.history {
+		s.History = append(s.History, RevisionProto(r))
+		s.Patches = append(s.Patches, recordProto(r.PatchID, m.accepted[r.PatchID]))
+	}
+	for _, id := range m.refusedOrder {
+		s.Patches = append(s.Patches, recordProto(id, m.refused[id]))
+	}
+	for name, a := range m.roles {
+		s.Roles = append(s.Roles, RoleProto(name, a))
+	}
+	slices.SortFunc(s.Roles, func(a, b *controllerpb.Role) int { return compareStrings(a.Name, b.Name) })
+	for _, member := range m.members {
+		s.Members = append(s.Members, member.Proto())
+	}
+	slices.SortFunc(s.Members, func(a, b *controllerpb.Member) int { return compareStrings(a.Host, b.Host) })
+	records, withdrawn := m.ledger.Export()
+	for _, r := range records {
+		s.Orders = append(s.Orders, OrderProto(r))
+	}
+	for _, w := range withdrawn {
+		s.Withdrawals = append(s.Withdrawals, &controllerpb.Withdrawal{
+			Key: keyProto(w.Key), Owner: w.Owner, Attempt: w.Attempt, AtMs: w.AtMS,
+		})
+	}
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	return out, eris.Wrap(err, "encode snapshot")
+}
+
+// RevisionProto returns the message form of a revision.
+func RevisionProto(r Revision) *controllerpb.Revision {
+	return &controllerpb.Revision{
+		Version: r.Version, PatchId: r.PatchID, Author: r.Author, UnixMs: r.Time.UnixMilli(), Patch: r.Patch, Base: r.Base,
+	}
+}
+
+// RoleProto returns the message form of a role's holder.
+func RoleProto(name string, a Assignment) *controllerpb.Role {
+	return &controllerpb.Role{Name: name, Host: a.Host, Incarnation: a.Incarnation, Epoch: a.Epoch}
+}
+
+func recordProto(id string, r patchRecord) *controllerpb.PatchRecord {
+	return &controllerpb.PatchRecord{Id: id, Digest: r.digest[:], Version: r.version, Failure: r.failure}
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (m *Machine) Restore(snapshot []byte) error {
+	s := &controllerpb.Snapshot{}
+	if err := proto.Unmarshal(snapshot, s); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+	var cfg *configurer.Config
+	if len(s.GetDocument()) > 0 {
+		var err error
+		if cfg, err = configurer.Decode(s.GetDocument()); err != nil {
+			return eris.Wrapf(err, "decode configuration version %d", s.GetConfigVersion())
+		}
+	}
+	m.mu.Lock()
+	m.reset()
+	m.version, m.document, m.config, m.membersVersion = s.GetConfigVersion(), s.GetDocument(), cfg, s.GetMembersVersion()
+	m.restorePatches(s)
+	for _, r := range s.GetRoles() {
+		m.roles[r.GetName()] = Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
+	}
+	for _, p := range s.GetMembers() {
+		m.members[p.GetHost()] = MemberOf(p)
+	}
+	m.restoreLedger(s)
+	m.mu.Unlock()
+	if m.OnChange != nil {
+		m.OnChange()
+	}
+	return nil
+}
+
+func (m *Machine) restorePatches(s *controllerpb.Snapshot) {
+	for _, r := range s.GetHistory() {
+		m.history = append(m.history, RevisionOf(r))
+		m.historyBytes += len(r.GetPatch())
+	}
+	for _, p := range s.GetPatches() {
+		record := patchRecord{version: p.GetVersion(), failure: p.GetFailure()}
+		copy(record.digest[:], p.GetDigest()[:min(len(p.GetDigest()), sha256.Size)])
+		if record.failure == nil {
+			m.accepted[p.GetId()] = record
+			continue
+		}
+		m.refused[p.GetId()] = record
+		m.refusedOrder = append(m.refusedOrder, p.GetId())
+	}
+}
+
+func (m *Machine) restoreLedger(s *controllerpb.Snapshot) {
+	records := make([]recorder.Record, 0, len(s.GetOrders()))
+	for _, o := range s.GetOrders() {
+		records = append(records, OrderOf(o))
+	}
+	withdrawn := make([]recorder.Withdrawal, 0, len(s.GetWithdrawals()))
+	for _, w := range s.GetWithdrawals() {
+		withdrawn = append(withdrawn, recorder.Withdrawal{
+			Key: KeyOf(w.GetKey()), Owner: w.GetOwner(), Attempt: w.GetAttempt(), AtMS: w.GetAtMs(),
+		})
+	}
+	if m.config != nil {
+		m.ledger.SetLimits(ledgerLimits(m.config))
+	}
+	m.ledger.Import(s.GetClockMs(), records, withdrawn)
+	m.clockAt = time.Now()
+}
--- /dev/null
+++ b/internal/applier/types.go
@@ -0,0 +1,116 @@
+// Package applier applies the commands of the replicated log to configuration, roles, members and the ledger of orders.
+package applier
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
+)
+
+// Patch is a change of the configuration: a JSON merge patch written against the version Base. The same ID sent again
+// returns the first result.
+type Patch struct {
+	ID     string
+	Base   uint64
+	Body   []byte
+	Author string
+}
+
+// PatchResult is the version that a patch created.
+type PatchResult struct{ Version uint64 }
+
+// Revision is one accepted version in the history.
+type Revision struct {
+	Version uint64    `json:"version"`
+	PatchID string    `json:"patch_id"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+	Base    uint64    `json:"base"`
+	Patch   []byte    `json:"-"`
+}
+
+// Assignment is the replicated holder of a role.
+type Assignment = leaser.Assignment
+
+// Member is a process of a host. A removed member is remembered for its incarnation number.
+type Member struct {
+	Host        string
+	Nonce       uint64
+	Incarnation uint64
+	Zone        string
+	Addr        string
+	CallersAddr string
+	Control     bool
+	Removed     bool
+	// Version is the members' version at the last change of this member.
+	Version uint64
+}
+
+// Owner names a process of a host in the ledger and in request ids.
+func Owner(host string, incarnation uint64) string { return fmt.Sprintf("%s.%d", host, incarnation) }
+
+// Owner names this process in the ledger and in request ids.
+func (m Member) Owner() string { return Owner(m.Host, m.Incarnation) }
+
+// Proto returns the message form of a member.
+func (m Member) Proto() *controllerpb.Member {
+	return &controllerpb.Member{
+		Host: m.Host, Nonce: m.Nonce, Incarnation: m.Incarnation, Zone: m.Zone, Addr: m.Addr,
+		CallersAddr: m.CallersAddr, Control: m.Control, Removed: m.Removed, Version: m.Version,
+	}
+}
+
+// MemberOf reads the message form of a member.
+func MemberOf(p *controllerpb.Member) Member {
+	return Member{
+		Host: p.GetHost(), Nonce: p.GetNonce(), Incarnation: p.GetIncarnation(), Zone: p.GetZone(), Addr: p.GetAddr(),
+		CallersAddr: p.GetCallersAddr(), Control: p.GetControl(), Removed: p.GetRemoved(), Version: p.GetVersion(),
+	}
+}
+
+// RevisionOf reads the message form of a revision.
+func RevisionOf(p *controllerpb.Revision) Revision {
+	return Revision{
+		Version: p.GetVersion(), PatchID: p.GetPatchId(), Author: p.GetAuthor(), Base: p.GetBase(), Patch: p.GetPatch(),
+		Time: time.UnixMilli(p.GetUnixMs()).UTC(),
+	}
+}
+
+// StaleVersionError reports a patch that was written against a version that is not the current one.
+type StaleVersionError struct {
+	Base    uint64
+	Current uint64
+}
+
+// Error implements error.
+func (e *StaleVersionError) Error() string {
+	return fmt.Sprintf("the patch was written against version %d; the current version is %d", e.Base, e.Current)
+}
+
+// PatchIDError reports a patch id that is missing, too long or was used before with another patch.
+type PatchIDError struct {
+	ID     string
+	Reason string
+}
+
+// Error implements error.
+func (e *PatchIDError) Error() string { return fmt.Sprintf("patch id %q %s", e.ID, e.Reason) }
+
+// StaleEpochError reports a grant that another grant has overtaken.
+type StaleEpochError struct {
+	Previous uint64
+	Current  uint64
+}
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("the grant follows epoch %d; the current epoch is %d", e.Previous, e.Current)
+}
+
+// MalformedCommandError reports a log entry that cannot be decoded.
+type MalformedCommandError struct{ Reason string }
+
+// Error implements error.
+func (e *MalformedCommandError) Error() string { return "malformed command: " + e.Reason }
--- /dev/null
+++ b/internal/heartbeater/config.go
@@ -0,0 +1,82 @@
+package heartbeater
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+)
+
+// relayedFor is how long a confirmation by a parent keeps this host from asking the leader for documents.
+const relayedFor = time.Second
+
+// Config returns the configuration this host acts on. It is fresh while the last confirmation by the leader, directly or
+// through parents, is at most FreshFor old. The version is 0 before the first confirmation.
+func (a *Agent) Config() (version uint64, cfg *configurer.Config, fresh bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fresh = a.version > 0 && time.Since(a.confirmedAt) < FreshFor
+	return a.version, a.config, fresh
+}
+
+// Subscribe registers a function that is called with each new version. It is called at once when a version is known.
+func (a *Agent) Subscribe(fn func(version uint64, cfg *configurer.Config)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	a.subscribers = append(a.subscribers, fn)
+	if version, cfg := a.version, a.config; version > 0 {
+		a.enqueue(func() { fn(version, cfg) })
+	}
+}
+
+// Confirmation returns the version and document this host acts on and the time at which the leader last confirmed them.
+func (a *Agent) Confirmation() (version uint64, document []byte, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.version, a.document, a.confirmedAt
+}
+
+// Offer passes a version received from a parent of the relay tree with the time at which the leader confirmed it, on this
+// host's clock. A zero time passes a version without confirming it; an empty document confirms the version held.
+func (a *Agent) Offer(version uint64, document []byte, confirmedAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	if !confirmedAt.IsZero() {
+		a.relayedAt = time.Now()
+	}
+	a.acceptConfig(version, document, confirmedAt)
+}
+
+func (a *Agent) relayed(now time.Time) bool {
+	return !a.relayedAt.IsZero() && now.Sub(a.relayedAt) < relayedFor
+}
+
+// acceptConfig moves to a higher version or confirms the one held. An answer that names a lower version is dropped.
+func (a *Agent) acceptConfig(version uint64, document []byte, confirmedAt time.Time) {
+	if version < a.version || version == 0 {
+		return
+	}
+	if version > a.version {
+		if len(document) == 0 {
+			return
+		}
+		cfg, err := configurer.Decode(document)
+		if err != nil {
+			klog.Errorf("heartbeater: cannot use configuration version=%d reason=%q", version, err)
+			return
+		}
+		klog.Infof("heartbeater: configuration in force host=%s version=%d previous=%d", a.HostID, version, a.version)
+		a.version, a.document, a.config = version, document, cfg
+		a.confirmedAt = confirmedAt
+		for _, fn := range a.subscribers {
+			a.enqueue(func() { fn(version, cfg) })
+		}
+		return
+	}
+	if confirmedAt.After(a.confirmedAt) {
+		a.confirmedAt = confirmedAt
+	}
+}
--- /dev/null
+++ b/internal/heartbeater/roles.go
@@ -0,0 +1,172 @@
+package heartbeater
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+)
+
+// Holder returns the host that holds a role, "pool/NAME" or "placement", as last heard from the leader.
+func (a *Agent) Holder(role string) (hostID, addr string, epoch uint64, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, known := a.holders[role]
+	if !known {
+		return "", "", 0, false
+	}
+	i := slices.IndexFunc(a.members, func(m applier.Member) bool {
+		return m.Host == at.Host && m.Incarnation == at.Incarnation
+	})
+	if i < 0 {
+		return "", "", 0, false
+	}
+	return at.Host, a.members[i].Addr, at.Epoch, true
+}
+
+// OnRole registers a function that is called when this host starts or stops holding a role. It is called at once for the
+// roles held already.
+func (a *Agent) OnRole(fn func(role string, epoch uint64, held bool)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	a.onRole = append(a.onRole, fn)
+	for role, l := range a.held {
+		a.enqueue(func() { fn(role, l.epoch, true) })
+	}
+}
+
+// RoleValid reports whether this host may act under a role at this moment.
+func (a *Agent) RoleValid(role string, epoch uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l, ok := a.held[role]
+	return ok && l.epoch == epoch && time.Now().Before(l.until)
+}
+
+// HandOver gives up all roles and takes no new ones. It returns once the callbacks have run and the leader has answered,
+// so that the roles are free for others.
+func (a *Agent) HandOver(ctx context.Context) error {
+	a.mu.Lock()
+	a.init()
+	a.draining = true
+	a.endAll()
+	delivered := make(chan struct{})
+	a.enqueue(func() { close(delivered) })
+	a.mu.Unlock()
+	select {
+	case <-delivered:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return a.beatNow(ctx)
+}
+
+// Leave hands the roles over and removes this process from the members. Its open orders become unknown, so that it is
+// called when no request is in progress.
+func (a *Agent) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.init()
+	a.leaving = true
+	a.mu.Unlock()
+	return a.HandOver(ctx)
+}
+
+func (a *Agent) beatNow(ctx context.Context) error {
+	sent := make(chan struct{})
+	select {
+	case a.wake <- sent:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-sent:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (a *Agent) acceptRoles(sent time.Time, r *controllerpb.HeartbeatReply) {
+	a.holders = make(map[string]applier.Assignment, len(r.GetHolders()))
+	for _, h := range r.GetHolders() {
+		a.holders[h.GetName()] = applier.Assignment{Host: h.GetHost(), Incarnation: h.GetIncarnation(), Epoch: h.GetEpoch()}
+		if a.ended[h.GetName()] < h.GetEpoch() {
+			delete(a.ended, h.GetName())
+		}
+	}
+	until := sent.Add(time.Duration(r.GetLeaseMs()) * time.Millisecond)
+	for _, g := range r.GetGranted() {
+		a.acceptGrant(g.GetRole(), g.GetEpoch(), until)
+	}
+}
+
+// acceptGrant renews a lease or starts a new one. An epoch that this host has given up or lost is not taken again.
+func (a *Agent) acceptGrant(role string, epoch uint64, until time.Time) {
+	current, held := a.held[role]
+	if a.draining || epoch <= a.ended[role] || !time.Now().Before(until) || (held && epoch < current.epoch) {
+		return
+	}
+	if held && current.epoch == epoch {
+		if !time.Now().Before(current.until) {
+			a.end(role)
+			return
+		}
+		if until.After(current.until) {
+			a.held[role] = lease{epoch: epoch, until: until}
+		}
+		return
+	}
+	if held {
+		a.end(role)
+		delete(a.ended, role)
+	}
+	a.held[role] = lease{epoch: epoch, until: until}
+	klog.Infof("heartbeater: role held host=%s role=%s epoch=%d", a.HostID, role, epoch)
+	for _, fn := range a.onRole {
+		a.enqueue(func() { fn(role, epoch, true) })
+	}
+}
+
+// end stops acting under a role. The epoch is reported as released until the leader has granted another one.
+func (a *Agent) end(role string) {
+	l := a.held[role]
+	delete(a.held, role)
+	a.ended[role] = max(a.ended[role], l.epoch)
+	a.shed.forget(role)
+	klog.Infof("heartbeater: role ended host=%s role=%s epoch=%d", a.HostID, role, l.epoch)
+	for _, fn := range a.onRole {
+		a.enqueue(func() { fn(role, l.epoch, false) })
+	}
+}
+
+func (a *Agent) endAll() {
+	for _, role := range slices.Sorted(maps.Keys(a.held)) {
+		a.end(role)
+	}
+}
+
+// expireLoop ends the roles whose lease has lapsed.
+func (a *Agent) expireLoop(ctx context.Context) {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			a.mu.Lock()
+			for _, role := range slices.Sorted(maps.Keys(a.held)) {
+				if !now.Before(a.held[role].until) {
+					a.end(role)
+				}
+			}
+			a.mu.Unlock()
+		}
+	}
+}
