scenariorunner: steps, relay and checks for failures on real processes

Cause: the promises must be checked on real processes under failure. Change: scenarios are text files with a step a line; the runner starts hosts behind relays that drop bytes without closing, sends work, and compares the stand-ins' records with what callers were told. Conclusion: compiles; not run.

--- a/internal/connector/engine.go
+++ b/internal/connector/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/rotisserie/eris"
 )
 
@@ -34,6 +35,8 @@
 	statusNotFound = http.StatusNotFound
 	// streamEnd is the data of the last event of a stream, as in the OpenAI protocol.
 	streamEnd = "[DONE]"
+	// streamOptions asks for chunks and a final usage whatever the caller asked for, since only a stream can be resumed.
+	streamOptions = `{"stream":true,"stream_options":{"include_usage":true}}`
 )
 
 // HTTPEngine reaches a model engine over HTTP.
@@ -58,6 +61,11 @@
 	if call.Path == "" {
 		call.Path = PathChat
 	}
+	body, err := jsonpatch.MergePatch(call.Body, []byte(streamOptions))
+	if err != nil {
+		return nil, &NotSentError{Endpoint: e.name, Err: eris.Wrap(err, "set stream options")}
+	}
+	call.Body = body
 	return e.stream(ctx, call, 0, sent)
 }
 
--- /dev/null
+++ b/internal/scenariorunner/checks.go
@@ -0,0 +1,114 @@
+package scenariorunner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Report counts the breaches of the promises in one scenario, and what the callers were told.
+type Report struct {
+	DispatchedTwice       int
+	OrderRunTwice         int
+	LostOrMixed           int
+	NotRunButRan          int
+	HigherTierShed        int
+	NewWorkAfterLeaving   int
+	CutOffByPlannedStop   int
+	VersionsReverted      int
+	Outcomes              map[string]int
+	TransportErrors       int
+	DoneBeyondExpectation int
+}
+
+// Breaches lists the promises that were broken.
+func (r *Report) Breaches() []string {
+	var breaches []string
+	for name, n := range map[string]int{
+		"dispatched twice": r.DispatchedTwice, "order run twice": r.OrderRunTwice, "answers lost or mixed": r.LostOrMixed,
+		"said not_run but ran": r.NotRunButRan, "higher tier shed while lower was served": r.HigherTierShed,
+		"new work to a leaving endpoint after 5 s": r.NewWorkAfterLeaving, "cut off by a planned stop": r.CutOffByPlannedStop,
+		"versions reverted": r.VersionsReverted,
+	} {
+		if n > 0 {
+			breaches = append(breaches, fmt.Sprintf("%s: %d", name, n))
+		}
+	}
+	slices.Sort(breaches)
+	return breaches
+}
+
+// check compares the records of the stand-ins with what the callers were told.
+func (r *Runner) check() *Report {
+	report := &Report{Outcomes: make(map[string]int)}
+	dispatches, executions := r.cluster.records.Dispatches(), r.cluster.records.Executions()
+	for _, n := range dispatches {
+		if n > 1 {
+			report.DispatchedTwice++
+		}
+	}
+	for _, n := range executions {
+		if n > 1 {
+			report.OrderRunTwice++
+		}
+	}
+	lowest := r.cluster.config.Tiers[len(r.cluster.config.Tiers)-1].Name
+	ranKeys := executions
+	for _, l := range r.loads {
+		l.mu.Lock()
+		for _, res := range l.results {
+			report.count(res, dispatches, ranKeys, lowest)
+		}
+		l.mu.Unlock()
+	}
+	report.NewWorkAfterLeaving = r.leavingBreaches()
+	report.CutOffByPlannedStop = r.cutOff
+	report.VersionsReverted = r.reverted
+	return report
+}
+
+func (report *Report) count(res result, dispatches, executions map[string]int, lowest string) {
+	label := res.outcome
+	if res.err != nil {
+		label = "connection_error"
+		report.TransportErrors++
+	}
+	if res.reason != "" {
+		label += "/" + res.reason
+	}
+	report.Outcomes[label]++
+	if res.outcome == "done" && (res.lost || res.mixed) {
+		report.LostOrMixed++
+	}
+	if res.outcome == "not_run" || res.outcome == "refused" {
+		ran := dispatches[res.requestID] > 0
+		if res.order && res.key != "" {
+			ran = ran || executions[res.key] > 0
+		}
+		if ran {
+			report.NotRunButRan++
+		}
+	}
+	// The scenarios never exhaust the room of a pool, so a higher tier must never be shed in them.
+	if res.tier != lowest && (res.reason == "overload" || res.reason == "patience") {
+		report.HigherTierShed++
+	}
+}
+
+// String formats the report in one line per count.
+func (report *Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "breaches: %d\n", len(report.Breaches()))
+	for _, line := range report.Breaches() {
+		fmt.Fprintf(&b, "  %s\n", line)
+	}
+	labels := make([]string, 0, len(report.Outcomes))
+	for label := range report.Outcomes {
+		labels = append(labels, label)
+	}
+	slices.Sort(labels)
+	for _, label := range labels {
+		fmt.Fprintf(&b, "outcome %s: %d\n", label, report.Outcomes[label])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/scenariorunner/runner.go
@@ -0,0 +1,251 @@
+package scenariorunner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/standin"
+)
+
+// Runner runs scenarios. Set the exported fields before Run.
+type Runner struct {
+	// Binary is the path of the dragonflycroft program.
+	Binary string
+	// Dir receives logs and data folders.
+	Dir string
+	// Config is the document that the hosts are given; its endpoint addresses are replaced by stand-ins.
+	Config []byte
+	// Logf receives one line per step.
+	Logf func(format string, args ...any)
+
+	cluster  *cluster
+	loads    map[string]*load
+	versions map[string]uint64
+	leaving  map[string]leavingMark
+	reverted int
+	cutOff   int
+}
+
+// leavingMark is the number of dispatches that an endpoint had received when 5 s had passed since it was leaving.
+type leavingMark struct {
+	since time.Time
+	count int
+	taken bool
+}
+
+// verbs maps each step to its action.
+var verbs map[string]func(r *Runner, ctx context.Context, s Step) error
+
+func init() {
+	verbs = map[string]func(r *Runner, ctx context.Context, s Step) error{
+		"cluster": (*Runner).stepCluster,
+		"load":    (*Runner).stepLoad,
+		"wait":    (*Runner).stepWait,
+		"sleep":   (*Runner).stepSleep,
+		"kill":    (*Runner).stepKill,
+		"start":   (*Runner).stepStart,
+		"stop":    (*Runner).stepStop,
+		"pause":   (*Runner).stepPause,
+		"resume":  (*Runner).stepResume,
+		"cut":     (*Runner).stepCut,
+		"heal":    (*Runner).stepHeal,
+		"mute":    (*Runner).stepMute,
+		"wipe":    (*Runner).stepWipe,
+		"join":    (*Runner).stepJoin,
+		"patch":   (*Runner).stepPatch,
+		"race":    (*Runner).stepRace,
+		"version": (*Runner).stepVersion,
+		"engine":  (*Runner).stepEngine,
+		"leave":   (*Runner).stepLeave,
+		"expect":  (*Runner).stepExpect,
+	}
+}
+
+// Run executes the steps and returns the report of the checks.
+func (r *Runner) Run(ctx context.Context, steps []Step) (*Report, error) {
+	r.loads = make(map[string]*load)
+	r.versions = make(map[string]uint64)
+	r.leaving = make(map[string]leavingMark)
+	defer func() {
+		if r.cluster != nil {
+			r.cluster.close()
+		}
+	}()
+	for _, s := range steps {
+		started := time.Now()
+		if err := verbs[s.Verb](r, ctx, s); err != nil {
+			return nil, &StepError{Line: s.Line, Verb: s.Verb, Err: err}
+		}
+		r.observeVersions(ctx)
+		r.markLeaving()
+		r.Logf("line %d: %s %v %v took %v", s.Line, s.Verb, s.Args, s.Options, time.Since(started).Round(time.Millisecond))
+	}
+	for _, l := range r.loads {
+		l.wg.Wait()
+	}
+	r.observeVersions(ctx)
+	return r.check(), nil
+}
+
+func (r *Runner) stepCluster(ctx context.Context, s Step) error {
+	if r.cluster != nil {
+		return errors.New("the cluster already runs")
+	}
+	hosts, err1 := s.number("hosts", 6)
+	voters, err2 := s.number("voters", 3)
+	if err := errors.Join(err1, err2); err != nil {
+		return err
+	}
+	config, err := configurer.Decode(r.Config)
+	if err != nil {
+		return err
+	}
+	c := &cluster{
+		binary: r.Binary, dir: r.Dir, config: config, records: &standin.Records{},
+		engines: make(map[string]*standin.Engine), service: make(map[string]*standin.Service),
+		list: &standin.HostList{ListenAddr: "127.0.0.1:0", Lag: time.Second},
+	}
+	r.cluster = c
+	if err := c.list.Start(); err != nil {
+		return err
+	}
+	if err := c.startEndpoints(time.Second, 2*time.Second); err != nil {
+		return err
+	}
+	for i := range hosts {
+		h, err := c.newHost(i, i < voters, i < voters)
+		if err != nil {
+			return err
+		}
+		c.hosts = append(c.hosts, h)
+	}
+	for _, h := range c.hosts {
+		if err := c.start(h); err != nil {
+			return err
+		}
+	}
+	if err := c.bootstrap(ctx); err != nil {
+		return err
+	}
+	return r.waitAll(ctx)
+}
+
+func (r *Runner) waitAll(ctx context.Context) error {
+	for _, h := range r.cluster.hosts {
+		if h.running() && !h.stopping {
+			if err := r.cluster.waitReady(ctx, h); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Runner) stepLoad(ctx context.Context, s Step) error {
+	w, err := s.workload(r.cluster)
+	if err != nil {
+		return err
+	}
+	if _, exists := r.loads[w.name]; exists {
+		return fmt.Errorf("load %q exists", w.name)
+	}
+	l := &load{}
+	r.loads[w.name] = l
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		inner := &load{}
+		w.run(ctx, inner)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.results = inner.results
+	}()
+	return nil
+}
+
+func (r *Runner) stepWait(ctx context.Context, s Step) error {
+	if len(s.Args) == 0 || s.Args[0] == "ready" {
+		return r.waitAll(ctx)
+	}
+	l, ok := r.loads[s.Args[0]]
+	if !ok {
+		return fmt.Errorf("unknown load %q", s.Args[0])
+	}
+	l.wg.Wait()
+	return nil
+}
+
+func (r *Runner) stepSleep(ctx context.Context, s Step) error {
+	d, err := s.duration(0)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// observeVersions checks that the version each host acts on never goes down while its process lives.
+func (r *Runner) observeVersions(ctx context.Context) {
+	if r.cluster == nil {
+		return
+	}
+	for _, h := range r.cluster.hosts {
+		if !h.running() {
+			continue
+		}
+		v, err := r.cluster.version(ctx, h)
+		if err != nil || v == 0 {
+			// A host that is paused, or that has just started and confirmed nothing, acts on no version.
+			continue
+		}
+		if v < r.versions[h.id] {
+			r.reverted++
+			r.Logf("%s went from version %d to %d", h.id, r.versions[h.id], v)
+		}
+		r.versions[h.id] = v
+	}
+}
+
+// markLeaving notes the dispatches of endpoints that have been leaving for 5 s.
+func (r *Runner) markLeaving() {
+	for name, mark := range r.leaving {
+		if !mark.taken && time.Since(mark.since) > 5*time.Second {
+			mark.taken, mark.count = true, r.cluster.records.ByEndpoint()[name]
+			r.leaving[name] = mark
+		}
+	}
+}
+
+func (r *Runner) leavingBreaches() int {
+	breaches := 0
+	for name, mark := range r.leaving {
+		if mark.taken {
+			breaches += r.cluster.records.ByEndpoint()[name] - mark.count
+		}
+	}
+	return breaches
+}
+
+// RunFile runs the scenario in a file.
+func (r *Runner) RunFile(ctx context.Context, path string) (*Report, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "open scenario")
+	}
+	defer func() { _ = f.Close() }()
+	steps, err := Parse(f)
+	if err != nil {
+		return nil, eris.Wrapf(err, "parse %s", path)
+	}
+	return r.Run(ctx, steps)
+}
--- /dev/null
+++ b/internal/scenariorunner/workload.go
@@ -0,0 +1,192 @@
+package scenariorunner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/standin"
+)
+
+// Headers of the callers' interface.
+const (
+	headerRequestID = "X-Dragonflycroft-Request-Id"
+	headerOutcome   = "X-Dragonflycroft-Outcome"
+	headerTier      = "X-Dragonflycroft-Tier"
+)
+
+// result is what one caller was told about one request.
+type result struct {
+	load      string
+	order     bool
+	key       string
+	host      string
+	tier      string
+	requestID string
+	outcome   string
+	reason    string
+	status    int
+	mixed     bool
+	lost      bool
+	err       error
+}
+
+// load is a batch of requests in progress.
+type load struct {
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	results []result
+}
+
+func (l *load) add(r result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
+
+// workload describes the requests of one load step.
+type workload struct {
+	name        string
+	order       bool
+	n           int
+	concurrency int
+	copies      int
+	tier        string
+	tokens      int
+	promptBytes int
+	workspace   string
+	key         string
+	crash       bool
+	same        bool
+	hosts       []*host
+}
+
+func (s Step) workload(c *cluster) (*workload, error) {
+	w := &workload{
+		name: s.text("name", "load"), tier: s.text("tier", "counter"), workspace: s.text("workspace", "counter-desk"),
+		key: s.text("key", ""), order: s.text("kind", "chat") == "order",
+		crash: s.text("crash", "no") == "yes", same: s.text("same", "no") == "yes",
+	}
+	var errs [5]error
+	w.n, errs[0] = s.number("n", 20)
+	w.concurrency, errs[1] = s.number("concurrency", 8)
+	w.copies, errs[2] = s.number("copies", 1)
+	w.tokens, errs[3] = s.number("tokens", 20)
+	w.promptBytes, errs[4] = s.number("prompt", 200)
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, err
+	}
+	hosts, err := c.selectHosts(s.text("hosts", "all"))
+	if err != nil {
+		return nil, err
+	}
+	if len(hosts) == 0 {
+		return nil, errors.New("no host is running")
+	}
+	w.hosts = hosts
+	return w, nil
+}
+
+// run sends the requests and waits for all answers.
+func (w *workload) run(ctx context.Context, l *load) {
+	slots := make(chan struct{}, w.concurrency)
+	for i := range w.n {
+		for copyNumber := range w.copies {
+			slots <- struct{}{}
+			l.wg.Go(func() {
+				defer func() { <-slots }()
+				l.add(w.send(ctx, i, w.hosts[(i+copyNumber)%len(w.hosts)]))
+			})
+		}
+	}
+	l.wg.Wait()
+}
+
+func (w *workload) send(ctx context.Context, i int, h *host) result {
+	r := result{load: w.name, order: w.order, host: h.id, tier: w.tier}
+	header := map[string]string{
+		"Authorization": "Bearer example-" + w.workspace + "-staff",
+		"Content-Type":  "application/json",
+		headerTier:      w.tier,
+	}
+	if w.key != "" {
+		r.key = fmt.Sprintf("%s-%d", w.key, i)
+		header["Idempotency-Key"] = r.key
+	}
+	call := connector.Call{Method: http.MethodPost, Path: connector.PathChat, Header: header, Body: w.chatBody(i)}
+	if w.order {
+		call.Path = "/v1/services/orders/charges"
+		call.Body = fmt.Appendf(nil, `{"order":"%s-%d"}`, w.name, i)
+	}
+	service := connector.NewService(h.id, h.caller, connector.Timeouts{
+		Connect: 5 * time.Second, FirstByte: 3 * time.Minute, Gap: 3 * time.Minute,
+	})
+	response, err := service.Do(ctx, call, func() {})
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.status = response.Status
+	r.requestID = response.Header[headerRequestID]
+	r.outcome = response.Header[headerOutcome]
+	if response.Status == http.StatusOK {
+		w.checkAnswer(&r, call.Body, response.Body)
+		return r
+	}
+	var failure struct {
+		Error struct {
+			Outcome string `json:"outcome"`
+			Reason  string `json:"reason"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(response.Body, &failure)
+	r.reason = failure.Error.Reason
+	return r
+}
+
+// chatBody is unique for each request unless the step asks for the same body, as a caller that sends again does.
+func (w *workload) chatBody(i int) []byte {
+	if w.same {
+		i = 0
+	}
+	content := fmt.Sprintf("%s-%d ", w.name, i)
+	if missing := w.promptBytes - len(content); missing > 0 {
+		content += strings.Repeat("x", missing)
+	}
+	body, _ := json.Marshal(map[string]any{
+		"model":    "fill-7b",
+		"messages": []map[string]string{{"role": "user", "content": content}},
+		"metadata": map[string]string{"standin_output_tokens": strconv.Itoa(w.tokens), "standin_crash": strconv.FormatBool(w.crash)},
+	})
+	return body
+}
+
+// checkAnswer compares a whole answer with the one that belongs to the request.
+func (w *workload) checkAnswer(r *result, request, response []byte) {
+	if w.order {
+		r.mixed = !strings.Contains(string(response), `"path":"/charges"`)
+		return
+	}
+	var answer struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	want := standin.Answer(request, w.tokens)
+	if err := json.Unmarshal(response, &answer); err != nil || len(answer.Choices) != 1 {
+		r.lost = true
+		return
+	}
+	got := answer.Choices[0].Message.Content
+	r.lost = len(got) < len(want)
+	r.mixed = !r.lost && got != want
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -85,21 +85,21 @@
 	r.changed = make(chan struct{})
 }
 
-// Token returns the text of output token i of the answer to a request body.
-func Token(body []byte, i int) string { return tokenOf(digestOf(body), i) }
-
-// Answer returns the whole answer of n tokens to a request body.
+// Answer returns the whole answer of n tokens to a request body. It depends on the messages only, since the fields that
+// control streaming may be changed on the way.
 func Answer(body []byte, n int) string {
 	var b strings.Builder
-	digest := digestOf(body)
+	var req chatRequest
+	_ = json.Unmarshal(body, &req)
+	digest := digestOf(req.prompt())
 	for i := range n {
 		b.WriteString(tokenOf(digest, i))
 	}
 	return b.String()
 }
 
-func digestOf(body []byte) string {
-	sum := sha256.Sum256(body)
+func digestOf(prompt string) string {
+	sum := sha256.Sum256([]byte(prompt))
 	return hex.EncodeToString(sum[:4])
 }
 
@@ -295,15 +295,20 @@
 	} `json:"metadata"`
 }
 
+func (r *chatRequest) prompt() string {
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
 func (e *Engine) submit(requestID string, body []byte) (*run, error) {
 	var req chatRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, fmt.Errorf("decode request: %w", err)
 	}
-	var prompt strings.Builder
-	for _, m := range req.Messages {
-		prompt.WriteString(m.Content)
-	}
+	prompt := req.prompt()
 	output := req.Metadata.OutputTokens
 	if output <= 0 {
 		output = defaultOutputTokens
@@ -316,15 +321,15 @@
 	if !slices.Contains(e.models, req.Model) {
 		return nil, &modelError{model: req.Model}
 	}
-	r := &run{id: requestID, digest: digestOf(body), changed: make(chan struct{}), crash: req.Metadata.Crash}
+	r := &run{id: requestID, digest: digestOf(prompt), changed: make(chan struct{}), crash: req.Metadata.Crash}
 	e.runs[requestID] = r
 	e.Records.dispatched(e.Name, requestID)
 	e.advance()
 	e.core.Submit(e.now(), emulator.Job{
 		ID:           requestID,
-		PromptTokens: max(1, prompt.Len()/4),
+		PromptTokens: max(1, len(prompt)/4),
 		OutputTokens: output,
-		PrefixBlocks: connector.PrefixBlocks(prompt.String()),
+		PrefixBlocks: connector.PrefixBlocks(prompt),
 	})
 	e.poke()
 	return r, nil
