scheduler: decide grants of one pool

Adds the pure decision packages of a pool: fair queueing (queuer), bounds per endpoint (limiter), learned lengths and speeds (estimator), placement with a prefix index (placer), the choice of what to shed (shedder), crash suspects (quarantiner), availability and outliers (ejector), and the generic heap that they share (ranker). Step applies one event and returns the actions that follow.

--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,190 @@
+// Package limiter bounds the work in flight at an endpoint and the requests of a workspace.
+package limiter
+
+import "time"
+
+const (
+	startRuns   = 8
+	minRuns     = 1
+	maxRuns     = 512
+	startTokens = 16_384
+	minTokens   = 2_048
+	maxTokens   = 4_000_000
+	// increasePerRound is added to the bound of runs when a round of measurements stayed within the targets.
+	increasePerRound = 1.0
+	// startFactor multiplies the bounds instead until the first cut, so that the start can be conservative.
+	startFactor = 1.5
+	cutFactor   = 0.8
+	// growBelow and cutAbove are parts of the target. The space between them keeps the bound from swinging, and the
+	// distance to 1 leaves room for the deviation between the mean and the 95th percentile.
+	growBelow = 0.75
+	cutAbove  = 0.9
+	// roundTime is the shortest time between two changes, so that one is measured before the next.
+	roundTime = 500 * time.Millisecond
+	// busyPart is the part of the bound that must be in use for a good round to raise it.
+	busyPart = 0.7
+	// smallestShare keeps one large request from needing an empty endpoint: it fits when this part of the bound is free.
+	smallestShare = 8
+)
+
+// Targets are the measured times to keep. A zero value is no target.
+type Targets struct{ FirstToken, Gap time.Duration }
+
+// Limiter bounds the runs and the tokens in flight at one endpoint by additive increase and multiplicative decrease.
+// Room above the base part is headroom for urgent work.
+type Limiter struct {
+	targets       Targets
+	runs, tokens  float64
+	fixed         bool
+	started       bool // a cut has ended the multiplicative start
+	changed       time.Duration
+	gapSum        time.Duration
+	gaps          int
+	late          int
+	usedRuns      int
+	usedTokens    int
+	peakRuns      int
+	peakTokens    int
+	headroomShare float64
+}
+
+// New returns a bound that starts low and follows measurements. Headroom is the part of it kept for urgent work.
+func New(targets Targets, headroom float64) *Limiter {
+	return &Limiter{targets: targets, runs: startRuns, tokens: startTokens, headroomShare: headroom}
+}
+
+// NewFixed returns a bound of a fixed number of runs.
+func NewFixed(runs int, headroom float64) *Limiter {
+	return &Limiter{runs: float64(max(runs, 1)), tokens: maxTokens, fixed: true, headroomShare: headroom}
+}
+
+// SetTargets replaces the targets.
+func (l *Limiter) SetTargets(t Targets) { l.targets = t }
+
+// SetFixed changes the number of runs of a fixed bound. It returns false for a bound that follows measurements.
+func (l *Limiter) SetFixed(runs int) bool {
+	if l.fixed {
+		l.runs = float64(max(runs, 1))
+	}
+	return l.fixed
+}
+
+// Take books one run of the given tokens.
+func (l *Limiter) Take(tokens int) {
+	l.usedRuns++
+	l.usedTokens += tokens
+	l.peakRuns = max(l.peakRuns, l.usedRuns)
+	l.peakTokens = max(l.peakTokens, l.usedTokens)
+}
+
+// Adjust changes the tokens booked for a run.
+func (l *Limiter) Adjust(tokens int) {
+	l.usedTokens += tokens
+	l.peakTokens = max(l.peakTokens, l.usedTokens)
+}
+
+// Give returns what Take booked.
+func (l *Limiter) Give(tokens int) {
+	l.usedRuns--
+	l.usedTokens -= tokens
+}
+
+// Used returns the booked runs and tokens.
+func (l *Limiter) Used() (runs, tokens int) { return l.usedRuns, l.usedTokens }
+
+// Bounds returns the bounds of runs and tokens.
+func (l *Limiter) Bounds() (runs, tokens int) { return int(l.runs), int(l.tokens) }
+
+// Fits reports whether a run of the given tokens has room in a part of the bound. Extra runs are in use beyond those
+// booked. An idle endpoint has room for one run of any size.
+func (l *Limiter) Fits(tokens, extraRuns int, part float64, urgent bool) bool {
+	if !urgent {
+		part *= 1 - l.headroomShare
+	}
+	runs := l.usedRuns + extraRuns
+	if runs == 0 && part > 0 {
+		return true
+	}
+	if float64(runs+1) > l.runs*part {
+		return false
+	}
+	booked := float64(l.usedTokens) + float64(extraRuns*l.meanTokens())
+	return booked+min(float64(tokens), l.tokens/smallestShare) <= l.tokens*part
+}
+
+func (l *Limiter) meanTokens() int {
+	if l.usedRuns == 0 {
+		return 0
+	}
+	return l.usedTokens / l.usedRuns
+}
+
+// Load returns the used part of the bound, which may exceed 1.
+func (l *Limiter) Load(extraRuns int) float64 {
+	return max(float64(l.usedRuns+extraRuns)/l.runs, float64(l.usedTokens)/l.tokens)
+}
+
+// ObserveGap records the mean time between tokens of one run.
+func (l *Limiter) ObserveGap(now, gap time.Duration) {
+	l.gapSum += gap
+	l.gaps++
+	l.review(now)
+}
+
+// ObserveFirstToken records the time from dispatch to first token of one run, and the time that its own prompt needs.
+// A first token is late when the endpoint added more than the target to the run's own prefill.
+func (l *Limiter) ObserveFirstToken(now, took, own time.Duration) {
+	if l.targets.FirstToken > 0 && took-own > l.targets.FirstToken {
+		l.late++
+	}
+	l.review(now)
+}
+
+func (l *Limiter) review(now time.Duration) {
+	if l.fixed || now-l.changed < roundTime || (l.gaps < 3 && l.late == 0) {
+		return
+	}
+	slow := l.late >= 2
+	fast := l.late == 0
+	if l.gaps > 0 && l.targets.Gap > 0 {
+		mean := float64(l.gapSum) / float64(l.gaps) / float64(l.targets.Gap)
+		slow = slow || mean > cutAbove
+		fast = fast && mean < growBelow
+	}
+	busyRuns := float64(l.peakRuns) >= busyPart*l.runs*(1-l.headroomShare)
+	busyTokens := float64(l.peakTokens) >= busyPart*l.tokens*(1-l.headroomShare)
+	switch {
+	case slow:
+		l.cut()
+	case fast && (busyRuns || busyTokens):
+		l.grow(busyRuns, busyTokens)
+	}
+	l.changed, l.gapSum, l.gaps, l.late = now, 0, 0, 0
+	l.peakRuns, l.peakTokens = l.usedRuns, l.usedTokens
+}
+
+// cut starts from the use that was measured, since a bound far above it has not been tested.
+func (l *Limiter) cut() {
+	l.started = true
+	l.runs = max(minRuns, min(l.runs, float64(l.peakRuns))*cutFactor)
+	l.tokens = max(minTokens, min(l.tokens, max(float64(l.peakTokens), startTokens))*cutFactor)
+}
+
+func (l *Limiter) grow(runs, tokens bool) {
+	if runs {
+		if l.started {
+			l.runs += increasePerRound
+		} else {
+			l.runs *= startFactor
+		}
+		l.runs = min(l.runs, maxRuns)
+	}
+	if tokens {
+		if l.started {
+			l.tokens += max(increasePerRound*float64(l.meanTokens()), 512)
+		} else {
+			l.tokens *= startFactor
+		}
+		l.tokens = min(l.tokens, maxTokens)
+	}
+}
--- /dev/null
+++ b/internal/placer/ranking.go
@@ -0,0 +1,58 @@
+package placer
+
+import (
+	"cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
+)
+
+// Ranking orders endpoints by load, so that a decision looks at a few of them only.
+type Ranking struct {
+	heap  *ranker.Heap[ranked]
+	nodes map[string]*ranker.Node[ranked]
+}
+
+type ranked struct {
+	name  string
+	score float64
+}
+
+// NewRanking returns an empty ranking.
+func NewRanking() *Ranking {
+	return &Ranking{heap: ranker.New(lessRanked), nodes: make(map[string]*ranker.Node[ranked])}
+}
+
+func lessRanked(a, b ranked) bool {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name)) < 0
+}
+
+// Set adds an endpoint or changes its score.
+func (r *Ranking) Set(name string, score float64) {
+	if n := r.nodes[name]; n != nil {
+		if n.Value.score != score {
+			n.Value.score = score
+			r.heap.Fix(n)
+		}
+		return
+	}
+	r.nodes[name] = r.heap.Push(ranked{name, score})
+}
+
+// Remove takes an endpoint out.
+func (r *Ranking) Remove(name string) {
+	if n := r.nodes[name]; n != nil {
+		r.heap.Remove(n)
+		delete(r.nodes, name)
+	}
+}
+
+// Len returns the number of endpoints.
+func (r *Ranking) Len() int { return r.heap.Len() }
+
+// Least appends the k endpoints of the lowest scores to dst, the lowest first.
+func (r *Ranking) Least(dst []string, k int) []string {
+	for _, e := range r.heap.Least(nil, k) {
+		dst = append(dst, e.name)
+	}
+	return dst
+}
--- /dev/null
+++ b/internal/quarantiner/quarantiner.go
@@ -0,0 +1,159 @@
+// Package quarantiner follows requests that may have crashed an endpoint, by the fingerprint of workspace and body.
+package quarantiner
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxCrashes is the number of endpoints that one fingerprint may cost before it is refused.
+	maxCrashes = 2
+	// maxRecords bounds the remembered fingerprints of each kind.
+	maxRecords = 32_768
+	// sameCrash is the time within which signs of a crash at one endpoint belong to one crash.
+	sameCrash = 10 * time.Second
+)
+
+// Verdict says how a fingerprint may run.
+type Verdict int
+
+// The verdicts.
+const (
+	// Free requests run beside others.
+	Free Verdict = iota
+	// Fresh requests have not finished yet anywhere; at most MaxFreshEndpoints run them at once.
+	Fresh
+	// Suspect requests run alone, at one endpoint at a time.
+	Suspect
+	// Refused requests crashed two endpoints.
+	Refused
+)
+
+// MaxFreshEndpoints bounds the endpoints that run one fingerprint before any of its runs has finished. It keeps equal
+// requests that are sent concurrently within the bound of two lost endpoints.
+const MaxFreshEndpoints = maxCrashes
+
+// Quarantine remembers fingerprints that crashed endpoints and those that have finished.
+type Quarantine struct {
+	hold    time.Duration
+	crashes *records[crashRecord]
+	proven  *records[struct{}]
+}
+
+type crashRecord struct {
+	count        int
+	lastEndpoint string
+	lastAt       time.Duration
+	refusedUntil time.Duration
+}
+
+// New returns an empty quarantine that refuses a fingerprint for hold after its second crash.
+func New(hold time.Duration) *Quarantine {
+	return &Quarantine{hold: hold, crashes: newRecords[crashRecord](), proven: newRecords[struct{}]()}
+}
+
+// SetHold changes the time for which later second crashes are refused.
+func (q *Quarantine) SetHold(hold time.Duration) { q.hold = hold }
+
+// Verdict returns how a fingerprint may run, and for Refused the time until it may be tried again.
+func (q *Quarantine) Verdict(now time.Duration, fingerprint string) (Verdict, time.Duration) {
+	if fingerprint == "" {
+		return Free, 0
+	}
+	key := xxhash.Sum64String(fingerprint)
+	if c := q.crashes.get(key); c != nil {
+		if c.count >= maxCrashes && now < c.refusedUntil {
+			return Refused, c.refusedUntil - now
+		}
+		return Suspect, 0
+	}
+	if q.proven.get(key) != nil {
+		return Free, 0
+	}
+	return Fresh, 0
+}
+
+// Crashed records that a run of the fingerprint was at an endpoint when it crashed.
+func (q *Quarantine) Crashed(now time.Duration, fingerprint, endpoint string) {
+	if fingerprint == "" {
+		return
+	}
+	key := xxhash.Sum64String(fingerprint)
+	q.proven.remove(key)
+	c := q.crashes.get(key)
+	if c == nil {
+		c = q.crashes.put(key)
+	} else if c.lastEndpoint == endpoint && now-c.lastAt < sameCrash {
+		return
+	}
+	c.count++
+	c.lastEndpoint, c.lastAt = endpoint, now
+	if c.count >= maxCrashes {
+		c.refusedUntil = now + q.hold
+	}
+}
+
+// Finished clears a fingerprint, since a run of it ended without a crash. One that is refused stays refused.
+func (q *Quarantine) Finished(now time.Duration, fingerprint string) {
+	if fingerprint == "" {
+		return
+	}
+	key := xxhash.Sum64String(fingerprint)
+	if c := q.crashes.get(key); c != nil {
+		if c.count >= maxCrashes && now < c.refusedUntil {
+			return
+		}
+		q.crashes.remove(key)
+	}
+	q.proven.put(key)
+}
+
+// Len returns the number of fingerprints with a crash.
+func (q *Quarantine) Len() int { return len(q.crashes.byKey) }
+
+// records is a map that forgets the least recently used entry when it is full.
+type records[V any] struct {
+	order *list.List // of *record[V], the most recently used first
+	byKey map[uint64]*list.Element
+}
+
+type record[V any] struct {
+	key   uint64
+	value V
+}
+
+func newRecords[V any]() *records[V] {
+	return &records[V]{order: list.New(), byKey: make(map[uint64]*list.Element)}
+}
+
+func (r *records[V]) get(key uint64) *V {
+	e := r.byKey[key]
+	if e == nil {
+		return nil
+	}
+	r.order.MoveToFront(e)
+	return &e.Value.(*record[V]).value
+}
+
+func (r *records[V]) put(key uint64) *V {
+	if v := r.get(key); v != nil {
+		return v
+	}
+	rec := &record[V]{key: key}
+	r.byKey[key] = r.order.PushFront(rec)
+	if r.order.Len() > maxRecords {
+		oldest := r.order.Back()
+		delete(r.byKey, r.order.Remove(oldest).(*record[V]).key)
+	}
+	return &rec.value
+}
+
+func (r *records[V]) remove(key uint64) {
+	if e := r.byKey[key]; e != nil {
+		r.order.Remove(e)
+		delete(r.byKey, key)
+	}
+}
--- /dev/null
+++ b/internal/queuer/rate.go
@@ -0,0 +1,32 @@
+package queuer
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is an exponentially weighted rate of tokens per second.
+type Rate struct {
+	sum  float64
+	last time.Duration
+}
+
+// Add books tokens.
+func (r *Rate) Add(now time.Duration, tokens float64) {
+	r.decay(now)
+	r.sum += tokens
+}
+
+// PerSecond returns the rate at now.
+func (r *Rate) PerSecond(now time.Duration) float64 {
+	r.decay(now)
+	return r.sum / rateTime.Seconds()
+}
+
+func (r *Rate) decay(now time.Duration) {
+	if now <= r.last {
+		return
+	}
+	r.sum *= math.Exp(-float64((now - r.last).Seconds() / rateTime.Seconds()))
+	r.last = now
+}
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,324 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
+	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
+	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
+	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+)
+
+type state int
+
+const (
+	waiting state = iota
+	granted
+	// unconfirmed requests had a grant that ran out without a word from the host. They wait again once it reports them.
+	unconfirmed
+	running
+)
+
+// defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
+// they do not starve behind requests with deadlines.
+const defaultDeadline = time.Minute
+
+// request is a request that waits or runs.
+type request struct {
+	id   string
+	host string
+	d    Descriptor
+	tier *tier
+	seq  uint64
+
+	state   state
+	arrived time.Duration
+	output  int // predicted output tokens
+	tokens  int // prompt and predicted output
+	wanted  int // tokens counted as waiting
+
+	lane   *lane
+	entry  *queuer.Entry[*request]
+	age    *ranker.Node[*request]
+	handle *shedder.Handle
+	held   bool // left out of the lanes until a run of its fingerprint ends
+
+	endpoint *endpoint
+	booked   int // tokens booked at the endpoint
+	uncached int
+	long     bool // counts as a long prefill at the endpoint
+	queued   int  // prompt tokens queued at the endpoint when it started
+	charged  float64
+	expiry   *ranker.Node[timer]
+	reported bool // the host reported it as waiting while its grant was open
+	orphan   bool // its host is lost
+	alone    bool
+	cancel   bool // CancelRun was sent
+
+	startedAt  time.Duration
+	firstAt    time.Duration
+	progressed time.Duration
+	seen       int // output tokens so far
+}
+
+// fingerprint follows the requests with one fingerprint.
+type fingerprint struct {
+	active  []*request // granted or running
+	waiting map[*request]struct{}
+}
+
+// endpointsOf returns the distinct endpoints that run the fingerprint.
+func (f *fingerprint) endpointsOf() []*endpoint {
+	var found []*endpoint
+	for _, r := range f.active {
+		if r.endpoint != nil && !slices.Contains(found, r.endpoint) {
+			found = append(found, r.endpoint)
+		}
+	}
+	return found
+}
+
+func (f *fingerprint) sortedWaiting() []*request {
+	return sorted(f.waiting)
+}
+
+func sorted(set map[*request]struct{}) []*request {
+	list := make([]*request, 0, len(set))
+	for r := range set {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
+// sortedRequests returns the requests that match in the order of their arrival here.
+func (s *Scheduler) sortedRequests(match func(*request) bool) []*request {
+	var list []*request
+	for _, r := range s.requests {
+		if match(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
+func (s *Scheduler) print(fp string) *fingerprint {
+	p := s.prints[fp]
+	if p == nil {
+		p = &fingerprint{waiting: make(map[*request]struct{})}
+		s.prints[fp] = p
+	}
+	return p
+}
+
+func (s *Scheduler) dropPrint(fp string) {
+	if p := s.prints[fp]; p != nil && len(p.active) == 0 && len(p.waiting) == 0 {
+		delete(s.prints, fp)
+	}
+}
+
+func (s *Scheduler) newRequest(host string, d Descriptor) *request {
+	s.nextSeq++
+	return &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+}
+
+// submit admits a new request.
+func (s *Scheduler) submit(e Submit) {
+	if r := s.requests[e.Descriptor.RequestID]; r != nil {
+		if r.state == unconfirmed && r.host == e.Host {
+			s.enqueue(r)
+		}
+		return
+	}
+	r := s.newRequest(e.Host, e.Descriptor)
+	r.tier = s.tierOf(r.d.Tier)
+	if retry, ok := s.workspace(r.d.Workspace).Admit(s.now); !ok {
+		s.refuse(r, RefuseLimit, retry)
+		return
+	}
+	s.requests[r.id] = r
+	if s.enqueue(r) && r.tier != nil {
+		s.shares.Demand(s.now, r.tier.Order, float64(r.tokens))
+	}
+}
+
+// enqueue lets a request wait. It returns false when the request is refused instead.
+func (s *Scheduler) enqueue(r *request) bool {
+	r.state, r.endpoint = waiting, nil
+	r.tier = s.tierOf(r.d.Tier)
+	s.estimate(r)
+	s.waiting++
+	r.wanted = r.tokens
+	s.wanted += r.wanted
+	s.workspace(r.d.Workspace).Waiting++
+	if r.tier == nil {
+		return true // Nothing is known before the first configuration.
+	}
+	r.tier.waiting++
+	r.age = r.tier.ages.Push(r)
+	owner := shedder.Owner{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
+	r.handle = s.book.Add(owner, float64(r.tokens), s.weight(r.d.Workspace), r)
+	if r.d.Fingerprint != "" {
+		s.print(r.d.Fingerprint).waiting[r] = struct{}{}
+	}
+	return s.assign(r)
+}
+
+// assign puts a waiting request into the lane that fits it, or refuses it.
+func (s *Scheduler) assign(r *request) bool {
+	c := s.classOf(r.d)
+	if c.members == 0 {
+		s.refuse(r, RefuseUnserved, 0)
+		return false
+	}
+	verdict, retry := s.quarantine.Verdict(s.now, r.d.Fingerprint)
+	if verdict == quarantiner.Refused {
+		s.refuse(r, RefuseQuarantine, retry)
+		return false
+	}
+	r.lane = c.lanes[shortLane]
+	switch {
+	case verdict == quarantiner.Suspect:
+		r.lane = c.lanes[suspectLane]
+	case r.d.PromptTokens >= longPrompt:
+		r.lane = c.lanes[longLane]
+	}
+	deadline := r.arrived + defaultDeadline
+	if r.d.Remaining > 0 {
+		deadline = r.arrived + max(r.d.Waited, 0) + r.d.Remaining
+	}
+	place := queuer.Place{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
+	r.entry = r.lane.queue.Push(place, deadline, r.seq, r)
+	return true
+}
+
+// unassign takes a waiting request out of its lane.
+func (s *Scheduler) unassign(r *request) {
+	if r.entry != nil {
+		r.lane.queue.Remove(r.entry)
+		r.entry = nil
+	}
+	r.held = false
+}
+
+// dequeue ends the waiting of a request.
+func (s *Scheduler) dequeue(r *request) {
+	s.unassign(r)
+	s.waiting--
+	s.wanted -= r.wanted
+	s.workspace(r.d.Workspace).Waiting--
+	if r.age != nil {
+		r.tier.ages.Remove(r.age)
+		r.tier.waiting--
+		r.age = nil
+	}
+	if r.handle != nil {
+		s.book.Remove(r.handle)
+		r.handle = nil
+	}
+	if p := s.prints[r.d.Fingerprint]; p != nil {
+		delete(p.waiting, r)
+		s.dropPrint(r.d.Fingerprint)
+	}
+}
+
+// reassign chooses the lane of a waiting request again.
+func (s *Scheduler) reassign(r *request) {
+	s.unassign(r)
+	s.assign(r)
+}
+
+// refuse ends a request that was not dispatched.
+func (s *Scheduler) refuse(r *request, reason RefuseReason, retry time.Duration) {
+	if s.requests[r.id] == r {
+		s.dequeue(r)
+		delete(s.requests, r.id)
+	}
+	s.emit(Refuse{Host: r.host, RequestID: r.id, Reason: reason, RetryAfter: retry})
+	s.decide("refuse", r, "", string(reason))
+}
+
+// release returns what a granted or running request occupies.
+func (s *Scheduler) release(r *request) {
+	s.stop(r.expiry)
+	r.expiry = nil
+	e := r.endpoint
+	if e == nil {
+		return
+	}
+	r.endpoint = nil
+	e.limit.Give(r.booked)
+	delete(e.runs, r)
+	s.endPrefill(e, r)
+	if r.alone {
+		r.alone, e.alone = false, false
+		s.alone--
+	}
+	if r.tier != nil {
+		r.tier.active--
+	}
+	s.setRunning(r.d.Workspace, -1)
+	if p := s.prints[r.d.Fingerprint]; p != nil {
+		p.active = slices.DeleteFunc(p.active, func(o *request) bool { return o == r })
+		s.freeHeld(p)
+		s.dropPrint(r.d.Fingerprint)
+	}
+	s.rank(e)
+}
+
+// freeHeld lets requests that waited for a run of their fingerprint be chosen again.
+func (s *Scheduler) freeHeld(p *fingerprint) {
+	for _, r := range p.sortedWaiting() {
+		if r.held {
+			s.reassign(r)
+		}
+	}
+}
+
+func (s *Scheduler) endPrefill(e *endpoint, r *request) {
+	e.pending -= r.uncached
+	r.uncached = 0
+	if r.long {
+		r.long = false
+		e.longs--
+		s.longs--
+	}
+}
+
+// occupy books a request at an endpoint.
+func (s *Scheduler) occupy(r *request, e *endpoint, uncached int) {
+	r.endpoint, r.booked, r.uncached = e, r.tokens, uncached
+	e.limit.Take(r.booked)
+	e.runs[r] = struct{}{}
+	e.pending += uncached
+	if r.tier != nil {
+		r.tier.active++
+	}
+	s.setRunning(r.d.Workspace, 1)
+	if r.d.Fingerprint != "" {
+		p := s.print(r.d.Fingerprint)
+		p.active = append(p.active, r)
+	}
+	s.rank(e)
+}
+
+// setRunning counts the runs of a workspace and hides its waiting work while it is at its limit.
+func (s *Scheduler) setRunning(workspace string, change int) {
+	w := s.workspace(workspace)
+	was := w.Full()
+	w.Running += change
+	if w.Full() != was {
+		s.park(workspace, w.Full())
+	}
+}
+
+func (s *Scheduler) park(workspace string, hidden bool) {
+	for _, c := range s.classes {
+		for _, l := range c.lanes {
+			l.queue.Park(workspace, hidden)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/ejector"
+	"github.com/dragonflycroft/dragonflycroft/internal/estimator"
+	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
+	"github.com/dragonflycroft/dragonflycroft/internal/placer"
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
+	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
+	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
+	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+)
+
+const (
+	defaultGrantTTL = time.Second
+	// grantMargin is the delay after the TTL at which an unconfirmed grant is given up. It covers a Started message
+	// that is under way when the entry host's own deadline passes.
+	grantMargin = 250 * time.Millisecond
+	// lengthQuantile books enough for two answers in three; longer ones are booked again while they run.
+	lengthQuantile    = 0.65
+	defaultQuarantine = 10 * time.Minute
+	defaultMaxWaiting = 50_000
+	// sweepInterval is the time between removals of accounts that are no longer in use.
+	sweepInterval = 30 * time.Second
+)
+
+// Options configure a Scheduler.
+type Options struct {
+	// Pool is the name of the pool in the configuration.
+	Pool string
+	// Epoch is the fencing number under which this scheduler was given the pool.
+	Epoch, Seed uint64
+	// GrantTTL is the time for which a grant may be used; 0 means one second.
+	GrantTTL time.Duration
+	// Hosts are the entry hosts expected to report their runs. When all have synced, endpoints are used fully before
+	// the grants of an earlier holder have expired. It may be empty.
+	Hosts []string
+}
+
+// Scheduler decides for one pool. It is a pure state machine: equal events at equal times give equal actions. It is not
+// safe for concurrent use.
+type Scheduler struct {
+	opts    Options
+	rng     *rand.Rand
+	now     time.Duration
+	began   bool
+	actions []Action
+
+	config  *configurer.Config
+	version uint64
+	pool    configurer.Pool
+	tiers   []*tier // by order
+	byTier  map[string]*tier
+	limits  configurer.Limits
+
+	hosts    map[string]*host
+	requests map[string]*request
+	nextSeq  uint64
+	waiting  int
+	wanted   int // tokens of waiting requests
+	ended    []endedRun
+	prints   map[string]*fingerprint
+
+	endpoints  map[string]*endpoint
+	order      []*endpoint // by name
+	listedAt   time.Duration
+	listed     bool
+	classes    []*class
+	classByKey map[classKey]*class
+	prefixes   *placer.Prefixes
+	longs      int // long prefills in progress
+	alone      int // endpoints reserved for suspects or running one
+
+	accounts   *queuer.Accounts
+	shares     *queuer.Shares
+	workspaces map[string]*limiter.Workspace
+	weights    map[string]float64
+	lengths    *estimator.Lengths
+	book       *shedder.Book[*request]
+	quarantine *quarantiner.Quarantine
+	outliers   *ejector.Outliers
+	timers     *ranker.Heap[timer]
+
+	closedBelow int
+	closed      bool
+	closedAt    time.Duration
+	confirmed   int
+	permits     map[int]time.Duration
+	asked       map[int]time.Duration
+	warmUntil   time.Duration
+	warm        bool
+	nextReview  time.Duration
+	nextSweep   time.Duration
+}
+
+// New returns a scheduler without any knowledge. Until entry hosts have reported their runs, endpoints count as busy.
+func New(o Options) *Scheduler {
+	if o.GrantTTL <= 0 {
+		o.GrantTTL = defaultGrantTTL
+	}
+	return &Scheduler{
+		opts:       o,
+		rng:        rand.New(rand.NewPCG(o.Seed, o.Epoch)),
+		byTier:     make(map[string]*tier),
+		hosts:      make(map[string]*host),
+		requests:   make(map[string]*request),
+		prints:     make(map[string]*fingerprint),
+		endpoints:  make(map[string]*endpoint),
+		classByKey: make(map[classKey]*class),
+		prefixes:   placer.NewPrefixes(),
+		accounts:   queuer.NewAccounts(),
+		shares:     queuer.NewShares(nil, nil),
+		workspaces: make(map[string]*limiter.Workspace),
+		weights:    make(map[string]float64),
+		lengths:    estimator.NewLengths(lengthQuantile),
+		book:       shedder.NewBook[*request](),
+		quarantine: quarantiner.New(defaultQuarantine),
+		outliers:   ejector.NewOutliers(),
+		timers:     ranker.New(lessTimer),
+		permits:    make(map[int]time.Duration),
+		asked:      make(map[int]time.Duration),
+	}
+}
+
+// Step applies one event and returns the actions that follow. Time must not go backwards; an earlier now counts as the
+// latest one.
+func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
+	if !s.began {
+		s.began, s.now, s.warm = true, now, true
+		s.warmUntil = now + s.opts.GrantTTL + grantMargin
+		s.at(s.warmUntil, func() { s.endWarmup() })
+	}
+	s.now = max(s.now, now)
+	s.actions = nil
+	s.runTimers()
+	s.apply(ev)
+	s.review()
+	s.shed(ev)
+	s.dispatch()
+	return s.actions
+}
+
+func (s *Scheduler) apply(ev Event) {
+	switch e := ev.(type) {
+	case Configure:
+		s.configure(e)
+	case HostSynced:
+		s.syncHost(e)
+	case HostLost:
+		s.loseHost(e.Host)
+	case Submit:
+		s.submit(e)
+	case Started:
+		s.start(e)
+	case Declined:
+		s.decline(e)
+	case Progress:
+		s.progress(e)
+	case Finished:
+		s.finish(e)
+	case Cancelled:
+		s.cancel(e.RequestID)
+	case EndpointFailed:
+		s.failEndpoint(e)
+	case LoadReported:
+		s.reportLoad(e)
+	case CacheChanged:
+		s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
+	case HostsListed:
+		s.listHosts(e)
+	case TiersClosed:
+		s.closeTiers(e.Below)
+	case ShedPermitted:
+		s.permits[e.Tier] = max(s.permits[e.Tier], s.now+e.For)
+	}
+}
+
+func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
+
+func (s *Scheduler) decide(verb string, r *request, endpoint, reason string) {
+	s.emit(Decision{
+		Verb: verb, RequestID: r.id, Tier: r.d.Tier, Workspace: r.d.Workspace, Endpoint: endpoint, Reason: reason,
+	})
+}
+
+func (s *Scheduler) endWarmup() {
+	if !s.warm {
+		return
+	}
+	s.warm = false
+	for _, e := range s.order {
+		s.rank(e)
+	}
+}
+
+// timer runs a function at a time. Timers of equal time run in the order of their creation.
+type timer struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+func lessTimer(a, b timer) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
+
+func (s *Scheduler) at(t time.Duration, run func()) *ranker.Node[timer] {
+	s.nextSeq++
+	return s.timers.Push(timer{t, s.nextSeq, run})
+}
+
+func (s *Scheduler) runTimers() {
+	for n := s.timers.Min(); n != nil && n.Value.at <= s.now; n = s.timers.Min() {
+		s.timers.Remove(n)
+		n.Value.run()
+	}
+}
+
+func (s *Scheduler) stop(n *ranker.Node[timer]) {
+	if n != nil {
+		s.timers.Remove(n)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/shed.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import "time"
+
+const (
+	// askInterval is the time between repeated requests for a permit to shed.
+	askInterval = time.Second
+	// drainTime lets runs of a closed tier end by themselves before they are cancelled, since their prefill would be
+	// wasted.
+	drainTime = 3 * time.Second
+	// minRetry and maxRetry bound the advice of when to try again.
+	minRetry, maxRetry = time.Second, time.Minute
+)
+
+// closeTiers sets the level below which tiers take no new work.
+func (s *Scheduler) closeTiers(below int) {
+	closed := below < s.lowest()
+	if closed && (!s.closed || below != s.closedBelow) {
+		s.closedAt = s.now
+	}
+	s.closed, s.closedBelow, s.confirmed = closed, below, -1
+}
+
+func (s *Scheduler) tierClosed(order int) bool { return s.closed && order > s.closedBelow }
+
+// mayShed reports whether requests of a tier may be given up: the lowest tier always, any other while a permit is in
+// force.
+func (s *Scheduler) mayShed(order int) bool { return order == s.lowest() || s.now < s.permits[order] }
+
+// shed empties closed tiers, the lowest first, and gives up work that there is no room for.
+func (s *Scheduler) shed(ev Event) {
+	if len(s.tiers) == 0 {
+		return
+	}
+	if s.closed {
+		_, tick := ev.(Tick)
+		s.emptyClosed(tick)
+	}
+	for i := len(s.tiers) - 1; i >= 0 && s.waiting > s.maxWaiting(); i-- {
+		if t := s.tiers[i]; t.waiting > 0 && !s.shedOverload(t) {
+			break
+		}
+	}
+	for _, t := range s.tiers {
+		s.shedImpatient(t)
+	}
+}
+
+// emptyClosed refuses waiting and cancels running work of closed tiers. A tier is emptied only after those below it.
+func (s *Scheduler) emptyClosed(tick bool) {
+	below := s.lowest()
+	for i := len(s.tiers) - 1; i >= 0; i-- {
+		t := s.tiers[i]
+		if !s.tierClosed(t.Order) || !s.empty(t) {
+			break
+		}
+		below = t.Order - 1
+	}
+	below = max(below, s.closedBelow)
+	if below < s.lowest() && (tick || below != s.confirmed) {
+		s.confirmed = below
+		s.emit(ConfirmClosed{Below: below})
+	}
+}
+
+// empty gives up the work of a closed tier and reports whether none is left.
+func (s *Scheduler) empty(t *tier) bool {
+	if t.waiting == 0 && t.active == 0 {
+		return true
+	}
+	if !s.mayShed(t.Order) {
+		s.askPermit(t.Order)
+		return false
+	}
+	for t.waiting > 0 {
+		s.refuse(t.ages.Min().Value, RefuseOverload, s.retryAfter())
+	}
+	if t.active > 0 && s.now >= s.closedAt+drainTime {
+		for _, r := range s.sortedRequests(func(r *request) bool { return r.tier == t && r.state == running && !r.cancel }) {
+			r.cancel = true
+			s.emit(CancelRun{Host: r.host, RequestID: r.id, Reason: "tier closed"})
+			s.decide("cancel", r, r.endpoint.Name, "tier closed")
+		}
+	}
+	return t.active == 0
+}
+
+// shedOverload gives up requests of a tier until the pool has room. It returns false when a permit is missing.
+func (s *Scheduler) shedOverload(t *tier) bool {
+	for t.waiting > 0 && s.waiting > s.maxWaiting() {
+		if !s.mayShed(t.Order) {
+			s.askPermit(t.Order)
+			return false
+		}
+		r, ok := s.book.Victim(t.Order)
+		if !ok {
+			return true
+		}
+		s.refuse(r, RefuseOverload, s.retryAfter())
+	}
+	return true
+}
+
+// shedImpatient gives up requests that waited longer than the patience of their tier.
+func (s *Scheduler) shedImpatient(t *tier) {
+	patience := time.Duration(t.PatienceMS) * time.Millisecond
+	if patience <= 0 || !s.mayShed(t.Order) {
+		return
+	}
+	for n := t.ages.Min(); n != nil && s.now-n.Value.arrived > patience; n = t.ages.Min() {
+		s.refuse(n.Value, RefusePatience, s.retryAfter())
+	}
+}
+
+func (s *Scheduler) askPermit(order int) {
+	if last, ok := s.asked[order]; ok && s.now-last < askInterval {
+		return
+	}
+	s.asked[order] = s.now
+	s.emit(AskShedPermit{Tier: order})
+}
+
+// retryAfter estimates when the work that waits now has been served.
+func (s *Scheduler) retryAfter() time.Duration {
+	rate := s.shares.ServedPerSecond(s.now)
+	if rate <= 0 {
+		return maxRetry
+	}
+	seconds := float64(s.wanted) / rate
+	return min(max(time.Duration(seconds*float64(time.Second)), minRetry), maxRetry)
+}
