--- a/internal/scenariorunner/checks.go
+++ b/internal/scenariorunner/checks.go
@@ -22,13 +22,13 @@
 }
 
 // Breaches lists the promises that were broken.
-func (r *Report) Breaches() []string {
+func (report *Report) Breaches() []string {
 	var breaches []string
 	for name, n := range map[string]int{
-		"dispatched twice": r.DispatchedTwice, "order run twice": r.OrderRunTwice, "answers lost or mixed": r.LostOrMixed,
-		"said not_run but ran": r.NotRunButRan, "higher tier shed while lower was served": r.HigherTierShed,
-		"new work to a leaving endpoint after 5 s": r.NewWorkAfterLeaving, "cut off by a planned stop": r.CutOffByPlannedStop,
-		"versions reverted": r.VersionsReverted,
+		"dispatched twice": report.DispatchedTwice, "order run twice": report.OrderRunTwice, "answers lost or mixed": report.LostOrMixed,
+		"said not_run but ran": report.NotRunButRan, "higher tier shed while lower was served": report.HigherTierShed,
+		"new work to a leaving endpoint after 5 s": report.NewWorkAfterLeaving, "cut off by a planned stop": report.CutOffByPlannedStop,
+		"versions reverted": report.VersionsReverted,
 	} {
 		if n > 0 {
 			breaches = append(breaches, fmt.Sprintf("%s: %d", name, n))
--- a/internal/scenariorunner/cluster.go
+++ b/internal/scenariorunner/cluster.go
@@ -191,11 +191,11 @@
 			return nil
 		}
 		if !h.running() {
-			return fmt.Errorf("%s ended before it was ready: %v, see its log", h.id, h.exitErr)
+			return fmt.Errorf("%s ended before it was ready, see its log: %w", h.id, h.exitErr)
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%s is not ready: %v", h.id, errors.Join(ctx.Err(), err))
+			return fmt.Errorf("%s is not ready: %w", h.id, errors.Join(ctx.Err(), err))
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
--- /dev/null
+++ b/internal/scenariorunner/scenario_test.go
@@ -0,0 +1,77 @@
+package scenariorunner_test
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/scenariorunner"
+)
+
+// long selects the scenarios that take minutes: go test ./internal/scenariorunner -long -timeout 30m
+var long = flag.Bool("long", false, "run the long scenarios too")
+
+// Guards every promise of the design page on real processes: each scenario brings failures about and then compares the
+// records of the endpoints with what the callers were told.
+func TestScenarios(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "dragonflycroft")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/dragonflycroft").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	config, err := os.ReadFile("../../examples/kessler.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pattern := "testdata/short/*.txt"
+	if *long {
+		pattern = "testdata/*/*.txt"
+	}
+	files, err := filepath.Glob(pattern)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".txt")
+		t.Run(name, func(t *testing.T) { runScenario(t, binary, config, file) })
+	}
+}
+
+func runScenario(t *testing.T, binary string, config []byte, file string) {
+	dir := t.TempDir()
+	r := &scenariorunner.Runner{Binary: binary, Dir: dir, Config: config, Logf: t.Logf}
+	report, err := r.RunFile(t.Context(), file)
+	if err != nil {
+		keepLogs(t, dir)
+		t.Fatal(err)
+	}
+	t.Logf("%s", report)
+	if diff := cmp.Diff([]string(nil), report.Breaches()); diff != "" {
+		keepLogs(t, dir)
+		t.Errorf("breaches (-want +got):\n%s", diff)
+	}
+}
+
+// keepLogs copies the hosts' logs to the folder that SCENARIO_LOGS names, so that a failure can be traced.
+func keepLogs(t *testing.T, dir string) {
+	target := os.Getenv("SCENARIO_LOGS")
+	if target == "" {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, log := range logs {
+		data, err := os.ReadFile(log)
+		if err != nil {
+			t.Log(err)
+			continue
+		}
+		name := strings.ReplaceAll(t.Name(), "/", "_") + "_" + filepath.Base(log)
+		if err := os.WriteFile(filepath.Join(target, name), data, 0o644); err != nil {
+			t.Log(err)
+		}
+	}
+}
--- a/internal/scenariorunner/steps.go
+++ b/internal/scenariorunner/steps.go
@@ -284,7 +284,7 @@
 				break
 			}
 			if ctx.Err() != nil {
-				return fmt.Errorf("%s acts on version %d, want %d: %v", h.id, v, want, err)
+				return fmt.Errorf("%s acts on version %d, want %d: %w", h.id, v, want, ctx.Err())
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
