--- a/internal/applier/failure.go
+++ b/internal/applier/failure.go
@@ -14,6 +14,7 @@
 	codePatchID        = "patch_id"
 	codeInvalid        = "invalid"
 	codeStaleEpoch     = "stale_epoch"
+	codeStaleTerm      = "stale_term"
 	codeMalformed      = "malformed"
 	codeDigestMismatch = "digest_mismatch"
 	codeLedgerFull     = "ledger_full"
@@ -32,6 +33,7 @@
 		patchID  *PatchIDError
 		invalid  *configurer.InvalidError
 		epoch    *StaleEpochError
+		term     *StaleTermError
 		mismatch *recorder.DigestMismatchError
 		full     *recorder.LedgerFullError
 		owner    *recorder.NotOwnerError
@@ -52,6 +54,8 @@
 		}
 	case errors.As(err, &epoch):
 		f.Code, f.Base, f.Current = codeStaleEpoch, epoch.Previous, epoch.Current
+	case errors.As(err, &term):
+		f.Code, f.Base, f.Current = codeStaleTerm, term.Term, term.Current
 	case errors.As(err, &mismatch):
 		f.Code, f.Key = codeDigestMismatch, keyProto(mismatch.Key)
 	case errors.As(err, &full):
@@ -87,6 +91,8 @@
 		return e
 	case codeStaleEpoch:
 		return &StaleEpochError{Previous: f.GetBase(), Current: f.GetCurrent()}
+	case codeStaleTerm:
+		return &StaleTermError{Term: f.GetBase(), Current: f.GetCurrent()}
 	case codeDigestMismatch:
 		return &recorder.DigestMismatchError{Key: KeyOf(f.GetKey())}
 	case codeLedgerFull:
--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -46,6 +46,7 @@
 	roles          map[string]Assignment
 	members        map[string]Member
 	membersVersion uint64
+	term           uint64
 	ledger         *recorder.Ledger
 	clockAt        time.Time
 }
@@ -67,7 +68,7 @@
 func (m *Machine) reset() {
 	m.version, m.document, m.config, m.history, m.historyBytes = 0, nil, nil, nil, 0
 	m.accepted, m.refused, m.refusedOrder = map[string]patchRecord{}, map[string]patchRecord{}, nil
-	m.roles, m.members, m.membersVersion = map[string]Assignment{}, map[string]Member{}, 0
+	m.roles, m.members, m.membersVersion, m.term = map[string]Assignment{}, map[string]Member{}, 0, 0
 	m.ledger = recorder.New(recorder.Limits{})
 	m.clockAt = time.Now()
 }
@@ -105,7 +106,9 @@
 	case *controllerpb.Command_PatchConfig:
 		result.Number, err = m.patchConfig(cmd.GetUnixMs(), body.PatchConfig)
 	case *controllerpb.Command_GrantRole:
-		result.Number, err = m.grantRole(body.GrantRole)
+		if err = m.checkTerm(cmd); err == nil {
+			result.Number, err = m.grantRole(body.GrantRole)
+		}
 	case *controllerpb.Command_IntendOrder:
 		var record recorder.Record
 		if record, err = m.ledger.Intend(intentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
@@ -123,7 +126,12 @@
 	case *controllerpb.Command_PutMember:
 		result.Number = m.putMember(body.PutMember)
 	case *controllerpb.Command_RemoveMember:
-		m.removeMember(body.RemoveMember)
+		if err = m.checkTerm(cmd); err == nil {
+			m.removeMember(body.RemoveMember)
+		}
+	case *controllerpb.Command_BeginTerm:
+		m.term = max(m.term, cmd.GetTerm())
+		err = m.checkTerm(cmd)
 	default:
 		err = &MalformedCommandError{Reason: "no body"}
 	}
@@ -133,6 +141,15 @@
 	return result
 }
 
+// checkTerm refuses a decision of a leadership that is not the current one: a delayed grant could otherwise follow leases
+// that the present leadership has renewed.
+func (m *Machine) checkTerm(cmd *controllerpb.Command) error {
+	if cmd.GetTerm() != m.term {
+		return &StaleTermError{Term: cmd.GetTerm(), Current: m.term}
+	}
+	return nil
+}
+
 func patchDigest(p *controllerpb.PatchConfig) [sha256.Size]byte {
 	return sha256.Sum256(append(binary.BigEndian.AppendUint64(nil, p.GetBase()), p.GetBody()...))
 }
@@ -227,7 +244,7 @@
 	}
 	if !same {
 		m.ledger.OwnerLost(current.Owner())
-		next.Incarnation++
+		next.Incarnation = max(next.Incarnation, p.GetKnownIncarnation()) + 1
 	}
 	m.membersVersion++
 	next.Version = m.membersVersion
--- a/internal/applier/snapshot.go
+++ b/internal/applier/snapshot.go
@@ -18,7 +18,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	s := &controllerpb.Snapshot{
-		ConfigVersion: m.version, Document: m.document, MembersVersion: m.membersVersion, ClockMs: m.ledger.ClockMS(),
+		ConfigVersion: m.version, Document: m.document, MembersVersion: m.membersVersion, ClockMs: m.ledger.ClockMS(), Term: m.term,
 	}
 	for _, r := range m.history {
 		s.History = append(s.History, RevisionProto(r))
@@ -80,6 +80,7 @@
 	m.mu.Lock()
 	m.reset()
 	m.version, m.document, m.config, m.membersVersion = s.GetConfigVersion(), s.GetDocument(), cfg, s.GetMembersVersion()
+	m.term = s.GetTerm()
 	m.restorePatches(s)
 	for _, r := range s.GetRoles() {
 		m.roles[r.GetName()] = Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
--- a/internal/applier/types.go
+++ b/internal/applier/types.go
@@ -109,6 +109,17 @@
 	return fmt.Sprintf("the grant follows epoch %d; the current epoch is %d", e.Previous, e.Current)
 }
 
+// StaleTermError reports a decision of an earlier leadership.
+type StaleTermError struct {
+	Term    uint64
+	Current uint64
+}
+
+// Error implements error.
+func (e *StaleTermError) Error() string {
+	return fmt.Sprintf("the decision was made in term %d; the current term is %d", e.Term, e.Current)
+}
+
 // MalformedCommandError reports a log entry that cannot be decoded.
 type MalformedCommandError struct{ Reason string }
 
--- /dev/null
+++ b/internal/controller/command.go
@@ -0,0 +1,132 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/detector"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+// maxHistoryPage bounds the revisions and the bytes of patches in one answer.
+const (
+	maxHistoryPage      = 1_000
+	maxHistoryPageBytes = 4 << 20
+)
+
+func (s *Service) handleSubmit(ctx context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	req := &controllerpb.SubmitRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrap(err, "decode command")
+	}
+	cmd := req.GetCommand()
+	switch cmd.GetBody().(type) {
+	case *controllerpb.Command_PatchConfig, *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder,
+		*controllerpb.Command_WithdrawOrder:
+	default:
+		failure := applier.EncodeFailure(&applier.MalformedCommandError{Reason: "clients may not send this command"})
+		return proto.Marshal(&controllerpb.SubmitReply{Result: &controllerpb.Result{Failure: failure}})
+	}
+	s.mu.Lock()
+	ready := s.lead != nil
+	s.mu.Unlock()
+	if !ready {
+		return proto.Marshal(&controllerpb.SubmitReply{Redirect: s.redirect("not the leader")})
+	}
+	result, err := s.propose(ctx, cmd)
+	if err != nil {
+		// The command may still commit. Commands are idempotent, so that the client sends it again.
+		return proto.Marshal(&controllerpb.SubmitReply{Redirect: s.redirect(err.Error())})
+	}
+	return proto.Marshal(&controllerpb.SubmitReply{Result: result})
+}
+
+func (s *Service) handleQuery(ctx context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	req := &controllerpb.QueryRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrap(err, "decode query")
+	}
+	lead, reason := s.leading(ctx)
+	if lead == nil {
+		return proto.Marshal(&controllerpb.QueryReply{Redirect: s.redirect(reason)})
+	}
+	reply := &controllerpb.QueryReply{}
+	version, document, _ := s.Machine.Config()
+	reply.ConfigVersion = version
+	switch q := req.GetBody().(type) {
+	case *controllerpb.QueryRequest_Config:
+		reply.Document = document
+	case *controllerpb.QueryRequest_History:
+		bytes := 0
+		for _, r := range s.Machine.History(q.History.GetFrom(), min(int(q.History.GetLimit()), maxHistoryPage)) {
+			if bytes += len(r.Patch); bytes > maxHistoryPageBytes && len(reply.Revisions) > 0 {
+				break
+			}
+			reply.Revisions = append(reply.Revisions, applier.RevisionProto(r))
+		}
+	case *controllerpb.QueryRequest_Status:
+		reply.Status = s.status(lead, version)
+	case *controllerpb.QueryRequest_Order:
+		if record, ok := s.Machine.Order(applier.KeyOf(q.Order.GetKey())); ok {
+			reply.Order = applier.OrderProto(record)
+		}
+	}
+	return proto.Marshal(reply)
+}
+
+func (s *Service) status(lead *leadership, version uint64) *controllerpb.Status {
+	members, _ := s.Machine.Members()
+	orders, bytes := s.Machine.Orders()
+	_, _, cfg := s.Machine.Config()
+	roles := s.Machine.Roles()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	level, _ := lead.permits.Level()
+	out := &controllerpb.Status{
+		Leader: s.HostID, Term: lead.term, ConfigVersion: version, ClosedBelow: int64(level.ClosedBelow),
+		Orders: int64(orders), OrderBytes: bytes,
+	}
+	for _, m := range members {
+		p := detector.Process{Host: m.Host, Incarnation: m.Incarnation}
+		beat, silence := lead.detector.Last(now, p)
+		out.Members = append(out.Members, &controllerpb.MemberStatus{
+			Member: m.Proto(), State: string(lead.detector.State(now, p)), ConfigVersion: beat.ConfigVersion,
+			SilentMs: silence.Milliseconds(), Draining: beat.Draining,
+		})
+	}
+	for _, role := range wantedRoles(cfg) {
+		out.Roles = append(out.Roles, applier.RoleProto(role, roles[role]))
+	}
+	return out
+}
+
+func (s *Service) handleVoters(ctx context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	req := &controllerpb.VoterRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrap(err, "decode change of voters")
+	}
+	if lead, reason := s.leading(ctx); lead == nil {
+		return proto.Marshal(&controllerpb.VoterReply{Redirect: s.redirect(reason)})
+	}
+	var err error
+	switch req.GetAction() {
+	case "add":
+		err = s.Log.AddLearner(ctx, req.GetId(), req.GetAddr())
+	case "promote":
+		err = s.Log.Promote(ctx, req.GetId())
+	case "remove":
+		err = s.Log.Remove(ctx, req.GetId())
+	default:
+		err = eris.Errorf("unknown action %q", req.GetAction())
+	}
+	reply := &controllerpb.VoterReply{}
+	if err != nil {
+		reply.Error = err.Error()
+	}
+	return proto.Marshal(reply)
+}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -34,6 +34,8 @@
 	ExchangeTimeout = 300 * time.Millisecond
 	// expiryInterval is how often lapsed leases are reported; RoleValid itself is exact.
 	expiryInterval = 25 * time.Millisecond
+	// maxWakes bounds the requests for a heartbeat that wait.
+	maxWakes = 64
 	// retryDelay is the pause after all control hosts have failed to answer.
 	retryDelay = 50 * time.Millisecond
 )
@@ -89,7 +91,7 @@
 	onMembers   []func([]applier.Member)
 	calls       []func()
 	pending     chan struct{}
-	wake        chan chan struct{}
+	wake        chan chan bool
 	cancel      context.CancelFunc
 	done        chan struct{}
 	initOnce    sync.Once
@@ -108,7 +110,7 @@
 		a.holders, a.held, a.ended = map[string]applier.Assignment{}, map[string]lease{}, map[string]uint64{}
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
-		a.wake = make(chan chan struct{}, 64)
+		a.wake = make(chan chan bool, maxWakes)
 		a.done = make(chan struct{})
 	})
 }
@@ -183,15 +185,15 @@
 }
 
 // answerWakes sends one heartbeat for all requests that are waiting.
-func (a *Agent) answerWakes(ctx context.Context, first chan struct{}) {
-	waiters := []chan struct{}{first}
+func (a *Agent) answerWakes(ctx context.Context, first chan bool) {
+	waiters := []chan bool{first}
 	for range len(a.wake) {
 		waiters = append(waiters, <-a.wake)
 	}
-	a.beat(ctx)
+	answered := a.beat(ctx)
 	for _, w := range waiters {
 		if w != nil {
-			close(w)
+			w <- answered
 		}
 	}
 }
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -77,18 +77,28 @@
 	return a.HandOver(ctx)
 }
 
+// beatNow sends a heartbeat at once, and again until a leader has answered.
 func (a *Agent) beatNow(ctx context.Context) error {
-	sent := make(chan struct{})
-	select {
-	case a.wake <- sent:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-sent:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for {
+		answered := make(chan bool, 1)
+		select {
+		case a.wake <- answered:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case ok := <-answered:
+			if ok {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(retryDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
