--- /dev/null
+++ b/internal/answerer/store.go
@@ -0,0 +1,180 @@
+package answerer
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+)
+
+// Defaults of a Store.
+const (
+	DefaultMaxBytes  = 256 << 20
+	DefaultRetention = 5 * time.Minute
+	// answerOverheadBytes is counted for each answer, so that a flood of empty ones is bounded as well.
+	answerOverheadBytes = 512
+)
+
+var (
+	storeEvicted = expvar.NewInt("answerer_evicted")
+	storeExpired = expvar.NewInt("answerer_expired")
+)
+
+type keyID struct{ workspace, key string }
+
+// Store holds the answers of an entry host by request id and by idempotency key. Answers in progress are never evicted;
+// ended ones are dropped after the retention time, and oldest first when the memory is used up.
+type Store struct {
+	MaxBytes  int
+	Retention time.Duration
+
+	mu     sync.Mutex
+	byID   map[string]*Answer
+	byKey  map[keyID]*Answer
+	ended  []endedAnswer
+	bytes  int
+	active int
+	idle   chan struct{}
+}
+
+type endedAnswer struct {
+	id    string
+	ans   *Answer
+	bytes int
+	at    time.Time
+}
+
+func (s *Store) limit() int {
+	if s.MaxBytes > 0 {
+		return s.MaxBytes
+	}
+	return DefaultMaxBytes
+}
+
+func (s *Store) retention() time.Duration {
+	if s.Retention > 0 {
+		return s.Retention
+	}
+	return DefaultRetention
+}
+
+// Add puts an answer in progress under its id and key. When another answer holds the key, it returns that one and false.
+func (s *Store) Add(a *Answer) (*Answer, bool) {
+	m := a.Meta()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = make(map[string]*Answer)
+		s.byKey = make(map[keyID]*Answer)
+	}
+	if existing := s.byID[m.RequestID]; existing != nil {
+		return existing, false
+	}
+	if m.Key != "" {
+		k := keyID{m.Workspace, m.Key}
+		if existing := s.byKey[k]; existing != nil {
+			return existing, false
+		}
+		s.byKey[k] = a
+	}
+	s.byID[m.RequestID] = a
+	s.active++
+	return a, true
+}
+
+// Get returns the answer of a request.
+func (s *Store) Get(id string) *Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
+
+// Ended starts the retention of an answer that was added under id. Keep is false for an answer that others should not
+// find again under its key, such as one that did not run.
+func (s *Store) Ended(id string, a *Answer, keep bool) {
+	_, size := a.Len()
+	m := a.Meta()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if s.active == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+	if k := (keyID{m.Workspace, m.Key}); !keep && s.byKey[k] == a {
+		delete(s.byKey, k)
+	}
+	e := endedAnswer{id: id, ans: a, bytes: size + answerOverheadBytes, at: time.Now()}
+	s.ended = append(s.ended, e)
+	s.bytes += e.bytes
+	s.sweep(e.at)
+}
+
+// Sweep drops ended answers whose retention time has passed.
+func (s *Store) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(time.Now())
+}
+
+func (s *Store) sweep(now time.Time) {
+	for len(s.ended) > 0 {
+		e := s.ended[0]
+		switch {
+		case now.Sub(e.at) >= s.retention():
+			storeExpired.Add(1)
+		case s.bytes > s.limit():
+			storeEvicted.Add(1)
+		default:
+			return
+		}
+		s.ended = s.ended[1:]
+		s.bytes -= e.bytes
+		delete(s.byID, e.id)
+		m := e.ans.Meta()
+		if k := (keyID{m.Workspace, m.Key}); s.byKey[k] == e.ans {
+			delete(s.byKey, k)
+		}
+	}
+}
+
+// Keyed returns the descriptions of ended answers of a pool that are held under a key.
+func (s *Store) Keyed(pool string) []Meta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Meta
+	for _, e := range s.ended {
+		m := e.ans.Meta()
+		if m.Pool == pool && m.Key != "" && s.byKey[keyID{m.Workspace, m.Key}] == e.ans {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Active returns the number of answers in progress.
+func (s *Store) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// WaitIdle blocks until no answer is in progress.
+func (s *Store) WaitIdle(ctx context.Context) error {
+	s.mu.Lock()
+	if s.active == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-idle:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/granter/desk.go
@@ -0,0 +1,247 @@
+package granter
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+// Roles tells a host which roles it holds.
+type Roles interface {
+	Locator
+	OnRole(fn func(role string, epoch uint64, held bool))
+	RoleValid(role string, epoch uint64) bool
+}
+
+// Configuration is the source of the confirmed configuration.
+type Configuration interface {
+	Config() (version uint64, cfg *configurer.Config, fresh bool)
+	Subscribe(fn func(version uint64, cfg *configurer.Config))
+}
+
+// Desk starts a Holder for each pool role that its host is granted. Set the exported fields before Start.
+type Desk struct {
+	Transport     *transporter.Transport
+	Roles         Roles
+	Configuration Configuration
+	Shedder       Shedder
+	// NewStepper builds the decision core of a pool for an epoch.
+	NewStepper func(pool string, epoch uint64) Stepper
+	// Watch polls load reports, cache events and the host list for a holder until ctx ends; it may be nil.
+	Watch func(ctx context.Context, h *Holder)
+
+	mu      sync.Mutex
+	ctx     context.Context
+	holders map[string]*held
+	wg      sync.WaitGroup
+}
+
+type held struct {
+	*Holder
+	cancel context.CancelFunc
+}
+
+// Start registers the handlers. Call it before the transport runs; the holders end with ctx.
+func (d *Desk) Start(ctx context.Context) {
+	d.ctx = ctx
+	d.holders = make(map[string]*held)
+	d.Transport.HandleStream(methodSession, d.serveSession)
+	d.Transport.Handle(methodClaim, d.serveClaim)
+	d.Transport.Handle(methodLocate, d.serveLocate)
+	d.Roles.OnRole(d.onRole)
+	d.Configuration.Subscribe(func(version uint64, cfg *configurer.Config) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, h := range d.holders {
+			go h.Configure(ctx, version, cfg)
+		}
+	})
+}
+
+// Wait returns when all holders have ended.
+func (d *Desk) Wait() { d.wg.Wait() }
+
+// Post hands an event to the holder of each pool held here.
+func (d *Desk) Post(pool string, ev scheduler.Event) {
+	d.mu.Lock()
+	h := d.holders[pool]
+	d.mu.Unlock()
+	if h != nil {
+		h.Post(d.ctx, ev)
+	}
+}
+
+// Pools returns the pools held here.
+func (d *Desk) Pools() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pools := make([]string, 0, len(d.holders))
+	for p := range d.holders {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+func (d *Desk) onRole(role string, epoch uint64, isHeld bool) {
+	pool, ok := strings.CutPrefix(role, RoleOf(""))
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	current := d.holders[pool]
+	switch {
+	case isHeld && (current == nil || current.Epoch < epoch) && d.ctx.Err() == nil:
+		if current != nil {
+			current.cancel()
+		}
+		d.startLocked(pool, epoch)
+	case !isHeld && current != nil && current.Epoch <= epoch:
+		current.cancel()
+		delete(d.holders, pool)
+	}
+}
+
+func (d *Desk) startLocked(pool string, epoch uint64) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	role := RoleOf(pool)
+	h := &Holder{
+		Pool:    pool,
+		Epoch:   epoch,
+		Step:    d.NewStepper(pool, epoch),
+		Valid:   func() bool { return d.Roles.RoleValid(role, epoch) },
+		Shedder: d.Shedder,
+	}
+	h.init()
+	d.holders[pool] = &held{Holder: h, cancel: cancel}
+	if version, cfg, _ := d.Configuration.Config(); cfg != nil {
+		h.events <- input{event: scheduler.Configure{Version: version, Config: cfg}}
+	}
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		defer cancel()
+		klog.Infof("granter: holder started pool=%s epoch=%d", pool, epoch)
+		if d.Watch != nil {
+			var watching sync.WaitGroup
+			watching.Add(1)
+			go func() {
+				defer watching.Done()
+				d.Watch(ctx, h)
+			}()
+			defer watching.Wait()
+			defer cancel()
+		}
+		err := h.Run(ctx)
+		klog.Infof("granter: holder stopped pool=%s epoch=%d reason=%v", pool, epoch, err)
+		d.forget(pool, h)
+	}()
+}
+
+func (d *Desk) forget(pool string, h *Holder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.holders[pool]; c != nil && c.Holder == h {
+		delete(d.holders, pool)
+	}
+}
+
+// holderOf returns the holder of a pool; epoch 0 accepts any.
+func (d *Desk) holderOf(pool string, epoch uint64) (*Holder, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.holders[pool]
+	if h == nil || epoch != 0 && h.Epoch != epoch {
+		return nil, &StoppedError{Pool: pool}
+	}
+	return h.Holder, nil
+}
+
+func (d *Desk) serveSession(ctx context.Context, _ transporter.Peer, stream *transporter.Stream) error {
+	stream.SetRecvTimeout(DefaultSilenceLimit)
+	m := &granterpb.EntryMessage{}
+	if err := stream.Recv(m); err != nil {
+		return err
+	}
+	hello := m.GetHello()
+	if hello == nil {
+		return eris.New("a session began without a hello")
+	}
+	h, err := d.holderOf(hello.GetPool(), hello.GetEpoch())
+	if err != nil {
+		return err
+	}
+	return h.serve(ctx, stream, hello)
+}
+
+func (d *Desk) serveClaim(ctx context.Context, peer transporter.Peer, payload []byte) ([]byte, error) {
+	req := &granterpb.ClaimRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrapf(err, "decode claim of %s", peer.HostID)
+	}
+	h, err := d.holderOf(req.GetPool(), req.GetEpoch())
+	if err != nil {
+		return nil, err
+	}
+	l, err := h.Claim(ctx, req.GetHost(), decodeClaim(req.GetClaim()))
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(encodeLocation(l))
+}
+
+func (d *Desk) serveLocate(ctx context.Context, peer transporter.Peer, payload []byte) ([]byte, error) {
+	req := &granterpb.LocateRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrapf(err, "decode locate of %s", peer.HostID)
+	}
+	h, err := d.holderOf(req.GetPool(), 0)
+	if err != nil {
+		return nil, err
+	}
+	l, err := h.Locate(ctx, req.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(encodeLocation(l))
+}
+
+// Claim asks the holder of the session's pool which request holds a key.
+func (s *Session) Claim(ctx context.Context, c Claim) (Location, error) {
+	_, addr, epoch, ok := s.Locator.Holder(RoleOf(s.Pool))
+	if !ok {
+		return Location{}, &StoppedError{Pool: s.Pool}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.silenceLimit())
+	defer cancel()
+	req := &granterpb.ClaimRequest{Pool: s.Pool, Epoch: epoch, Host: s.Host, Claim: encodeClaim(c)}
+	resp := &granterpb.Located{}
+	if err := s.Transport.Call(ctx, addr, methodClaim, req, resp); err != nil {
+		return Location{}, err
+	}
+	return decodeLocation(resp), nil
+}
+
+// Locate asks the holder of the session's pool where a request is. An unknown request has an empty State.
+func (s *Session) Locate(ctx context.Context, id string) (Location, error) {
+	_, addr, _, ok := s.Locator.Holder(RoleOf(s.Pool))
+	if !ok {
+		return Location{}, &StoppedError{Pool: s.Pool}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.silenceLimit())
+	defer cancel()
+	resp := &granterpb.Located{}
+	if err := s.Transport.Call(ctx, addr, methodLocate, &granterpb.LocateRequest{Pool: s.Pool, RequestId: id}, resp); err != nil {
+		return Location{}, err
+	}
+	return decodeLocation(resp), nil
+}
--- /dev/null
+++ b/internal/granter/index.go
@@ -0,0 +1,199 @@
+package granter
+
+import (
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+)
+
+// States of a request in the index.
+const (
+	StateWaiting  = "waiting"
+	StateRunning  = "running"
+	StateFinished = "finished"
+)
+
+const (
+	// maxIndexed bounds the memory of the index, about 300 bytes each.
+	maxIndexed = 1 << 16
+	// indexRetention is how long a finished or lost request can be located.
+	indexRetention = 5 * time.Minute
+	// lostWaitingRetention outlasts every grant that a lost host may still use.
+	lostWaitingRetention = 2 * time.Second
+)
+
+// Location says where a request is.
+type Location struct {
+	RequestID, Host, Endpoint, State, Digest, Workspace string
+	// HostLost is true when the session of the owning host has ended.
+	HostLost bool
+}
+
+type claimKey struct{ workspace, key string }
+
+type indexed struct {
+	Location
+	key     claimKey
+	endedAt time.Duration
+	ended   bool
+}
+
+// index finds requests of a pool by id and by idempotency key. It is rebuilt from the sessions of the entry hosts.
+type index struct {
+	byID  map[string]*indexed
+	byKey map[claimKey]*indexed
+	// order holds ids by arrival, so that the oldest ended ones are evicted first.
+	order []string
+}
+
+func newIndex() *index {
+	return &index{byID: make(map[string]*indexed), byKey: make(map[claimKey]*indexed)}
+}
+
+// claim ties a key to a request unless another request holds it, and returns the request that holds it.
+func (x *index) claim(now time.Duration, host string, c Claim) Location {
+	k := claimKey{c.Workspace, c.Key}
+	if e := x.byKey[k]; e != nil && !e.expired(now) {
+		return e.Location
+	}
+	e := x.put(now, host, c.RequestID, c.Workspace)
+	e.key, e.Digest = k, c.Digest
+	x.byKey[k] = e
+	return e.Location
+}
+
+func (x *index) put(now time.Duration, host, id, workspace string) *indexed {
+	if e := x.byID[id]; e != nil {
+		e.Host, e.HostLost = host, false
+		if e.ended && e.State != StateFinished {
+			e.ended = false
+		}
+		return e
+	}
+	x.evict(now)
+	e := &indexed{Location: Location{RequestID: id, Host: host, Workspace: workspace, State: StateWaiting}}
+	x.byID[id] = e
+	x.order = append(x.order, id)
+	return e
+}
+
+func (x *index) add(now time.Duration, host string, d scheduler.Descriptor) *indexed {
+	e := x.put(now, host, d.RequestID, d.Workspace)
+	if d.IdempotencyKey != "" {
+		e.key = claimKey{d.Workspace, d.IdempotencyKey}
+		e.Digest = d.Fingerprint
+		if x.byKey[e.key] == nil || x.byKey[e.key].expired(now) {
+			x.byKey[e.key] = e
+		}
+	}
+	return e
+}
+
+// observe follows the events that the scheduler sees.
+func (x *index) observe(now time.Duration, ev scheduler.Event) {
+	switch ev := ev.(type) {
+	case scheduler.Submit:
+		x.add(now, ev.Host, ev.Descriptor)
+	case scheduler.HostSynced:
+		for _, d := range ev.Waiting {
+			x.add(now, ev.Host, d)
+		}
+		for _, r := range ev.Running {
+			e := x.add(now, ev.Host, r.Descriptor)
+			e.State, e.Endpoint = StateRunning, r.Endpoint
+		}
+	case scheduler.HostLost:
+		for _, e := range x.byID {
+			if e.Host == ev.Host && !e.HostLost {
+				e.HostLost = true
+				e.end(now)
+			}
+		}
+	case scheduler.Started:
+		if e := x.byID[ev.RequestID]; e != nil {
+			e.State, e.Endpoint = StateRunning, ev.Endpoint
+		}
+	case scheduler.Finished:
+		if e := x.byID[ev.RequestID]; e != nil {
+			e.State = StateFinished
+			e.end(now)
+		}
+	case scheduler.Cancelled:
+		x.remove(ev.RequestID)
+	case scheduler.Declined:
+		if ev.Reason == scheduler.DeclineGone {
+			x.remove(ev.RequestID)
+		}
+	}
+}
+
+func (e *indexed) end(now time.Duration) {
+	if !e.ended {
+		e.ended, e.endedAt = true, now
+	}
+}
+
+func (e *indexed) expired(now time.Duration) bool {
+	if !e.ended {
+		return false
+	}
+	if e.State == StateWaiting {
+		return now-e.endedAt > lostWaitingRetention
+	}
+	return now-e.endedAt > indexRetention
+}
+
+func (x *index) remove(id string) {
+	e := x.byID[id]
+	if e == nil {
+		return
+	}
+	delete(x.byID, id)
+	if x.byKey[e.key] == e {
+		delete(x.byKey, e.key)
+	}
+}
+
+// evict drops expired entries at the old end, and the oldest ended ones when the index is full.
+func (x *index) evict(now time.Duration) {
+	for len(x.order) > 0 {
+		e := x.byID[x.order[0]]
+		full := len(x.byID) >= maxIndexed
+		if e != nil && !e.expired(now) && !(full && e.ended) {
+			break
+		}
+		x.remove(x.order[0])
+		x.order = x.order[1:]
+	}
+}
+
+func (x *index) locate(id string) (Location, bool) {
+	e := x.byID[id]
+	if e == nil {
+		return Location{}, false
+	}
+	return e.Location, true
+}
+
+func encodeClaim(c Claim) *granterpb.Claim {
+	return &granterpb.Claim{Workspace: c.Workspace, Key: c.Key, Digest: c.Digest, RequestId: c.RequestID}
+}
+
+func decodeClaim(m *granterpb.Claim) Claim {
+	return Claim{Workspace: m.GetWorkspace(), Key: m.GetKey(), Digest: m.GetDigest(), RequestID: m.GetRequestId()}
+}
+
+func encodeLocation(l Location) *granterpb.Located {
+	return &granterpb.Located{
+		RequestId: l.RequestID, Host: l.Host, Endpoint: l.Endpoint, State: l.State,
+		Digest: l.Digest, Workspace: l.Workspace, HostLost: l.HostLost,
+	}
+}
+
+func decodeLocation(m *granterpb.Located) Location {
+	return Location{
+		RequestID: m.GetRequestId(), Host: m.GetHost(), Endpoint: m.GetEndpoint(), State: m.GetState(),
+		Digest: m.GetDigest(), Workspace: m.GetWorkspace(), HostLost: m.GetHostLost(),
+	}
+}
--- /dev/null
+++ b/internal/granter/session.go
@@ -0,0 +1,453 @@
+package granter
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+// Times of a session.
+const (
+	// DefaultHeartbeatInterval is a fifth of the silence limit, so that one lost interval does not drop a stream.
+	DefaultHeartbeatInterval = 200 * time.Millisecond
+	// DefaultSilenceLimit is how long a stream may be silent before it is dropped.
+	DefaultSilenceLimit = time.Second
+	minReconnectDelay   = 10 * time.Millisecond
+	maxReconnectDelay   = 200 * time.Millisecond
+	// helloPartDescriptors bounds one part of a Hello well below the frame limit of the transport.
+	helloPartDescriptors = 512
+	// heartbeatsKept covers the send times of all heartbeats that a valid grant can name.
+	heartbeatsKept = 64
+)
+
+var (
+	sessionGrants        = expvar.NewInt("granter_session_grants")
+	sessionGrantsForeign = expvar.NewInt("granter_session_grants_foreign")
+	sessionGrantsStale   = expvar.NewInt("granter_session_grants_stale")
+	sessionConnects      = expvar.NewInt("granter_session_connects")
+	sessionDrops         = expvar.NewInt("granter_session_drops")
+)
+
+// Locator names the holder of a role.
+type Locator interface {
+	Holder(role string) (hostID, addr string, epoch uint64, ok bool)
+}
+
+// Callbacks are called from the session's receiving goroutine and must not block.
+type Callbacks struct {
+	// Grant allows a dispatch to endpoint before deadline.
+	Grant func(endpoint string, deadline time.Time)
+	// Refuse ends the request, which was never dispatched.
+	Refuse func(reason scheduler.RefuseReason, retryAfter time.Duration)
+	// CancelRun asks to end a running request.
+	CancelRun func(reason string)
+}
+
+type phase int
+
+const (
+	phaseWaiting phase = iota
+	phaseGranted
+	phaseRunning
+)
+
+type tracked struct {
+	descriptor scheduler.Descriptor
+	callbacks  Callbacks
+	phase      phase
+	endpoint   string
+	submitted  time.Time
+	started    time.Time
+	output     int
+	// refused holds a refusal by a new holder that met a grant of the previous one; it applies if the grant is declined.
+	refused *granterpb.Refuse
+}
+
+// Session is an entry host's side of the stream to the holder of one pool. Set the exported fields before Run.
+type Session struct {
+	Pool string
+	// Host is the entry host with its incarnation.
+	Host      string
+	Zone      string
+	Transport *transporter.Transport
+	Locator   Locator
+	// Kept lists finished requests with a key; it may be nil.
+	Kept              func() []Claim
+	HeartbeatInterval time.Duration
+	SilenceLimit      time.Duration
+
+	mu        sync.Mutex
+	requests  map[string]*tracked
+	outbox    []*granterpb.EntryMessage
+	connected bool
+	wake      chan struct{}
+	beats     [heartbeatsKept]beat
+	seq       uint64
+}
+
+type beat struct {
+	seq  uint64
+	sent time.Time
+}
+
+// Claim ties an idempotency key to one request.
+type Claim struct {
+	Workspace, Key, Digest, RequestID string
+}
+
+// RoleOf returns the role name of a pool's scheduler.
+func RoleOf(pool string) string { return "pool/" + pool }
+
+func (s *Session) silenceLimit() time.Duration {
+	if s.SilenceLimit > 0 {
+		return s.SilenceLimit
+	}
+	return DefaultSilenceLimit
+}
+
+func (s *Session) heartbeatInterval() time.Duration {
+	if s.HeartbeatInterval > 0 {
+		return s.HeartbeatInterval
+	}
+	return DefaultHeartbeatInterval
+}
+
+// Submit adds a waiting request. It is kept across reconnects until Finished, Cancelled or a refusal.
+func (s *Session) Submit(d scheduler.Descriptor, cb Callbacks) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests == nil {
+		s.requests = make(map[string]*tracked)
+	}
+	s.requests[d.RequestID] = &tracked{descriptor: d, callbacks: cb, submitted: time.Now().Add(-d.Waited)}
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Submit{Submit: encodeDescriptor(d)}})
+}
+
+// Started reports that a granted request has been dispatched.
+func (s *Session) Started(id, endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.requests[id]
+	if t == nil {
+		return
+	}
+	t.phase, t.endpoint, t.started = phaseRunning, endpoint, time.Now()
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Started{Started: &granterpb.Started{RequestId: id, Endpoint: endpoint}}})
+}
+
+// Declined gives a grant back; the request waits on unless the reason is DeclineGone.
+func (s *Session) Declined(id, endpoint string, reason scheduler.DeclineReason) {
+	s.mu.Lock()
+	t := s.requests[id]
+	var refused *granterpb.Refuse
+	if t != nil {
+		t.phase, t.endpoint = phaseWaiting, ""
+		refused = t.refused
+	}
+	if reason == scheduler.DeclineGone {
+		delete(s.requests, id)
+		refused = nil
+	}
+	s.pushDeclined(id, endpoint, reason)
+	s.mu.Unlock()
+	if refused != nil {
+		s.onRefuse(refused)
+	}
+}
+
+func (s *Session) pushDeclined(id, endpoint string, reason scheduler.DeclineReason) {
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Declined{
+		Declined: &granterpb.Declined{RequestId: id, Endpoint: endpoint, Reason: string(reason)},
+	}})
+}
+
+// Progress reports the output tokens of a running request so far.
+func (s *Session) Progress(id string, outputTokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.requests[id]
+	if t == nil {
+		return
+	}
+	t.output = outputTokens
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Progress{
+		Progress: &granterpb.Progress{RequestId: id, OutputTokens: int64(outputTokens)},
+	}})
+}
+
+// Finished reports the end of a run and forgets the request.
+func (s *Session) Finished(f scheduler.Finished) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests[f.RequestID] == nil {
+		return
+	}
+	delete(s.requests, f.RequestID)
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Finished{Finished: &granterpb.Finished{
+		RequestId:    f.RequestID,
+		Outcome:      f.Outcome,
+		PromptTokens: int64(f.PromptTokens),
+		CachedTokens: int64(f.CachedTokens),
+		OutputTokens: int64(f.OutputTokens),
+	}}})
+}
+
+// Cancelled withdraws a waiting request.
+func (s *Session) Cancelled(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests[id] == nil {
+		return
+	}
+	delete(s.requests, id)
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Cancelled{Cancelled: &granterpb.Cancelled{RequestId: id}}})
+}
+
+// EndpointFailed reports a sign of failure at an endpoint.
+func (s *Session) EndpointFailed(endpoint string, cause scheduler.FailureCause, ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_EndpointFailed{
+		EndpointFailed: &granterpb.EndpointFailed{Endpoint: endpoint, Cause: string(cause), RequestIds: ids},
+	}})
+}
+
+// Connected reports whether the holder has answered on the current stream.
+func (s *Session) Connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connected
+}
+
+// push queues a message for the current stream. Without a stream the next Hello carries the state instead.
+func (s *Session) push(m *granterpb.EntryMessage) {
+	if s.wake == nil {
+		return
+	}
+	s.outbox = append(s.outbox, m)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps a stream to the holder until ctx ends.
+func (s *Session) Run(ctx context.Context) error {
+	delay := minReconnectDelay
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := s.connect(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if time.Since(began) > s.silenceLimit() {
+			delay = minReconnectDelay
+		}
+		klog.V(1).Infof("granter: session ended pool=%s reason=%q", s.Pool, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay/2 + rand.N(delay)):
+		}
+		delay = min(2*delay, maxReconnectDelay)
+	}
+	return nil
+}
+
+func (s *Session) connect(ctx context.Context) error {
+	_, addr, epoch, ok := s.Locator.Holder(RoleOf(s.Pool))
+	if !ok {
+		return eris.New("the pool has no holder")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.Transport.Open(ctx, addr, methodSession)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	wake, hello := s.open(epoch)
+	defer s.close()
+	for _, part := range hello {
+		if err := stream.Send(part); err != nil {
+			return eris.Wrap(err, "send hello")
+		}
+	}
+	sessionConnects.Add(1)
+	stream.SetRecvTimeout(s.silenceLimit())
+	sent := make(chan error, 1)
+	go func() {
+		defer cancel()
+		sent <- s.sendLoop(ctx, stream, wake)
+	}()
+	err = s.receiveLoop(stream)
+	cancel()
+	<-sent
+	sessionDrops.Add(1)
+	return err
+}
+
+// open starts a new outbox and returns the Hello that describes the state before it, in parts.
+func (s *Session) open(epoch uint64) (chan struct{}, []proto.Message) {
+	var kept []*granterpb.Claim
+	if s.Kept != nil {
+		for _, c := range s.Kept() {
+			kept = append(kept, encodeClaim(c))
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outbox = nil
+	s.wake = make(chan struct{}, 1)
+	now := time.Now()
+	s.seq++
+	s.beats[s.seq%heartbeatsKept] = beat{seq: s.seq, sent: now}
+	newPart := func() *granterpb.Hello {
+		return &granterpb.Hello{Pool: s.Pool, Epoch: epoch, Host: s.Host, Zone: s.Zone, HeartbeatSeq: s.seq}
+	}
+	part := newPart()
+	parts := []*granterpb.Hello{part}
+	for _, t := range s.requests {
+		if len(part.GetWaiting())+len(part.GetRunning()) >= helloPartDescriptors {
+			part.More = true
+			part = newPart()
+			parts = append(parts, part)
+		}
+		d := t.descriptor
+		d.Waited = now.Sub(t.submitted)
+		if t.phase == phaseRunning {
+			part.Running = append(part.Running, encodeRun(scheduler.Run{
+				Descriptor: d, Endpoint: t.endpoint, OutputTokens: t.output, RunningFor: now.Sub(t.started),
+			}))
+			continue
+		}
+		part.Waiting = append(part.Waiting, encodeDescriptor(d))
+	}
+	part.Kept = kept
+	hello := make([]proto.Message, 0, len(parts))
+	for _, p := range parts {
+		hello = append(hello, &granterpb.EntryMessage{Body: &granterpb.EntryMessage_Hello{Hello: p}})
+	}
+	return s.wake, hello
+}
+
+func (s *Session) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outbox, s.wake, s.connected = nil, nil, false
+}
+
+func (s *Session) sendLoop(ctx context.Context, stream *transporter.Stream, wake <-chan struct{}) error {
+	ticker := time.NewTicker(s.heartbeatInterval())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			if err := stream.Send(s.nextHeartbeat()); err != nil {
+				return err
+			}
+		case <-wake:
+			s.mu.Lock()
+			batch := s.outbox
+			s.outbox = nil
+			s.mu.Unlock()
+			for _, m := range batch {
+				if err := stream.Send(m); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+// nextHeartbeat notes the send time before the message is written, so that a grant never lasts longer than the holder counts.
+func (s *Session) nextHeartbeat() *granterpb.EntryMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	s.beats[s.seq%heartbeatsKept] = beat{seq: s.seq, sent: time.Now()}
+	return &granterpb.EntryMessage{Body: &granterpb.EntryMessage_Heartbeat{Heartbeat: &granterpb.Heartbeat{Seq: s.seq}}}
+}
+
+func (s *Session) receiveLoop(stream *transporter.Stream) error {
+	for {
+		m := &granterpb.HolderMessage{}
+		if err := stream.Recv(m); err != nil {
+			return err
+		}
+		switch b := m.GetBody().(type) {
+		case *granterpb.HolderMessage_HeartbeatAck:
+			s.mu.Lock()
+			s.connected = true
+			s.mu.Unlock()
+		case *granterpb.HolderMessage_Grant:
+			s.onGrant(b.Grant)
+		case *granterpb.HolderMessage_Refuse:
+			s.onRefuse(b.Refuse)
+		case *granterpb.HolderMessage_CancelRun:
+			s.onCancelRun(b.CancelRun)
+		}
+	}
+}
+
+func (s *Session) onGrant(g *granterpb.Grant) {
+	s.mu.Lock()
+	t := s.requests[g.GetRequestId()]
+	if t == nil || t.phase != phaseWaiting {
+		sessionGrantsForeign.Add(1)
+		if t == nil {
+			s.pushDeclined(g.GetRequestId(), g.GetEndpoint(), scheduler.DeclineGone)
+		}
+		s.mu.Unlock()
+		return
+	}
+	b := s.beats[g.GetHeartbeatSeq()%heartbeatsKept]
+	deadline := b.sent.Add(time.Duration(g.GetTtlNs()))
+	if b.seq != g.GetHeartbeatSeq() || !time.Now().Before(deadline) {
+		sessionGrantsStale.Add(1)
+		s.pushDeclined(g.GetRequestId(), g.GetEndpoint(), scheduler.DeclineExpired)
+		s.mu.Unlock()
+		return
+	}
+	t.phase, t.endpoint = phaseGranted, g.GetEndpoint()
+	s.mu.Unlock()
+	sessionGrants.Add(1)
+	t.callbacks.Grant(g.GetEndpoint(), deadline)
+}
+
+func (s *Session) onRefuse(r *granterpb.Refuse) {
+	s.mu.Lock()
+	t := s.requests[r.GetRequestId()]
+	if t == nil || t.phase == phaseRunning {
+		s.mu.Unlock()
+		return
+	}
+	if t.phase == phaseGranted {
+		t.refused = r
+		s.mu.Unlock()
+		return
+	}
+	delete(s.requests, r.GetRequestId())
+	s.mu.Unlock()
+	t.callbacks.Refuse(scheduler.RefuseReason(r.GetReason()), time.Duration(r.GetRetryAfterNs()))
+}
+
+func (s *Session) onCancelRun(c *granterpb.CancelRun) {
+	s.mu.Lock()
+	t := s.requests[c.GetRequestId()]
+	s.mu.Unlock()
+	if t != nil {
+		t.callbacks.CancelRun(c.GetReason())
+	}
+}
