--- a/internal/answerer/store.go
+++ b/internal/answerer/store.go
@@ -89,9 +89,21 @@
 	return s.byID[id]
 }
 
-// Ended starts the retention of an answer that was added under id. Keep is false for an answer that others should not
-// find again under its key, such as one that did not run.
-func (s *Store) Ended(id string, a *Answer, keep bool) {
+// Retain says how an ended answer can be found.
+type Retain int
+
+// The ways to retain an ended answer.
+const (
+	// RetainNone drops it at once.
+	RetainNone Retain = iota
+	// RetainByID keeps it for fetches; its key is free again, since the request did not run.
+	RetainByID
+	// RetainByKey keeps it for fetches and for repeated keys.
+	RetainByKey
+)
+
+// Ended starts the retention of an answer that was added under id.
+func (s *Store) Ended(id string, a *Answer, retain Retain) {
 	_, size := a.Len()
 	m := a.Meta()
 	s.mu.Lock()
@@ -101,9 +113,13 @@
 		close(s.idle)
 		s.idle = nil
 	}
-	if k := (keyID{m.Workspace, m.Key}); !keep && s.byKey[k] == a {
+	if k := (keyID{m.Workspace, m.Key}); retain != RetainByKey && s.byKey[k] == a {
 		delete(s.byKey, k)
 	}
+	if retain == RetainNone {
+		delete(s.byID, id)
+		return
+	}
 	e := endedAnswer{id: id, ans: a, bytes: size + answerOverheadBytes, at: time.Now()}
 	s.ended = append(s.ended, e)
 	s.bytes += e.bytes
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -206,10 +206,15 @@
 func (s *Session) Cancelled(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.requests[id] == nil {
+	t := s.requests[id]
+	if t == nil {
 		return
 	}
 	delete(s.requests, id)
+	if t.phase == phaseGranted {
+		s.pushDeclined(id, t.endpoint, scheduler.DeclineGone)
+		return
+	}
 	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Cancelled{Cancelled: &granterpb.Cancelled{RequestId: id}}})
 }
 
