--- a/internal/authenticator/authenticator.go
+++ b/internal/identifier/identifier.go
@@ -1,5 +1,5 @@
-// Package authenticator finds the caller behind an API key and checks the tier that it asks for.
-package authenticator
+// Package identifier finds the caller behind an API key and checks the tier that it asks for.
+package identifier
 
 import (
 	"crypto/sha256"
