--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -53,7 +53,9 @@
 	ledgerFailures  int
 	// intended is the endpoint named by an intent that is or may be in the ledger.
 	intended string
-	released sync.Once
+	// committed is true when that intent is known to be in the ledger and granted to this request.
+	committed bool
+	released  sync.Once
 
 	mu     sync.Mutex
 	linger *time.Timer
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -88,9 +88,9 @@
 		if err != nil {
 			return false, r.ledgerFailed(g, err)
 		}
-		r.intended = ""
+		r.intended, r.committed = "", false
 	}
-	if r.intended == "" {
+	if !r.committed {
 		record, err := r.commitIntent(g)
 		if err != nil {
 			return false, r.ledgerFailed(g, err)
@@ -104,6 +104,7 @@
 			r.attachRecord(record)
 			return false, true
 		}
+		r.committed = true
 	}
 	countIntents.Add("committed", 1)
 	r.fire(triggerIntend)
@@ -121,6 +122,19 @@
 
 // ledgerFailed gives the grant back; the request waits for another one unless the ledger failed too often.
 func (r *run) ledgerFailed(g grant, err error) bool {
+	var mismatch *recorder.DigestMismatchError
+	if errors.As(err, &mismatch) {
+		r.intended = ""
+		r.session.Declined(r.id, g.endpoint, scheduler.DeclineGone)
+		r.finish(triggerRefuse, keyReusedEnd("an earlier order"))
+		return true
+	}
+	var full *recorder.LedgerFullError
+	if errors.As(err, &full) {
+		r.intended = ""
+		r.session.Declined(r.id, g.endpoint, scheduler.DeclineGone)
+		return r.giveUp("ledger_full", "the ledger of orders is full; the order was not sent")
+	}
 	countIntents.Add("failed", 1)
 	klog.Warningf("dispatcher: ledger failed request=%s reason=%q", r.id, err)
 	r.ledgerFailures++
@@ -140,9 +154,14 @@
 	}
 	switch {
 	case record.Outcome != nil && record.Outcome.Outcome == string(answerer.Done):
-		r.finish(triggerDone, answerer.End{Outcome: answerer.Done, Response: &connector.Response{
+		end := answerer.End{Outcome: answerer.Done, Response: &connector.Response{
 			Status: record.Outcome.Status, Header: record.Outcome.Header, Body: record.Outcome.Body,
-		}})
+		}}
+		if record.Outcome.Truncated {
+			end.Reason, end.Message = "answer_not_kept", "the order was done; its answer was too large to be kept"
+		}
+		r.answer.Follow(record.RequestID, answerer.KindService, "", r.answer.Meta().Created)
+		r.finish(triggerDone, end)
 	case record.Phase == recorder.PhaseIntended:
 		host, _, _ := parseID(record.RequestID, record.Key.Workspace)
 		r.follow(record.RequestID, host, record.Owner)
@@ -157,7 +176,7 @@
 func keyReusedEnd(id string) answerer.End {
 	return answerer.End{
 		Outcome: answerer.Refused, Reason: "key_reused",
-		Message: "the Idempotency-Key belongs to request " + id + ", which has another method, path or body",
+		Message: "the Idempotency-Key belongs to another request with another method, path or body: " + id,
 	}
 }
 
@@ -177,7 +196,7 @@
 	if r.intended == "" {
 		return
 	}
-	r.intended = ""
+	r.intended, r.committed = "", false
 	key, owner, d := r.ledgerKey(), r.d.Owner(), r.d
 	r.retryLedger("withdraw", func(ctx context.Context) error { return d.Ledger.Withdraw(ctx, key, owner) })
 }
@@ -189,7 +208,7 @@
 		return commit(ctx)
 	}
 	err := attempt(context.WithoutCancel(r.ctx))
-	if err == nil {
+	if err == nil || final(err) {
 		return
 	}
 	klog.Warningf("dispatcher: cannot %s order request=%s reason=%q", verb, r.id, err)
@@ -209,9 +228,19 @@
 				return
 			case <-time.After(ledgerRetryDelay):
 			}
-			if attempt(ctx) == nil {
+			if err := attempt(ctx); err == nil || final(err) {
 				return
 			}
 		}
 	})
 }
+
+// final reports whether the ledger has decided, so that another attempt cannot succeed.
+func final(err error) bool {
+	var (
+		owner     *recorder.NotOwnerError
+		unknown   *recorder.UnknownOrderError
+		concluded *recorder.ConcludedError
+	)
+	return errors.As(err, &owner) || errors.As(err, &unknown) || errors.As(err, &concluded)
+}
--- a/internal/granter/desk.go
+++ b/internal/granter/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -70,13 +71,19 @@
 // Wait returns when all holders have ended.
 func (d *Desk) Wait() { d.wg.Wait() }
 
-// Post hands an event to the holder of each pool held here.
-func (d *Desk) Post(pool string, ev scheduler.Event) {
+// Shed hands a change of the shed level or a permit to the holders here. A permitTier below 0 permits nothing.
+func (d *Desk) Shed(closedBelow, permitTier int, permitFor time.Duration) {
 	d.mu.Lock()
-	h := d.holders[pool]
+	holders := make([]*held, 0, len(d.holders))
+	for _, h := range d.holders {
+		holders = append(holders, h)
+	}
 	d.mu.Unlock()
-	if h != nil {
-		h.Post(d.ctx, ev)
+	for _, h := range holders {
+		h.Post(d.ctx, scheduler.TiersClosed{Below: closedBelow})
+		if permitTier >= 0 && permitFor > 0 {
+			h.Post(d.ctx, scheduler.ShedPermitted{Tier: permitTier, For: permitFor})
+		}
 	}
 }
 
@@ -126,6 +133,9 @@
 	if version, cfg, _ := d.Configuration.Config(); cfg != nil {
 		h.events <- input{event: scheduler.Configure{Version: version, Config: cfg}}
 	}
+	if d.Shedder != nil {
+		h.events <- input{event: scheduler.TiersClosed{Below: d.Shedder.ShedLevel()}}
+	}
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -48,8 +48,9 @@
 
 // Shedder carries the scheduler's requests about shedding to the control leader. Its methods must not block.
 type Shedder interface {
-	AskShedPermit(pool string, epoch uint64, tier int)
-	ConfirmClosed(pool string, epoch uint64, below int)
+	AskShedPermit(role string, tier int)
+	ConfirmClosed(role string, below int)
+	ShedLevel() (closedBelow int)
 }
 
 // StoppedError reports that a holder no longer acts.
@@ -169,12 +170,12 @@
 		return
 	case scheduler.AskShedPermit:
 		if h.Shedder != nil {
-			h.Shedder.AskShedPermit(h.Pool, h.Epoch, a.Tier)
+			h.Shedder.AskShedPermit(RoleOf(h.Pool), a.Tier)
 		}
 		return
 	case scheduler.ConfirmClosed:
 		if h.Shedder != nil {
-			h.Shedder.ConfirmClosed(h.Pool, h.Epoch, a.Below)
+			h.Shedder.ConfirmClosed(RoleOf(h.Pool), a.Below)
 		}
 		return
 	case scheduler.Grant:
--- a/internal/localcontroller/localcontroller.go
+++ b/internal/localcontroller/localcontroller.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -42,41 +44,89 @@
 
 // Host is the view of one host. Its methods have the meaning of those of the replicated control part.
 type Host struct {
-	c         *Controller
-	id, addr  string
-	live      bool
-	stale     bool
-	roleFns   []func(role string, epoch uint64, held bool)
-	configFns []func(version uint64, cfg *configurer.Config)
+	c           *Controller
+	id, addr    string
+	incarnation uint64
+	joined      chan struct{}
+	live        bool
+	draining    bool
+	stale       bool
+	roleFns     []func(role string, epoch uint64, held bool)
+	configFns   []func(version uint64, cfg *configurer.Config)
 }
 
 // Host adds a host that peers reach at addr.
 func (c *Controller) Host(id, addr string) *Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := &Host{c: c, id: id, addr: addr}
+	h := &Host{c: c, id: id, addr: addr, incarnation: 1, joined: make(chan struct{})}
+	if old := c.hosts[id]; old != nil {
+		h.incarnation = old.incarnation + 1
+	}
 	c.hosts[id] = h
 	return h
 }
 
 // Join makes the host eligible for roles. Call it when its handlers are registered.
-func (h *Host) Join() {
+func (h *Host) Join() { h.setLive(true) }
+
+// Lose gives the host's roles to the other hosts, as after its death.
+func (h *Host) Lose() { h.setLive(false) }
+
+func (h *Host) setLive(live bool) {
 	h.c.mu.Lock()
-	h.live = true
+	h.live = live
 	notify := h.c.assign()
 	h.c.mu.Unlock()
 	notify()
 }
 
-// Leave gives the host's roles to the other hosts.
-func (h *Host) Leave() {
+// Register has no methods to add.
+func (h *Host) Register() {}
+
+// Run joins and stays until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	h.Join()
+	close(h.joined)
+	<-ctx.Done()
+	h.Lose()
+	return nil
+}
+
+// Joined is closed when the host has joined.
+func (h *Host) Joined() <-chan struct{} { return h.joined }
+
+// Incarnation numbers the processes of a host.
+func (h *Host) Incarnation() uint64 { return h.incarnation }
+
+// HandOver gives the host's roles to the other hosts, which can still reach it.
+func (h *Host) HandOver(context.Context) error {
 	h.c.mu.Lock()
-	h.live = false
+	h.draining = true
 	notify := h.c.assign()
 	h.c.mu.Unlock()
 	notify()
+	return nil
+}
+
+// Leave removes the host.
+func (h *Host) Leave(context.Context) error {
+	h.Lose()
+	return nil
 }
 
+// OnShed has no effect: nothing above the lowest tier is ever shed here.
+func (h *Host) OnShed(func(closedBelow, permitTier int, permitFor time.Duration)) {}
+
+// AskShedPermit has no effect.
+func (h *Host) AskShedPermit(string, int) {}
+
+// ConfirmClosed has no effect.
+func (h *Host) ConfirmClosed(string, int) {}
+
+// ShedLevel closes no tier.
+func (h *Host) ShedLevel() (closedBelow int) { return math.MaxInt32 }
+
 // SetFresh sets whether the host can confirm its configuration.
 func (h *Host) SetFresh(fresh bool) {
 	h.c.mu.Lock()
@@ -107,7 +157,7 @@
 	live := make([]string, 0, len(c.hosts))
 	held := make(map[string]int)
 	for id, h := range c.hosts {
-		if h.live {
+		if h.live && !h.draining {
 			live = append(live, id)
 		}
 	}
@@ -119,7 +169,7 @@
 	for _, p := range c.cfg.Pools {
 		name := "pool/" + p.Name
 		r, ok := c.roles[name]
-		if ok && c.hosts[r.host] != nil && c.hosts[r.host].live {
+		if current := c.hosts[r.host]; ok && current != nil && current.live && (!current.draining || len(live) == 0) {
 			continue
 		}
 		if old := c.hosts[r.host]; ok && old != nil {
--- /dev/null
+++ b/internal/server/body.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+)
+
+// memory is the memory set aside for bodies. Half of it is open to all tiers, the other half is split into a reserve for each
+// tier, so that the waiting bodies of a flood of one tier do not keep the bodies of another tier from being read.
+type memory struct {
+	shared  *semaphore.Weighted
+	mu      sync.Mutex
+	reserve map[string]*semaphore.Weighted
+	each    func(tiers int) int64
+}
+
+func newMemory(total, maxBody int64) *memory {
+	half := max(total/2, maxBody)
+	return &memory{
+		shared:  semaphore.NewWeighted(half),
+		reserve: make(map[string]*semaphore.Weighted),
+		each:    func(tiers int) int64 { return max(half/int64(max(1, tiers)), maxBody) },
+	}
+}
+
+// acquire waits for n bytes and returns how to give some of them back.
+func (m *memory) acquire(ctx context.Context, tier string, tiers int, n int64) (func(n int64), error) {
+	if m.shared.TryAcquire(n) {
+		return m.shared.Release, nil
+	}
+	m.mu.Lock()
+	r := m.reserve[tier]
+	if r == nil {
+		r = semaphore.NewWeighted(m.each(tiers))
+		m.reserve[tier] = r
+	}
+	m.mu.Unlock()
+	if !r.TryAcquire(n) {
+		bodyWaits.Add(1)
+		if err := r.Acquire(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	return r.Release, nil
+}
+
+// readBody reads the request body within the size limit. It reserves the memory first: when the memory set aside for bodies is
+// used up, it waits, and the caller's data stays in the network. Release gives the memory back.
+func (s *Server) readBody(k *call, tier string) (body []byte, release func(), f *failure) {
+	limit := s.maxBody()
+	length := k.c.Request.Header.ContentLength()
+	if length > limit {
+		k.c.SetConnectionClose()
+		return nil, nil, tooLarge(limit)
+	}
+	reserved := int64(length)
+	if length < 0 {
+		// The length of a chunked body is known only once it has been read.
+		reserved = int64(limit)
+	}
+	back, err := s.memory.acquire(k.ctx, tier, len(k.index.Config().Tiers), reserved)
+	if err != nil {
+		return nil, nil, &failure{status: http.StatusServiceUnavailable, reason: "caller_gone", message: "the caller left before its body was read"}
+	}
+	bodyBytes.Add(reserved)
+	giveBack := func(n int64) {
+		bodyBytes.Add(-n)
+		back(n)
+	}
+	body, err = readAll(k.c.RequestBodyStream(), length, limit)
+	switch {
+	case err != nil:
+		f = &failure{status: http.StatusBadRequest, reason: "body_incomplete", message: "the body could not be read: " + err.Error()}
+	case len(body) > limit:
+		f = tooLarge(limit)
+	}
+	if f != nil {
+		giveBack(reserved)
+		k.c.SetConnectionClose()
+		return nil, nil, f
+	}
+	if surplus := reserved - int64(len(body)); surplus > 0 {
+		giveBack(surplus)
+		reserved -= surplus
+	}
+	var once sync.Once
+	return body, func() { once.Do(func() { giveBack(reserved) }) }, nil
+}
+
+// readAll reads up to one byte above the limit, so that a longer body is noticed.
+func readAll(r io.Reader, length, limit int) ([]byte, error) {
+	if r == nil {
+		return nil, nil
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r, int64(limit)+1))
+}
+
+func tooLarge(limit int) *failure {
+	return &failure{
+		status: http.StatusRequestEntityTooLarge, reason: "body_too_large",
+		message: fmt.Sprintf("the body is larger than %d bytes; the request did not run", limit),
+	}
+}
+
+// common reads the headers that chat requests and service calls share.
+func (k *call) common(req *dispatcher.Request) *failure {
+	req.Workspace, req.Caller = k.identity.Workspace.Name, k.identity.Caller.Name
+	tiers := k.identity.Caller.Tiers
+	req.Tier = string(k.c.GetHeader(HeaderTier))
+	if req.Tier == "" && len(tiers) > 0 {
+		req.Tier = tiers[0]
+	}
+	allowed := false
+	for _, t := range tiers {
+		allowed = allowed || t == req.Tier
+	}
+	if !allowed {
+		return &failure{
+			status: http.StatusForbidden, reason: "tier_not_allowed",
+			message: fmt.Sprintf("tier %q is not allowed for this caller, which may use %s", req.Tier, strings.Join(tiers, ", ")),
+		}
+	}
+	req.Key = string(k.c.GetHeader(HeaderIdempotencyKey))
+	if len(req.Key) > maxKeyBytes {
+		return &failure{
+			status: http.StatusBadRequest, reason: "invalid_header",
+			message: fmt.Sprintf("%s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes),
+		}
+	}
+	if text := string(k.c.GetHeader(HeaderTimeoutMS)); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return &failure{
+				status: http.StatusBadRequest, reason: "invalid_header",
+				message: HeaderTimeoutMS + " is not a positive number of milliseconds",
+			}
+		}
+		req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	return nil
+}
+
+// passed returns the caller's headers that an endpoint receives. The API key stays here.
+func (k *call) passed() map[string]string {
+	out := make(map[string]string)
+	k.c.Request.Header.VisitAll(func(name, value []byte) {
+		lower := strings.ToLower(string(name))
+		switch {
+		case strings.HasPrefix(lower, headerPrefix):
+		case lower == "authorization", lower == "host", lower == "content-length", lower == "connection", lower == "expect",
+			lower == "keep-alive", lower == "proxy-authorization", lower == "proxy-connection", lower == "te",
+			lower == "trailer", lower == "transfer-encoding", lower == "upgrade", lower == "accept-encoding",
+			lower == "x-request-id", lower == "cookie":
+		default:
+			out[string(name)] = string(value)
+		}
+	})
+	return out
+}
+
+func isDone(e answerer.End) bool { return e.Outcome == answerer.Done }
--- /dev/null
+++ b/internal/server/chat.go
@@ -0,0 +1,281 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/chatdecoder"
+	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+)
+
+const (
+	// keepAliveInterval is how often a stream without a new chunk sends a comment, so that intermediaries keep it open.
+	keepAliveInterval = 10 * time.Second
+	// eventOutcome names the event that states the outcome of a stream.
+	eventOutcome = "outcome"
+	streamEnd    = "[DONE]"
+)
+
+func (s *Server) serveChat(k *call) {
+	req := dispatcher.Request{Kind: answerer.KindChat, Idempotent: true}
+	if f := k.common(&req); f != nil {
+		k.c.SetConnectionClose()
+		s.fail(k.c, f)
+		return
+	}
+	body, release, f := s.readBody(k, req.Tier)
+	if f != nil {
+		s.fail(k.c, f)
+		return
+	}
+	stream, f := k.chatRequest(&req, body)
+	if f != nil {
+		release()
+		s.fail(k.c, f)
+		return
+	}
+	req.Release = release
+	answer, reader, err := s.Requests.Accept(req)
+	if err != nil {
+		release()
+		s.fail(k.c, failureOf(err))
+		return
+	}
+	defer reader.Close()
+	s.respondChat(k, answer, reader, stream)
+}
+
+// chatRequest decodes a body and finds the pool of its model. It reports whether the caller asked for a stream.
+func (k *call) chatRequest(req *dispatcher.Request, body []byte) (stream bool, f *failure) {
+	decoded, err := chatdecoder.Decode(body)
+	if err != nil {
+		return false, &failure{status: http.StatusBadRequest, reason: "invalid_body", message: err.Error()}
+	}
+	pool := k.index.PoolOfModel(decoded.Model)
+	if pool == nil {
+		return false, &failure{
+			status: http.StatusNotFound, reason: "unknown_model", message: fmt.Sprintf("the model %q is not known", decoded.Model),
+		}
+	}
+	req.Pool, req.Model, req.Adapter = pool.Name, decoded.Model, decoded.Adapter
+	req.PromptTokens, req.MaxOutputTokens = decoded.PromptTokens, decoded.MaxOutputTokens
+	req.PrefixBlocks = decoded.PrefixBlocks
+	req.Call = connector.Call{
+		Method: http.MethodPost,
+		Path:   connector.PathChat,
+		Header: map[string]string{"Content-Type": "application/json", "Accept": "text/event-stream"},
+		Body:   body,
+		Stream: true,
+	}
+	req.Digest = digest(req.Workspace, "", "", body)
+	return decoded.Stream, nil
+}
+
+// digest is the fingerprint of a request: the workspace and the SHA-256 of method, path and body.
+func digest(workspace, method, path string, body []byte) string {
+	h := sha256.New()
+	if method != "" {
+		_, _ = fmt.Fprintf(h, "%s %s\n", method, path)
+	}
+	_, _ = h.Write(body)
+	return workspace + ":" + hex.EncodeToString(h.Sum(nil))
+}
+
+// respondChat answers with the whole text or as a stream. A failure before the first chunk is answered by status.
+func (s *Server) respondChat(k *call, a *answerer.Answer, r *answerer.Reader, stream bool) {
+	if !stream {
+		s.respondWhole(k, a)
+		return
+	}
+	if a.WaitBegun(k.ctx) != nil {
+		return
+	}
+	if end := a.End(); end != nil && !isDone(*end) {
+		if chunks, _ := a.Len(); chunks == 0 {
+			s.failEnd(k.c, a.Meta().RequestID, *end)
+			return
+		}
+	}
+	s.respondStream(k, a, r)
+}
+
+func (s *Server) respondWhole(k *call, a *answerer.Answer) {
+	text, end, err := a.Whole(k.ctx)
+	if err != nil {
+		return
+	}
+	m := a.Meta()
+	if !isDone(end) {
+		s.failEnd(k.c, m.RequestID, end)
+		return
+	}
+	k.c.Response.Header.Set(HeaderRequestID, m.RequestID)
+	k.c.Response.Header.Set(HeaderOutcome, string(end.Outcome))
+	data, _ := json.Marshal(completion{
+		ID: m.RequestID, Object: "chat.completion", Created: m.Created.Unix(), Model: m.Model,
+		Choices: []choice{{Message: &message{Role: "assistant", Content: text}, FinishReason: finished()}},
+		Usage:   usageOf(end.Usage),
+	})
+	k.c.Data(http.StatusOK, "application/json; charset=utf-8", data)
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type usageDetail struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type usage struct {
+	PromptTokens     int         `json:"prompt_tokens"`
+	CompletionTokens int         `json:"completion_tokens"`
+	TotalTokens      int         `json:"total_tokens"`
+	Details          usageDetail `json:"prompt_tokens_details"`
+}
+
+// completion is an OpenAI chat completion, or a chunk of one.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+	// Outcome and Error are set in the final event of a stream.
+	Outcome answerer.Outcome `json:"outcome,omitempty"`
+	Error   *errorDetail     `json:"error,omitempty"`
+}
+
+func finished() *string {
+	stop := "stop"
+	return &stop
+}
+
+func usageOf(u *connector.Usage) *usage {
+	if u == nil {
+		return nil
+	}
+	return &usage{
+		PromptTokens: u.PromptTokens, CompletionTokens: u.OutputTokens, TotalTokens: u.PromptTokens + u.OutputTokens,
+		Details: usageDetail{CachedTokens: u.CachedTokens},
+	}
+}
+
+// respondStream writes the chunks as server-sent events whose id is the chunk index, then the outcome.
+func (s *Server) respondStream(k *call, a *answerer.Answer, r *answerer.Reader) {
+	m := a.Meta()
+	k.c.Response.Header.Set(HeaderRequestID, m.RequestID)
+	k.c.Response.Header.Set(HeaderOutcome, outcomeStreaming)
+	k.c.Response.Header.Set("X-Accel-Buffering", "no")
+	w := sse.NewWriter(k.c)
+	part := completion{ID: m.RequestID, Object: "chat.completion.chunk", Created: m.Created.Unix(), Model: m.Model}
+	for {
+		chunk, end, err := s.nextPart(k.ctx, r, w)
+		if err != nil {
+			return
+		}
+		if end != nil {
+			writeEnd(w, part, end)
+			return
+		}
+		delta := &message{Content: chunk.Text}
+		if chunk.Index == 0 {
+			delta.Role = "assistant"
+		}
+		part.Choices = []choice{{Delta: delta}}
+		data, _ := json.Marshal(part)
+		if w.WriteEvent(strconv.Itoa(chunk.Index), "", data) != nil {
+			return
+		}
+	}
+}
+
+// nextPart waits for the next chunk and keeps the connection alive meanwhile.
+func (s *Server) nextPart(ctx context.Context, r *answerer.Reader, w *sse.Writer) (*answerer.Chunk, *answerer.End, error) {
+	for {
+		waitCtx, cancel := context.WithTimeout(ctx, keepAliveInterval)
+		chunk, end, err := r.Next(waitCtx)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return chunk, end, err
+		}
+		if err := w.WriteKeepAlive(); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// writeEnd writes the finish reason, the outcome as an event of its own that clients of chunks can read as well, and the end.
+func writeEnd(w *sse.Writer, part completion, end *answerer.End) {
+	if isDone(*end) {
+		part.Choices = []choice{{Delta: &message{}, FinishReason: finished()}}
+		data, _ := json.Marshal(part)
+		if w.WriteEvent("", "", data) != nil {
+			return
+		}
+	}
+	part.Choices = []choice{}
+	part.Usage = usageOf(end.Usage)
+	part.Outcome = end.Outcome
+	if !isDone(*end) {
+		part.Error = &errorDetail{
+			Outcome: end.Outcome, Reason: end.Reason, Message: end.Message, RequestID: part.ID, RetryAfterMS: end.RetryAfter.Milliseconds(),
+		}
+	}
+	data, _ := json.Marshal(part)
+	if w.WriteEvent("", eventOutcome, data) != nil {
+		return
+	}
+	_ = w.WriteEvent("", "", []byte(streamEnd))
+	_ = w.Close()
+}
+
+// serveFetch answers with a request's answer from any entry host: as a stream from a chunk index on, or whole.
+func (s *Server) serveFetch(k *call) {
+	id := k.c.Param("id")
+	from := 0
+	text, streamed := k.c.GetQuery("from")
+	if streamed {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			s.fail(k.c, &failure{status: http.StatusBadRequest, reason: "invalid_query", message: "from is not a chunk index", requestID: id})
+			return
+		}
+		from = n
+	}
+	streamed = streamed || strings.Contains(string(k.c.GetHeader("Accept")), "text/event-stream")
+	a, r, err := s.Requests.Fetch(k.identity.Workspace.Name, id, from)
+	if err != nil {
+		s.fail(k.c, failureOf(err))
+		return
+	}
+	defer r.Close()
+	if a.WaitSettled(k.ctx) != nil {
+		return
+	}
+	if a.Meta().Kind == answerer.KindService {
+		s.respondService(k, a)
+		return
+	}
+	s.respondChat(k, a, r, streamed)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,344 @@
+// Package server is the callers' HTTP listener.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	hertzserver "github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+)
+
+func init() {
+	// The library logs each closed connection as an error of its own.
+	hlog.SetLevel(hlog.LevelFatal)
+}
+
+// Headers of requests and responses.
+const (
+	HeaderRequestID      = "X-Dragonflycroft-Request-Id"
+	HeaderOutcome        = "X-Dragonflycroft-Outcome"
+	HeaderTier           = "X-Dragonflycroft-Tier"
+	HeaderTimeoutMS      = "X-Dragonflycroft-Timeout-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+
+	// headerPrefix marks headers of this system, which are not passed on to endpoints.
+	headerPrefix = "x-dragonflycroft-"
+	// outcomeStreaming is the outcome header of a stream, whose final outcome is its last event.
+	outcomeStreaming = "streaming"
+)
+
+// Defaults of a Server.
+const (
+	DefaultMaxBodyBytes    = 8 << 20
+	DefaultMaxHeaderBytes  = 64 << 10
+	DefaultBodyMemoryBytes = 256 << 20
+	DefaultReadTimeout     = 30 * time.Second
+	DefaultWriteTimeout    = 30 * time.Second
+	DefaultIdleTimeout     = 2 * time.Minute
+	maxKeyBytes            = 256
+)
+
+var (
+	countRequests = expvar.NewMap("server_requests")
+	countRefused  = expvar.NewMap("server_refused")
+	bodyBytes     = expvar.NewInt("server_body_bytes")
+	bodyWaits     = expvar.NewInt("server_body_waits")
+)
+
+// Requests takes requests over and finds their answers; *dispatcher.Dispatcher implements it.
+type Requests interface {
+	Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error)
+	Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error)
+}
+
+// Server serves callers. Set the exported fields before Run.
+type Server struct {
+	ListenAddr string
+	Requests   Requests
+	// Config returns the configuration that this host acts on.
+	Config func() (version uint64, cfg *configurer.Config, fresh bool)
+	// Ready returns an empty text, or why new requests are not accepted.
+	Ready func() string
+	// Live reports whether the process works; /healthz shows it.
+	Live            func() bool
+	MaxBodyBytes    int
+	MaxHeaderBytes  int
+	BodyMemoryBytes int64
+	ReadTimeout     time.Duration
+	WriteTimeout    time.Duration
+	IdleTimeout     time.Duration
+
+	listener net.Listener
+	hertz    *hertzserver.Hertz
+	memory   *memory
+	index    atomic.Pointer[indexed]
+}
+
+type indexed struct {
+	version uint64
+	*configurer.Index
+}
+
+func orDefault[T int | int64 | time.Duration](v, def T) T {
+	if v > 0 {
+		return v
+	}
+	return def
+}
+
+func (s *Server) maxBody() int { return orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes) }
+
+// Listen binds the address, so that Addr is known before Run.
+func (s *Server) Listen() error {
+	l, err := net.Listen("tcp", s.ListenAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", s.ListenAddr)
+	}
+	s.listener = l
+	s.memory = newMemory(orDefault(s.BodyMemoryBytes, DefaultBodyMemoryBytes), int64(s.maxBody()))
+	s.hertz = hertzserver.New(
+		hertzserver.WithListener(l),
+		hertzserver.WithStreamBody(true),
+		hertzserver.WithSenseClientDisconnection(true),
+		hertzserver.WithDisablePrintRoute(true),
+		hertzserver.WithDisablePreParseMultipartForm(true),
+		hertzserver.WithUseRawPath(true),
+		hertzserver.WithUnescapePathValues(false),
+		hertzserver.WithRedirectTrailingSlash(false),
+		// The size is checked by readBody, whose error says that the request did not run.
+		hertzserver.WithMaxRequestBodySize(math.MaxInt32),
+		hertzserver.WithMaxHeaderBytes(orDefault(s.MaxHeaderBytes, DefaultMaxHeaderBytes)),
+		hertzserver.WithReadTimeout(orDefault(s.ReadTimeout, DefaultReadTimeout)),
+		hertzserver.WithWriteTimeout(orDefault(s.WriteTimeout, DefaultWriteTimeout)),
+		hertzserver.WithIdleTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
+		hertzserver.WithKeepAliveTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
+		hertzserver.WithExitWaitTime(time.Second),
+	)
+	s.routes()
+	return nil
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Run serves until Close.
+func (s *Server) Run() error { return s.hertz.Run() }
+
+// Close stops listening and closes the connections that are idle; it waits for the others until ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.hertz.Shutdown(ctx)
+	_ = s.listener.Close()
+	return err
+}
+
+func (s *Server) routes() {
+	h := s.hertz
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
+		if s.Live != nil && !s.Live() {
+			c.String(http.StatusServiceUnavailable, "not live\n")
+			return
+		}
+		c.String(http.StatusOK, "ok\n")
+	})
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if reason := s.Ready(); reason != "" {
+			c.String(http.StatusServiceUnavailable, reason+"\n")
+			return
+		}
+		c.String(http.StatusOK, "ok\n")
+	})
+	h.POST("/v1/chat/completions", s.guard("chat", true, s.serveChat))
+	h.GET("/v1/models", s.guard("models", false, s.serveModels))
+	h.GET("/v1/requests/:id", s.guard("fetch", false, s.serveFetch))
+	h.Any("/v1/services/:service/*path", s.guard("service", true, s.serveService))
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		s.fail(c, &failure{status: http.StatusNotFound, reason: "unknown_path", message: "this path is not known"})
+	})
+}
+
+// call is one authenticated request.
+type call struct {
+	ctx      context.Context
+	c        *app.RequestContext
+	index    *configurer.Index
+	identity configurer.Identity
+}
+
+// guard authenticates, and refuses new requests while this host is not ready. Answers of accepted requests can be fetched
+// from a host that is not ready.
+func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		countRequests.Add(kind, 1)
+		index := s.lookup()
+		if reason := s.Ready(); isNew && reason != "" || index == nil {
+			if reason == "" {
+				reason = "no configuration is known"
+			}
+			s.fail(c, &failure{
+				status: http.StatusServiceUnavailable, outcome: answerer.NotRun, reason: "unready",
+				message: "this entry host takes no new requests: " + reason, retryAfter: time.Second,
+			})
+			return
+		}
+		key, ok := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+		if !ok {
+			s.fail(c, &failure{
+				status: http.StatusUnauthorized, reason: "no_key", message: "an API key is required as a bearer token",
+			})
+			return
+		}
+		identity, ok := index.CallerByKey(key)
+		if !ok {
+			s.fail(c, &failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
+			return
+		}
+		serve(&call{ctx: ctx, c: c, index: index, identity: identity})
+	}
+}
+
+// lookup returns the look-ups of the current configuration.
+func (s *Server) lookup() *configurer.Index {
+	version, cfg, _ := s.Config()
+	if cfg == nil {
+		return nil
+	}
+	x := s.index.Load()
+	if x == nil || x.version != version {
+		x = &indexed{version: version, Index: configurer.NewIndex(cfg)}
+		s.index.Store(x)
+	}
+	return x.Index
+}
+
+func (s *Server) serveModels(k *call) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	models := []model{}
+	for _, p := range k.index.Config().Pools {
+		for _, m := range p.Models {
+			models = append(models, model{ID: m, Object: "model", OwnedBy: "dragonflycroft"})
+		}
+	}
+	k.c.Response.Header.Set(HeaderOutcome, string(answerer.Done))
+	k.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": models})
+}
+
+// failure is an error answer.
+type failure struct {
+	status     int
+	outcome    answerer.Outcome
+	reason     string
+	message    string
+	requestID  string
+	retryAfter time.Duration
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Outcome      answerer.Outcome `json:"outcome"`
+	Reason       string           `json:"reason"`
+	Message      string           `json:"message"`
+	RequestID    string           `json:"request_id,omitempty"`
+	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
+}
+
+func (f *failure) body() errorBody {
+	return errorBody{Error: errorDetail{
+		Outcome: f.outcome, Reason: f.reason, Message: f.message, RequestID: f.requestID, RetryAfterMS: f.retryAfter.Milliseconds(),
+	}}
+}
+
+func (s *Server) fail(c *app.RequestContext, f *failure) {
+	if f.outcome == "" {
+		f.outcome = answerer.NotRun
+	}
+	countRefused.Add(f.reason, 1)
+	h := &c.Response.Header
+	h.Set(HeaderOutcome, string(f.outcome))
+	if f.requestID != "" {
+		h.Set(HeaderRequestID, f.requestID)
+	}
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((f.retryAfter+time.Second-1)/time.Second), 10))
+	}
+	if f.outcome == answerer.Unknown {
+		// OpenAI clients repeat a failed request unless told otherwise; this one may have run.
+		h.Set("X-Should-Retry", "false")
+	}
+	data, _ := json.Marshal(f.body())
+	c.Data(f.status, "application/json; charset=utf-8", data)
+}
+
+// failureOf maps an error of taking a request over.
+func failureOf(err error) *failure {
+	var reused *dispatcher.KeyReusedError
+	var missing *dispatcher.NotFoundError
+	switch {
+	case errors.As(err, &reused):
+		return &failure{
+			status: http.StatusUnprocessableEntity, outcome: answerer.Refused, reason: "key_reused",
+			message: err.Error(), requestID: reused.RequestID,
+		}
+	case errors.As(err, &missing):
+		return &failure{
+			status: http.StatusNotFound, outcome: answerer.Unknown, reason: "unknown_request",
+			message: err.Error(), requestID: missing.RequestID,
+		}
+	}
+	return &failure{status: http.StatusInternalServerError, reason: "internal", message: err.Error()}
+}
+
+// statusOf returns the HTTP status of a final state that is no success.
+func statusOf(e answerer.End) int {
+	switch e.Reason {
+	case "limit":
+		return http.StatusTooManyRequests
+	case "unserved":
+		return http.StatusNotFound
+	case "key_reused":
+		return http.StatusUnprocessableEntity
+	case "deadline", "time_limit":
+		return http.StatusGatewayTimeout
+	case "endpoint_rejected":
+		if e.Response != nil && e.Response.Status/100 == 4 {
+			return e.Response.Status
+		}
+	}
+	if e.Outcome == answerer.Unknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// failEnd answers with a final state that is no success.
+func (s *Server) failEnd(c *app.RequestContext, id string, e answerer.End) {
+	message := e.Message
+	if e.Response != nil && len(e.Response.Body) > 0 {
+		message += ": " + string(e.Response.Body[:min(len(e.Response.Body), 1024)])
+	}
+	s.fail(c, &failure{
+		status: statusOf(e), outcome: e.Outcome, reason: e.Reason, message: message, requestID: id, retryAfter: e.RetryAfter,
+	})
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,348 @@
+// Package dragonflycroft schedules requests of callers over model engines and plain services. A Node is one entry host.
+package dragonflycroft
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/lister"
+	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
+	"github.com/dragonflycroft/dragonflycroft/internal/server"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+	"github.com/dragonflycroft/dragonflycroft/internal/watcher"
+)
+
+// leaveTimeout bounds the last exchanges of a stop with the control hosts.
+const leaveTimeout = 2 * time.Second
+
+// Control is the part of a node that agrees with the other hosts on configuration, roles, members and orders.
+type Control interface {
+	granter.Roles
+	granter.Configuration
+	granter.Shedder
+	dispatcher.Ledger
+	dispatcher.Hosts
+	OnShed(fn func(closedBelow, permitTier int, permitFor time.Duration))
+	// Register adds methods to the transport before it runs.
+	Register()
+	// Run takes part until ctx ends.
+	Run(ctx context.Context) error
+	// Joined is closed once this process has an incarnation.
+	Joined() <-chan struct{}
+	Incarnation() uint64
+	// HandOver gives the roles up; Leave removes this process from the members.
+	HandOver(ctx context.Context) error
+	Leave(ctx context.Context) error
+}
+
+// CutOffError lists the requests that were in progress when a node was aborted.
+type CutOffError struct{ Requests []string }
+
+// Error implements error.
+func (e *CutOffError) Error() string {
+	return fmt.Sprintf("%d requests were cut off: %v", len(e.Requests), e.Requests)
+}
+
+// Node is one entry host. Set the exported fields before Run.
+type Node struct {
+	HostID string
+	Zone   string
+	// PeerAddr is where other hosts reach this one, CallerAddr where callers do.
+	PeerAddr   string
+	CallerAddr string
+	// Key is shared by all hosts.
+	Key []byte
+	// NewControl builds the control part for this node's transport.
+	NewControl func(t *transporter.Transport) (Control, error)
+	// NewStepper builds the scheduler of a pool for an epoch.
+	NewStepper func(pool string, epoch uint64) granter.Stepper
+	// HostList is the platform's list of live and leaving endpoints; it may be nil.
+	HostList lister.Source
+	// Endpoint bounds the exchanges with endpoints.
+	Endpoint connector.Timeouts
+	// PollInterval is the time between two load reports of an endpoint.
+	PollInterval time.Duration
+	Times        dispatcher.Times
+	// KeptBytes and KeptFor bound the answers kept for fetches and repeated keys.
+	KeptBytes int
+	KeptFor   time.Duration
+	// MaxBodyBytes, MaxHeaderBytes, BodyMemoryBytes and the timeouts concern the callers' listener.
+	MaxBodyBytes    int
+	MaxHeaderBytes  int
+	BodyMemoryBytes int64
+	ReadTimeout     time.Duration
+	WriteTimeout    time.Duration
+	IdleTimeout     time.Duration
+	// BalancerDelay is how long a stopping node still serves while the balancer notices that it is not ready.
+	BalancerDelay time.Duration
+	// DrainTimeout bounds the wait for requests in progress; 0 means no bound.
+	DrainTimeout time.Duration
+
+	once      sync.Once
+	setupErr  error
+	transport *transporter.Transport
+	control   Control
+	resolver  *resolver.Resolver
+	desk      *granter.Desk
+	sessions  *sessionSet
+	requests  atomic.Pointer[dispatcher.Dispatcher]
+	store     *answerer.Store
+	server    *server.Server
+	stopping  atomic.Bool
+	aborted   chan struct{}
+	abortOnce sync.Once
+}
+
+// Listen binds the addresses, so that they are known before Run.
+func (n *Node) Listen() error {
+	n.once.Do(func() { n.setupErr = n.setup() })
+	return n.setupErr
+}
+
+func (n *Node) setup() error {
+	n.aborted = make(chan struct{})
+	n.transport = &transporter.Transport{HostID: n.HostID, Zone: n.Zone, ListenAddr: n.PeerAddr, Key: n.Key}
+	if err := n.transport.Listen(); err != nil {
+		return err
+	}
+	n.store = &answerer.Store{MaxBytes: n.KeptBytes, Retention: n.KeptFor}
+	n.server = &server.Server{
+		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready,
+		MaxBodyBytes: n.MaxBodyBytes, MaxHeaderBytes: n.MaxHeaderBytes, BodyMemoryBytes: n.BodyMemoryBytes,
+		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout,
+	}
+	if err := n.server.Listen(); err != nil {
+		return errors.Join(err, n.transport.Close())
+	}
+	control, err := n.NewControl(n.transport)
+	if err != nil {
+		return errors.Join(err, n.transport.Close())
+	}
+	n.control = control
+	n.server.Config = control.Config
+	return nil
+}
+
+// PeerAddress returns the bound address for other hosts.
+func (n *Node) PeerAddress() string { return n.transport.Addr() }
+
+// CallerAddress returns the bound address for callers.
+func (n *Node) CallerAddress() string { return n.server.Addr() }
+
+// Unready returns an empty text, or why this node takes no new requests.
+func (n *Node) Unready() string {
+	if n.stopping.Load() {
+		return "it is stopping"
+	}
+	d := n.requests.Load()
+	if d == nil {
+		return "it has not joined yet"
+	}
+	if d.Incarnation != n.control.Incarnation() {
+		return "another process runs under its host id"
+	}
+	version, _, fresh := n.control.Config()
+	switch {
+	case version == 0:
+		return "it holds no confirmed configuration"
+	case !fresh:
+		return "it cannot confirm its configuration"
+	}
+	return ""
+}
+
+// Accept implements server.Requests.
+func (n *Node) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
+	d := n.requests.Load()
+	if d == nil {
+		return nil, nil, eris.New("this entry host has not joined yet")
+	}
+	return d.Accept(req)
+}
+
+// Fetch implements server.Requests.
+func (n *Node) Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error) {
+	d := n.requests.Load()
+	if d == nil {
+		return nil, nil, &dispatcher.NotFoundError{RequestID: id}
+	}
+	return d.Fetch(workspace, id, from)
+}
+
+// Run serves until ctx ends, and then stops as planned: it becomes unready, waits for the balancer, hands its roles over and
+// lets each accepted request finish. After Abort it returns a *CutOffError if requests were in progress.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.Listen(); err != nil {
+		return err
+	}
+	// Everything but the planned stop outlives ctx.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.start(work)
+	group, groupCtx := errgroup.WithContext(work)
+	group.Go(func() error { return n.transport.Run(work) })
+	group.Go(func() error { return n.control.Run(work) })
+	group.Go(n.server.Run)
+	group.Go(func() error { return n.join(groupCtx) })
+	stopped := make(chan error, 1)
+	go func() {
+		select {
+		case <-ctx.Done():
+			stopped <- n.stop(work, cancel)
+		case <-n.aborted:
+			stopped <- n.cutOff(cancel)
+		case <-groupCtx.Done():
+			stopped <- n.cutOff(cancel)
+		}
+	}()
+	err := group.Wait()
+	return errors.Join(err, <-stopped)
+}
+
+// Abort ends the node at once.
+func (n *Node) Abort() { n.abortOnce.Do(func() { close(n.aborted) }) }
+
+func (n *Node) start(ctx context.Context) {
+	n.resolver = &resolver.Resolver{Timeouts: n.endpointTimeouts()}
+	n.control.Subscribe(func(version uint64, cfg *Config) {
+		n.resolver.Apply(cfg)
+		klog.Infof("node: configuration in force host=%s version=%d endpoints=%d", n.HostID, version, len(cfg.Endpoints))
+	})
+	if _, cfg, _ := n.control.Config(); cfg != nil {
+		n.resolver.Apply(cfg)
+	}
+	n.desk = &granter.Desk{
+		Transport: n.transport, Roles: n.control, Configuration: n.control, Shedder: n.control,
+		NewStepper: n.NewStepper, Watch: n.watch,
+	}
+	n.desk.Start(ctx)
+	n.control.OnShed(n.desk.Shed)
+	n.control.Register()
+}
+
+func (n *Node) endpointTimeouts() connector.Timeouts {
+	t, d := n.Endpoint, connector.DefaultTimeouts()
+	for _, f := range []struct {
+		set *time.Duration
+		def time.Duration
+	}{{&t.Connect, d.Connect}, {&t.FirstByte, d.FirstByte}, {&t.Gap, d.Gap}} {
+		if *f.set <= 0 {
+			*f.set = f.def
+		}
+	}
+	// The total of a run is bounded by the dispatcher, which also cancels it at the endpoint.
+	t.Total = 0
+	return t
+}
+
+func (n *Node) watch(ctx context.Context, h *granter.Holder) {
+	w := &watcher.Watcher{Pool: h.Pool, Engines: n.resolver, Interval: n.PollInterval, List: n.HostList, Post: h.Post}
+	w.Run(ctx)
+}
+
+// join starts the dispatcher once this process has an incarnation, which is part of its request ids.
+func (n *Node) join(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.control.Joined():
+	}
+	d := &dispatcher.Dispatcher{
+		HostID: n.HostID, Incarnation: n.control.Incarnation(), Zone: n.Zone, Transport: n.transport,
+		Endpoints: n.resolver, Ledger: n.control, Hosts: n.control, Store: n.store, Times: n.Times,
+	}
+	n.sessions = newSessionSet(ctx, n, d.Owner())
+	d.Session, d.Pools = n.sessions.get, n.sessions.pools
+	d.Start(context.WithoutCancel(ctx))
+	n.control.Subscribe(func(_ uint64, cfg *Config) { n.sessions.match(cfg) })
+	if _, cfg, _ := n.control.Config(); cfg != nil {
+		n.sessions.match(cfg)
+	}
+	n.requests.Store(d)
+	klog.Infof("node: joined host=%s zone=%s owner=%s peers=%s callers=%s", n.HostID, n.Zone, d.Owner(), n.PeerAddress(), n.CallerAddress())
+	return nil
+}
+
+// stop ends the node as planned.
+func (n *Node) stop(work context.Context, cancel context.CancelFunc) error {
+	n.stopping.Store(true)
+	klog.Infof("node: stopping host=%s active=%d", n.HostID, n.store.Active())
+	if !n.wait(n.BalancerDelay) {
+		return n.cutOff(cancel)
+	}
+	handOver, done := context.WithTimeout(work, leaveTimeout)
+	if err := n.control.HandOver(handOver); err != nil {
+		klog.Warningf("node: roles not handed over host=%s reason=%q", n.HostID, err)
+	}
+	done()
+	drain, done := context.WithCancel(work)
+	if n.DrainTimeout > 0 {
+		drain, done = context.WithTimeout(work, n.DrainTimeout)
+	}
+	defer done()
+	go func() {
+		select {
+		case <-n.aborted:
+			done()
+		case <-drain.Done():
+		}
+	}()
+	if d := n.requests.Load(); d != nil && d.Drain(drain) != nil {
+		return n.cutOff(cancel)
+	}
+	// The answers have been produced; the listener closes once they have been written.
+	_ = n.server.Close(drain)
+	leave, done := context.WithTimeout(work, leaveTimeout)
+	defer done()
+	if err := n.control.Leave(leave); err != nil {
+		klog.Warningf("node: did not leave host=%s reason=%q", n.HostID, err)
+	}
+	return n.cutOff(cancel)
+}
+
+// wait pauses. It returns false when the node was aborted.
+func (n *Node) wait(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-n.aborted:
+		return false
+	}
+}
+
+// cutOff ends all parts and reports the requests in progress.
+func (n *Node) cutOff(cancel context.CancelFunc) error {
+	n.stopping.Store(true)
+	var cut []string
+	if d := n.requests.Load(); d != nil {
+		cut = d.Close()
+	}
+	cancel()
+	now, done := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer done()
+	_ = n.server.Close(now)
+	err := n.transport.Close()
+	n.desk.Wait()
+	if n.sessions != nil {
+		n.sessions.wait()
+	}
+	if len(cut) > 0 {
+		return errors.Join(err, &CutOffError{Requests: cut})
+	}
+	klog.Infof("node: stopped host=%s", n.HostID)
+	return err
+}
