--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
@@ -55,7 +56,6 @@
 func (r *run) unsent(g grant, err error) bool {
 	var n *connector.NotSentError
 	if errors.As(err, &n) && time.Now().Before(g.deadline) {
-		r.session.EndpointFailed(g.endpoint, scheduler.FailureRefused)
 		return r.decline(g, scheduler.DeclineConnect)
 	}
 	return r.decline(g, scheduler.DeclineExpired)
@@ -76,6 +76,7 @@
 	id       string
 	// report is nil for a run whose entry host is lost.
 	report       reporter
+	reported     map[scheduler.FailureCause]bool
 	lastProgress time.Time
 	progressed   bool
 }
@@ -149,16 +150,28 @@
 		}
 	}
 	var unsent *connector.NotSentError
-	if errors.As(err, &unsent) {
-		s.failed(scheduler.FailureRefused)
+	var timeout net.Error
+	switch {
+	case !errors.As(err, &unsent):
+	case errors.As(err, &timeout) && timeout.Timeout():
+		s.failed(scheduler.FailureSilent)
+	default:
+		// The stream broke and the endpoint takes no connection: it crashed.
+		s.failed(scheduler.FailureReset)
 	}
 	return false, result{}
 }
 
+// failed reports a sign of failure once for each kind, however many attempts meet it.
 func (s *source) failed(cause scheduler.FailureCause) {
-	if s.report != nil {
-		s.report.EndpointFailed(s.endpoint, cause, s.id)
+	if s.report == nil || s.reported[cause] {
+		return
+	}
+	if s.reported == nil {
+		s.reported = make(map[scheduler.FailureCause]bool)
 	}
+	s.reported[cause] = true
+	s.report.EndpointFailed(s.endpoint, cause, s.id)
 }
 
 // read copies one stream. It returns a result when the run has ended, and nil when the stream has to be resumed.
--- a/internal/granter/desk.go
+++ b/internal/granter/desk.go
@@ -71,7 +71,8 @@
 // Wait returns when all holders have ended.
 func (d *Desk) Wait() { d.wg.Wait() }
 
-// Shed hands a change of the shed level or a permit to the holders here. A permitTier below 0 permits nothing.
+// Shed hands a change of the shed level or a permit to the holders here. Tiers with an order of at least permitTier may be
+// shed; a permitTier below 0 permits nothing.
 func (d *Desk) Shed(closedBelow, permitTier int, permitFor time.Duration) {
 	d.mu.Lock()
 	holders := make([]*held, 0, len(d.holders))
@@ -79,10 +80,16 @@
 		holders = append(holders, h)
 	}
 	d.mu.Unlock()
+	var tiers []configurer.Tier
+	if _, cfg, _ := d.Configuration.Config(); cfg != nil {
+		tiers = cfg.Tiers
+	}
 	for _, h := range holders {
 		h.Post(d.ctx, scheduler.TiersClosed{Below: closedBelow})
-		if permitTier >= 0 && permitFor > 0 {
-			h.Post(d.ctx, scheduler.ShedPermitted{Tier: permitTier, For: permitFor})
+		for _, t := range tiers {
+			if permitTier >= 0 && permitFor > 0 && t.Order >= permitTier {
+				h.Post(d.ctx, scheduler.ShedPermitted{Tier: t.Order, For: permitFor})
+			}
 		}
 	}
 }
--- a/internal/granter/index.go
+++ b/internal/granter/index.go
@@ -160,7 +160,7 @@
 	for len(x.order) > 0 {
 		e := x.byID[x.order[0]]
 		full := len(x.byID) >= maxIndexed
-		if e != nil && !e.expired(now) && !(full && e.ended) {
+		if e != nil && !e.expired(now) && (!full || !e.ended) {
 			break
 		}
 		x.remove(x.order[0])
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"math/rand/v2"
 	"sync"
@@ -296,9 +297,8 @@
 	}()
 	err = s.receiveLoop(stream)
 	cancel()
-	<-sent
 	sessionDrops.Add(1)
-	return err
+	return errors.Join(err, <-sent)
 }
 
 // open starts a new outbox and returns the Hello that describes the state before it, in parts.
--- a/internal/localcontroller/localcontroller.go
+++ b/internal/localcontroller/localcontroller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -99,6 +100,20 @@
 // Incarnation numbers the processes of a host.
 func (h *Host) Incarnation() uint64 { return h.incarnation }
 
+// Owners names the live hosts with their incarnations.
+func (h *Host) Owners() []string {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	var owners []string
+	for _, other := range h.c.hosts {
+		if other.live {
+			owners = append(owners, fmt.Sprintf("%s.%d", other.id, other.incarnation))
+		}
+	}
+	slices.Sort(owners)
+	return owners
+}
+
 // HandOver gives the host's roles to the other hosts, which can still reach it.
 func (h *Host) HandOver(context.Context) error {
 	h.c.mu.Lock()
--- a/node.go
+++ b/node.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/server"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 	"github.com/dragonflycroft/dragonflycroft/internal/watcher"
@@ -42,6 +43,8 @@
 	// Joined is closed once this process has an incarnation.
 	Joined() <-chan struct{}
 	Incarnation() uint64
+	// Owners names the live processes of entry hosts with their incarnations.
+	Owners() []string
 	// HandOver gives the roles up; Leave removes this process from the members.
 	HandOver(ctx context.Context) error
 	Leave(ctx context.Context) error
@@ -66,7 +69,7 @@
 	Key []byte
 	// NewControl builds the control part for this node's transport.
 	NewControl func(t *transporter.Transport) (Control, error)
-	// NewStepper builds the scheduler of a pool for an epoch.
+	// NewStepper builds the decision core of a pool for an epoch; nil means the scheduler.
 	NewStepper func(pool string, epoch uint64) granter.Stepper
 	// HostList is the platform's list of live and leaving endpoints; it may be nil.
 	HostList lister.Source
@@ -223,6 +226,9 @@
 	if _, cfg, _ := n.control.Config(); cfg != nil {
 		n.resolver.Apply(cfg)
 	}
+	if n.NewStepper == nil {
+		n.NewStepper = n.newScheduler
+	}
 	n.desk = &granter.Desk{
 		Transport: n.transport, Roles: n.control, Configuration: n.control, Shedder: n.control,
 		NewStepper: n.NewStepper, Watch: n.watch,
@@ -247,6 +253,10 @@
 	return t
 }
 
+func (n *Node) newScheduler(pool string, epoch uint64) granter.Stepper {
+	return scheduler.New(scheduler.Options{Pool: pool, Epoch: epoch, Seed: epoch, Hosts: n.control.Owners()})
+}
+
 func (n *Node) watch(ctx context.Context, h *granter.Holder) {
 	w := &watcher.Watcher{Pool: h.Pool, Engines: n.resolver, Interval: n.PollInterval, List: n.HostList, Post: h.Post}
 	w.Run(ctx)
