--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -19,6 +19,8 @@
 	// maxAnswerBytes bounds the memory of one answer.
 	maxAnswerBytes = 32 << 20
 	cancelTimeout  = 2 * time.Second
+	// maxMissing allows about 0.3 s for a request that was written just before its connection broke.
+	maxMissing = 4
 )
 
 // sending tracks whether the first byte of a dispatch may have been written.
@@ -75,8 +77,10 @@
 	endpoint string
 	id       string
 	// report is nil for a run whose entry host is lost.
-	report       reporter
-	reported     map[scheduler.FailureCause]bool
+	report   reporter
+	reported map[scheduler.FailureCause]bool
+	// missing counts the attempts at which the endpoint did not know a run that has given no chunk yet.
+	missing      int
 	lastProgress time.Time
 	progressed   bool
 }
@@ -143,7 +147,15 @@
 		case connector.CauseRejected:
 			return true, result{rejected: true, reason: "endpoint_rejected", err: err}
 		case connector.CauseNotFound:
-			s.failed(scheduler.FailureReset)
+			chunks, _ := r.answer.Len()
+			if chunks == 0 && s.missing < maxMissing {
+				// The connection broke early: the endpoint may not have read the request yet, or never received it.
+				s.missing++
+				return false, result{}
+			}
+			if chunks > 0 {
+				s.failed(scheduler.FailureReset)
+			}
 			return true, result{reason: "run_lost", err: err}
 		case connector.CauseSilent:
 			s.failed(scheduler.FailureSilent)
@@ -231,9 +243,11 @@
 		r.finish(triggerFail, answerer.End{
 			Outcome: answerer.Unknown, Reason: res.reason, Message: "the run was ended before its answer was complete",
 		})
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), cancelTimeout)
-		_ = s.engine.Cancel(ctx, s.id)
-		cancel()
+		if res.reason != reasonStopped {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), cancelTimeout)
+			_ = s.engine.Cancel(ctx, s.id)
+			cancel()
+		}
 	default:
 		outcome = scheduler.OutcomeInterrupted
 		r.finish(triggerLose, answerer.End{
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -212,7 +212,7 @@
 		cut = append(cut, id+" "+string(r.machine.State()))
 	}
 	d.mu.Unlock()
-	d.cancel(&cancelError{reason: "stopped"})
+	d.cancel(&cancelError{reason: reasonStopped})
 	d.wg.Wait()
 	return cut
 }
@@ -272,7 +272,7 @@
 	countAccepted.Add(1)
 	reader := r.answer.Read(0)
 	if !d.launch(r, r.drive) {
-		r.finish(triggerGiveUp, answerer.End{Outcome: answerer.NotRun, Reason: "stopped", Message: "the entry host is stopping"})
+		r.finish(triggerGiveUp, answerer.End{Outcome: answerer.NotRun, Reason: reasonStopped, Message: "the entry host is stopping"})
 		r.release()
 	}
 	return r.answer, reader, nil
@@ -304,7 +304,7 @@
 		r.follow(id, host, owner)
 	})
 	if !launched {
-		r.finish(triggerLose, answerer.End{Outcome: answerer.Unknown, Reason: "stopped", Message: "the entry host is stopping"})
+		r.finish(triggerLose, answerer.End{Outcome: answerer.Unknown, Reason: reasonStopped, Message: "the entry host is stopping"})
 		r.release()
 	}
 	return r.answer, reader, nil
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -17,6 +17,9 @@
 // maxConnectDeclines bounds how many endpoints in a row are tried for one request.
 const maxConnectDeclines = 8
 
+// reasonStopped ends requests with their entry host. Their runs go on, so that another entry host can deliver the answers.
+const reasonStopped = "stopped"
+
 type grant struct {
 	endpoint string
 	deadline time.Time
@@ -279,7 +282,7 @@
 	if errors.As(context.Cause(r.ctx), &c) {
 		return c.reason
 	}
-	return "stopped"
+	return reasonStopped
 }
 
 // pause waits for a jittered back-off. It returns false when the run was cancelled.
--- a/node.go
+++ b/node.go
@@ -292,34 +292,41 @@
 	if !n.wait(n.BalancerDelay) {
 		return n.cutOff(cancel)
 	}
-	handOver, done := context.WithTimeout(work, leaveTimeout)
-	if err := n.control.HandOver(handOver); err != nil {
-		klog.Warningf("node: roles not handed over host=%s reason=%q", n.HostID, err)
+	n.bounded(work, "roles not handed over", n.control.HandOver)
+	drain, undrain := n.drainContext(work)
+	defer undrain()
+	if d := n.requests.Load(); d != nil && d.Drain(drain) != nil {
+		return n.cutOff(cancel)
 	}
-	done()
-	drain, done := context.WithCancel(work)
+	// The answers have been produced; the listener closes once they have been written.
+	_ = n.server.Close(drain)
+	n.bounded(work, "did not leave the members", n.control.Leave)
+	return n.cutOff(cancel)
+}
+
+// drainContext ends with the drain time and with an abort.
+func (n *Node) drainContext(work context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(work)
 	if n.DrainTimeout > 0 {
-		drain, done = context.WithTimeout(work, n.DrainTimeout)
+		ctx, cancel = context.WithTimeout(work, n.DrainTimeout)
 	}
-	defer done()
 	go func() {
 		select {
 		case <-n.aborted:
-			done()
-		case <-drain.Done():
+			cancel()
+		case <-ctx.Done():
 		}
 	}()
-	if d := n.requests.Load(); d != nil && d.Drain(drain) != nil {
-		return n.cutOff(cancel)
-	}
-	// The answers have been produced; the listener closes once they have been written.
-	_ = n.server.Close(drain)
-	leave, done := context.WithTimeout(work, leaveTimeout)
-	defer done()
-	if err := n.control.Leave(leave); err != nil {
-		klog.Warningf("node: did not leave host=%s reason=%q", n.HostID, err)
+	return ctx, cancel
+}
+
+// bounded runs one of the last exchanges with the control hosts.
+func (n *Node) bounded(work context.Context, failed string, exchange func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(work, leaveTimeout)
+	defer cancel()
+	if err := exchange(ctx); err != nil {
+		klog.Warningf("node: %s host=%s reason=%q", failed, n.HostID, err)
 	}
-	return n.cutOff(cancel)
 }
 
 // wait pauses. It returns false when the node was aborted.
