--- a/internal/ejector/availability.go
+++ b/internal/ejector/availability.go
@@ -42,6 +42,8 @@
 	proofs  int
 	part    float64
 	ejected bool
+	// refusing is true when the last failure was a refused connect.
+	refusing bool
 }
 
 // Part returns which part of an endpoint's bound may be used at now, and whether only one small run may be there.
@@ -90,12 +92,15 @@
 	return a.failed, a.phase == out || a.phase == probing
 }
 
-// Fail takes the endpoint out after a sign of failure. Repeated failures double the back-off, with jitter so that
-// endpoints that failed together do not return together.
-func (a *Availability) Fail(now time.Duration, rng *rand.Rand) {
+// Fail takes the endpoint out after a sign of failure. Refusing is true for a refused connect, which an endpoint that
+// shuts down gives while its runs still progress. Repeated failures double the back-off, with jitter so that endpoints
+// that failed together do not return together. It returns false when the endpoint is out already; the signs of one
+// failure reach the scheduler from many hosts.
+func (a *Availability) Fail(now time.Duration, refusing bool, rng *rand.Rand) bool {
+	a.refusing = refusing
 	if a.phase == out && now < a.until && !a.ejected {
 		a.failed = now
-		return
+		return false
 	}
 	if now-a.failed > calmTime {
 		a.backoff = 0
@@ -103,6 +108,7 @@
 	a.backoff = min(max(a.backoff*2, firstBackoff), maxBackoff)
 	a.phase, a.failed, a.proofs, a.ejected = out, now, 0, false
 	a.until = now + a.backoff + time.Duration(rng.Int64N(int64(a.backoff/4)))
+	return true
 }
 
 // Eject takes the endpoint out because it is slow.
@@ -135,7 +141,7 @@
 
 // Alive returns the endpoint to use at once, since a run that began before the failure sign has progressed after it.
 func (a *Availability) Alive(now time.Duration) {
-	if a.ejected || (a.phase != out && a.phase != probing) {
+	if a.ejected || a.refusing || (a.phase != out && a.phase != probing) {
 		return
 	}
 	a.phase, a.part, a.until = returning, returnPart*2, now
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -440,7 +440,7 @@
 		return
 	}
 	e.progressed = s.now
-	e.avail.Fail(s.now, s.rng)
+	e.avail.Fail(s.now, false, s.rng)
 	s.emit(Decision{Verb: "eject", Endpoint: e.Name, Reason: "no progress"})
 	s.rank(e)
 }
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -302,8 +302,9 @@
 // failEndpoint acts on a sign of failure, and on a crash marks the requests that ran there.
 func (s *Scheduler) failEndpoint(f EndpointFailed) {
 	e := s.endpoint(f.Endpoint)
-	e.avail.Fail(s.now, s.rng)
-	s.emit(Decision{Verb: "eject", Endpoint: e.Name, Reason: "failed: " + string(f.Cause)})
+	if e.avail.Fail(s.now, f.Cause == FailureRefused, s.rng) {
+		s.emit(Decision{Verb: "eject", Endpoint: e.Name, Reason: "failed: " + string(f.Cause)})
+	}
 	if f.Cause != FailureRefused {
 		s.suspectRuns(e, f)
 	}
