--- /dev/null
+++ b/internal/comparer/comparer_test.go
@@ -0,0 +1,180 @@
+package comparer
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/generator"
+	"github.com/dragonflycroft/dragonflycroft/internal/tracer"
+)
+
+var rewrite = flag.Bool("record", false, "write the hashes of the scenarios' traces and the packed traces")
+
+func readScenarios(t *testing.T, path string) []generator.Scenario {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scenarios, err := generator.ReadScenarios(bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return scenarios
+}
+
+// Guards against a scheduler that misses what the design page states for one of the recorded situations.
+func TestOutcomes(t *testing.T) {
+	paths, err := filepath.Glob("testdata/outcomes/*.json")
+	if err != nil || len(paths) != 18 {
+		t.Fatalf("%d outcome files, error %v", len(paths), err)
+	}
+	scenarios := readScenarios(t, "testdata/scenarios/tuning.json")
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcome, err := ReadOutcome(file)
+		file.Close()
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		t.Run(strings.ReplaceAll(outcome.Trace, "/", "_"), func(t *testing.T) {
+			t.Parallel()
+			for i := range scenarios {
+				if scenarios[i].Name() == outcome.Trace {
+					checkOutcome(t, outcome, &scenarios[i])
+					return
+				}
+			}
+			t.Fatalf("no scenario makes trace %s", outcome.Trace)
+		})
+	}
+}
+
+func checkOutcome(t *testing.T, outcome *Outcome, scenario *generator.Scenario) {
+	trace, err := Record(scenario)
+	if err != nil {
+		t.Fatal(err)
+	}
+	row, err := Replay(trace, PolicyScheduler, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, bound := range outcome.Bounds {
+		t.Run(bound.Measure, func(t *testing.T) {
+			value, ok, err := bound.Check(row)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !ok {
+				t.Errorf("trace %s, seed %d: measured %.4g, stated %s; first breaches: %+v",
+					outcome.Trace, scenario.Seed, value, bound.String(), row.Result.Violations)
+			}
+		})
+	}
+}
+
+// Guards against a change of the generator that silently changes what the outcomes are stated for.
+func TestTraceHashes(t *testing.T) {
+	for _, name := range []string{"tuning", "held_out"} {
+		path := "testdata/scenarios/" + name + ".json"
+		scenarios := readScenarios(t, path)
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := strings.Split(string(text), "\n")
+		for i := range scenarios {
+			_, hash, err := scenarios[i].Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if *rewrite {
+				lines[i+1] = withHash(lines[i+1], hash)
+			} else if hash != scenarios[i].TraceXXH64 {
+				t.Errorf("%s %s: hash %s, recorded %s", name, scenarios[i].Name(), hash, scenarios[i].TraceXXH64)
+			}
+		}
+		if *rewrite {
+			if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func withHash(line, hash string) string {
+	body, _, _ := strings.Cut(strings.TrimSuffix(strings.TrimSuffix(line, ","), "}"), `, "trace_xxh64"`)
+	comma := ""
+	if strings.HasSuffix(line, ",") {
+		comma = ","
+	}
+	return body + `, "trace_xxh64": "` + hash + `"}` + comma
+}
+
+// Guards against recorded trace files that cannot be replayed, and against a decoder that loses something.
+func TestRecordedFiles(t *testing.T) {
+	scenarios := readScenarios(t, "testdata/scenarios/tuning.json")
+	for _, name := range []string{"kessler/quiet_day", "gramofon/quiet_day"} {
+		path := "testdata/traces/" + strings.ReplaceAll(name, "/", "_") + ".jsonl.gz"
+		for i := range scenarios {
+			if scenarios[i].Name() != name {
+				continue
+			}
+			data, _, err := scenarios[i].Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if *rewrite {
+				pack(t, path, data)
+			}
+			loaded, err := Load(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var again bytes.Buffer
+			if err := tracer.Encode(&again, loaded[0]); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(string(data), again.String()); diff != "" {
+				t.Errorf("%s (-generated +recorded):\n%.2000s", path, diff)
+			}
+		}
+	}
+}
+
+// Guards against bad input that is ignored or reported without its cause.
+func TestRunErrors(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`[{"user":"kessler","shape":"quiet_day","seed":1,"duration_ms":60000,"load":0.1,"trace_xxh64":"00"}]`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var hash *HashError
+	if err := Run(Options{Paths: []string{bad}, Out: io.Discard}); !errors.As(err, &hash) {
+		t.Errorf("wrong hash: %v", err)
+	}
+	for _, o := range []Options{
+		{Paths: []string{"testdata/missing.jsonl"}},
+		{Paths: []string{"testdata/scenarios/tuning.json"}, Policies: []string{"nonesuch"}},
+		{Paths: []string{"testdata/traces/kessler_quiet_day.jsonl.gz"}, Only: "nonesuch"},
+	} {
+		o.Out = io.Discard
+		if err := Run(o); err == nil {
+			t.Errorf("%+v: no error", o)
+		}
+	}
+	var unknown *MeasureError
+	if _, _, err := (&Bound{Measure: "nonesuch"}).Check(&Row{}); !errors.As(err, &unknown) {
+		t.Errorf("unknown measure: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/comparer/pack_test.go
@@ -0,0 +1,26 @@
+package comparer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"os"
+	"testing"
+)
+
+func pack(t *testing.T, path string, data []byte) {
+	t.Helper()
+	var packed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestCompression)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, packed.Bytes(), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -49,6 +49,8 @@
 	OutputTokens int
 	// PrefixBlocks are hashes of the prompt's blocks, each over the whole prefix up to the block's end.
 	PrefixBlocks []uint64
+	// Work is the duration of a plain service's call; engines ignore it.
+	Work time.Duration
 }
 
 // Output is what one job produced in one step. Usage is set with Done.
--- /dev/null
+++ b/internal/tracer/decode.go
@@ -0,0 +1,178 @@
+package tracer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of a trace. They keep a damaged file from exhausting memory.
+const (
+	maxLineBytes = 4 << 20
+	maxTokens    = 1 << 20
+	maxBlocks    = 1 << 14
+	maxTimeUS    = 24 * 3600 * 1_000_000
+)
+
+// LineError reports a line of a trace that cannot be used.
+type LineError struct {
+	Line int
+	Err  error
+}
+
+// Error implements error.
+func (e *LineError) Error() string { return fmt.Sprintf("trace line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// Decode reads a trace and validates it. A line that is at fault is reported as a *LineError.
+func Decode(r io.Reader) (*Trace, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+	d := decoder{trace: &Trace{}}
+	line := 0
+	for scanner.Scan() {
+		line++
+		if err := d.line(scanner.Bytes()); err != nil {
+			return nil, &LineError{Line: line, Err: err}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, &LineError{Line: line + 1, Err: err}
+	}
+	if line == 0 {
+		return nil, &LineError{Line: 1, Err: errors.New("the header is missing")}
+	}
+	return d.trace, nil
+}
+
+type decoder struct {
+	trace *Trace
+	check *checker
+	last  int64
+}
+
+func (d *decoder) line(data []byte) error {
+	var kind struct {
+		Record string `json:"record"`
+	}
+	if err := json.Unmarshal(data, &kind); err != nil {
+		return err
+	}
+	if (d.check == nil) != (kind.Record == "header") {
+		return fmt.Errorf("record %q: a trace has one header, on its first line", kind.Record)
+	}
+	switch kind.Record {
+	case "header":
+		if err := strict(data, &d.trace.Header); err != nil {
+			return err
+		}
+		check, err := newChecker(&d.trace.Header)
+		d.check = check
+		return err
+	case "request":
+		var r Request
+		if err := strict(data, &r); err != nil {
+			return err
+		}
+		d.trace.Requests = append(d.trace.Requests, r)
+		return errors.Join(d.order(r.AtUS), d.check.request(&r))
+	case "change":
+		var c Change
+		if err := strict(data, &c); err != nil {
+			return err
+		}
+		d.trace.Changes = append(d.trace.Changes, c)
+		return errors.Join(d.order(c.AtUS), d.check.change(&c))
+	}
+	return fmt.Errorf("unknown record %q", kind.Record)
+}
+
+func (d *decoder) order(at int64) error {
+	if at < d.last || at > maxTimeUS {
+		return fmt.Errorf("at_us %d: times do not go back and stay below one day", at)
+	}
+	d.last = at
+	return nil
+}
+
+func strict(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data follows the record")
+	}
+	return nil
+}
+
+// Encode writes a trace. Equal traces give equal bytes.
+func Encode(w io.Writer, t *Trace) error {
+	enc := json.NewEncoder(w)
+	if err := enc.Encode(t.Header); err != nil {
+		return err
+	}
+	changes := t.Changes
+	for _, r := range t.Requests {
+		for len(changes) > 0 && changes[0].AtUS <= r.AtUS {
+			if err := enc.Encode(changes[0]); err != nil {
+				return err
+			}
+			changes = changes[1:]
+		}
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	}
+	for _, c := range changes {
+		if err := enc.Encode(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Blocks returns the block hashes of a request's shared prompt prefix.
+func (r *Request) Blocks() []uint64 {
+	var blocks []uint64
+	var buf [16]byte
+	chain := uint64(0)
+	for _, segment := range r.Prefix {
+		name, n, err := splitSegment(segment)
+		if err != nil {
+			return blocks
+		}
+		for i := range n {
+			binary.LittleEndian.PutUint64(buf[:8], chain)
+			binary.LittleEndian.PutUint64(buf[8:], uint64(i))
+			h := xxhash.New()
+			_, _ = h.Write(buf[:])
+			_, _ = h.WriteString(name)
+			chain = h.Sum64()
+			blocks = append(blocks, chain)
+		}
+	}
+	return blocks
+}
+
+func splitSegment(segment string) (name string, blocks int, err error) {
+	name, count, ok := strings.Cut(segment, "*")
+	if ok {
+		blocks, err = strconv.Atoi(count)
+	}
+	if !ok || err != nil || name == "" || blocks < 1 || blocks > maxBlocks {
+		return "", 0, fmt.Errorf("prefix %q: want NAME*BLOCKS", segment)
+	}
+	return name, blocks, nil
+}
