--- a/internal/scenariorunner/cluster.go
+++ b/internal/scenariorunner/cluster.go
@@ -281,6 +281,11 @@
 		if err == nil && response.Status < http.StatusInternalServerError {
 			return fmt.Errorf("first configuration refused: status %d: %s", response.Status, response.Body)
 		}
+		for _, h := range c.hosts {
+			if !h.running() {
+				return fmt.Errorf("%s ended at its start, see its log: %w", h.id, h.exitErr)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return errors.Join(ctx.Err(), err)
