replicator: elect with learners under promotion and leaders under removal

Random schedules found two ways to stay without a leader. A learner whose promotion was not yet replicated refused its vote although a quorum needed it, and a leader that had appended its own removal never stood again after a crash although it held the newest log.

--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -299,6 +299,16 @@
 	return ok && m.Voter && m.Incarnation == c.o.Incarnation
 }
 
+// mayLead reports whether this host may stand for election. A host whose removal is not known to be committed may hold the
+// newest log, and the others then need it as leader to complete the removal.
+func (c *Core) mayLead() bool {
+	if c.isVoter() || c.memberAt <= c.commit {
+		return c.isVoter()
+	}
+	m, ok := c.membersAt(c.memberAt - 1).Find(c.o.ID)
+	return ok && m.Voter && m.Incarnation == c.o.Incarnation
+}
+
 func (c *Core) addrOf(id string) string {
 	m, _ := c.members.Find(id)
 	return m.Addr
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -2,7 +2,7 @@
 
 // campaign asks the voters for a pre-vote, or for their votes in a new term.
 func (c *Core) campaign(pre, force bool) {
-	if !c.isVoter() {
+	if !c.mayLead() {
 		return
 	}
 	c.role, c.leader, c.votes = PreCandidate, "", map[string]bool{c.o.ID: true}
@@ -18,7 +18,7 @@
 	for _, m := range c.members {
 		if m.Voter && m.ID != c.o.ID {
 			c.send(Message{
-				Kind: VoteRequest, To: m.ID, Term: term, Pre: pre, Force: force,
+				Kind: VoteRequest, To: m.ID, Term: term, Pre: pre, Force: force, Target: m.Incarnation,
 				LogIndex: c.log.last(), LogTerm: c.log.lastTerm(),
 			})
 		}
@@ -47,7 +47,9 @@
 func (c *Core) onVoteRequest(m Message) {
 	last, lastTerm := c.log.last(), c.log.lastTerm()
 	current := m.LogTerm > lastTerm || (m.LogTerm == lastTerm && m.LogIndex >= last)
-	grant := c.isVoter() && current
+	// A promoted learner may be asked before it has received its promotion, and its vote may be needed to commit that. So
+	// the candidate's membership decides, and it names the data folder that it means.
+	grant := m.Target == c.o.Incarnation && current
 	if m.Pre {
 		grant = grant && m.Term > c.state.Term
 		r := Message{Kind: VoteResponse, Pre: true, Reject: !grant}
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -132,7 +132,9 @@
 	// Stamp is the leader's strictly increasing send time in nanoseconds; answers repeat it.
 	Stamp       uint64
 	Incarnation uint64
-	Chunk       *Chunk
+	// Target is the incarnation of the voter that a candidate asks.
+	Target uint64
+	Chunk  *Chunk
 	// Exchange is an opaque number of the owner; an answer repeats that of its request. It is not sent.
 	Exchange uint64
 }
--- a/internal/sequencer/codec.go
+++ b/internal/sequencer/codec.go
@@ -11,7 +11,7 @@
 		Kind: uint32(m.Kind), From: m.From, To: m.To, Term: m.Term,
 		Pre: m.Pre, Force: m.Force, Reject: m.Reject,
 		LogIndex: m.LogIndex, LogTerm: m.LogTerm, Commit: m.Commit, Entries: persister.EncodeEntries(m.Entries),
-		Match: m.Match, Hint: m.Hint, HintTerm: m.HintTerm, Stamp: m.Stamp, Incarnation: m.Incarnation,
+		Match: m.Match, Hint: m.Hint, HintTerm: m.HintTerm, Stamp: m.Stamp, Incarnation: m.Incarnation, Target: m.Target,
 	}
 	if c := m.Chunk; c != nil {
 		out.Chunk = &sequencerpb.Chunk{
@@ -28,7 +28,7 @@
 		Pre: in.GetPre(), Force: in.GetForce(), Reject: in.GetReject(),
 		LogIndex: in.GetLogIndex(), LogTerm: in.GetLogTerm(), Commit: in.GetCommit(),
 		Match: in.GetMatch(), Hint: in.GetHint(), HintTerm: in.GetHintTerm(),
-		Stamp: in.GetStamp(), Incarnation: in.GetIncarnation(),
+		Stamp: in.GetStamp(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(),
 	}
 	for _, e := range in.GetEntries() {
 		m.Entries = append(m.Entries, persister.DecodeEntry(e))
