--- a/internal/persister/persister.go
+++ b/internal/persister/persister.go
@@ -158,8 +158,8 @@
 	for offset < len(data) {
 		payload, size, reason := nextRecord(data[offset:])
 		if reason != "" {
-			if torn(data[offset:]) && offset > 0 {
-				return offset, nil
+			if offset > 0 && torn(data[offset:]) {
+				break
 			}
 			return 0, &DamageError{File: p.path(logName), Offset: int64(offset), Reason: reason}
 		}
@@ -172,8 +172,8 @@
 		}
 		offset += size
 	}
-	if offset == 0 || c.Identity.HostID == "" {
-		return 0, &DamageError{File: p.path(logName), Reason: "the first record is missing"}
+	if c.Identity.HostID == "" {
+		return 0, &DamageError{File: p.path(logName), Reason: "the first record names no host"}
 	}
 	return offset, nil
 }
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -184,7 +184,7 @@
 // accepts checks that an answer comes from the data folder that the membership names, and records the contact.
 func (c *Core) accepts(m Message) *peer {
 	p := c.peers[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader || p == nil || m.Stamp > c.stamp {
 		return nil
 	}
 	member, _ := c.members.Find(m.From)
