--- /dev/null
+++ b/internal/permitter/permitter_test.go
@@ -0,0 +1,190 @@
+package permitter_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict. Another seed can be given with -rapid.seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	permitFor = time.Second
+	margin    = permitFor / 10
+	lowest    = 3
+)
+
+// pool is the model of a pool's scheduler: which tiers it serves and what it may shed.
+type pool struct {
+	epoch uint64
+	// dead is true between the loss of a holder and its successor.
+	dead   bool
+	diedAt time.Duration
+	level  permitter.Level
+	// busy tiers have work waiting or running.
+	busy      [lowest + 1]bool
+	confirmed int
+	asks      bool
+	asked     int
+	permit    int
+	until     time.Duration
+}
+
+func newPool() *pool {
+	return &pool{epoch: 1, level: permitter.Level{ClosedBelow: permitter.Open}, confirmed: permitter.Open, permit: -1}
+}
+
+// Guards against a tier being shed anywhere while a less urgent tier is served anywhere, through lost answers, lost
+// holders, changes of leader and a level that closes and reopens.
+func TestNothingIsShedAboveOpenTiers(t *testing.T) {
+	permits := 0
+	rapid.Check(t, func(t *rapid.T) {
+		now, term := time.Duration(0), uint64(1)
+		options := func() permitter.Options {
+			return permitter.Options{Term: term, PermitFor: permitFor, Margin: margin, ReportFor: permitFor + margin}
+		}
+		p := permitter.New(now, options())
+		pools := map[string]*pool{"pool/a": newPool(), "pool/b": newPool()}
+		names := []string{"pool/a", "pool/b"}
+		roles := func() []permitter.Role {
+			var out []permitter.Role
+			for _, name := range names {
+				// The leader learns late that a holder is lost.
+				out = append(out, permitter.Role{Name: name, Epoch: pools[name].epoch, Live: !pools[name].dead || now < pools[name].diedAt+permitFor})
+			}
+			return out
+		}
+		for range rapid.IntRange(20, 250).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * time.Millisecond
+			name := rapid.SampledFrom(names).Draw(t, "pool")
+			s := pools[name]
+			tier := rapid.IntRange(0, lowest).Draw(t, "tier")
+			switch rapid.SampledFrom([]string{"beat", "beat", "beat", "beat", "work", "drain", "drain", "confirm", "confirm", "ask", "stop asking", "die", "leader"}).Draw(t, "action") {
+			case "beat":
+				if s.dead {
+					// The next holder starts when the lease of the last one has ended.
+					if now < s.diedAt+permitFor+margin {
+						break
+					}
+					if _, known := p.Level(); !known {
+						break
+					}
+					*s = pool{epoch: s.epoch + 1, level: permitter.Level{ClosedBelow: permitter.Open}, confirmed: permitter.Open, permit: -1}
+				}
+				sent := now
+				now += time.Duration(rapid.IntRange(0, 60).Draw(t, "way")) * time.Millisecond
+				p.Report(now, name, permitter.Report{Epoch: s.epoch, Level: s.level, ConfirmedBelow: s.confirmed, Asks: s.asks, AskedTier: s.asked})
+				p.Step(now, roles(), lowest)
+				level, known := p.Level()
+				permit, permits := p.Permit(now)
+				if !known || rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+					break
+				}
+				if level.ClosedBelow > s.level.ClosedBelow {
+					s.confirmed = max(s.confirmed, level.ClosedBelow)
+				}
+				s.level = level
+				if permits {
+					s.permit, s.until = permit, sent+permitFor
+				}
+			case "work":
+				// New work is taken for open tiers only.
+				if !s.dead && tier <= s.level.ClosedBelow {
+					s.busy[tier] = true
+				}
+			case "drain":
+				s.busy[tier] = false
+			case "confirm":
+				below := lowest
+				for below > 0 && !s.busy[below] && below > s.level.ClosedBelow {
+					below--
+				}
+				s.confirmed = max(below, s.level.ClosedBelow)
+			case "ask":
+				s.asks, s.asked = true, tier
+			case "stop asking":
+				s.asks = false
+			case "die":
+				if !s.dead && rapid.IntRange(0, 3).Draw(t, "dies") == 0 {
+					s.dead, s.diedAt, s.permit = true, now, -1
+					s.busy = [lowest + 1]bool{}
+				}
+			case "leader":
+				if rapid.IntRange(0, 3).Draw(t, "changes") == 0 {
+					term++
+					p = permitter.New(now, options())
+				}
+			}
+			for _, shedding := range pools {
+				if shedding.permit < 0 || now >= shedding.until {
+					continue
+				}
+				permits++
+				for name, other := range pools {
+					for lower := shedding.permit + 1; lower <= lowest; lower++ {
+						if other.busy[lower] {
+							t.Fatalf("at %v tier %d may be shed while %s serves tier %d", now, shedding.permit, name, lower)
+						}
+					}
+				}
+			}
+		}
+	})
+	if permits == 0 {
+		t.Error("no run gave a permit; the test does not exercise shedding")
+	}
+}
+
+// Guards against a permit that is never given, and a level that never reopens.
+func TestLevelClosesPermitsAndReopens(t *testing.T) {
+	p := permitter.New(0, permitter.Options{Term: 5, PermitFor: permitFor, Margin: margin, ReportFor: permitFor + margin})
+	roles := []permitter.Role{{Name: "pool/a", Epoch: 1, Live: true}, {Name: "pool/b", Epoch: 2, Live: true}}
+	step := func(now time.Duration, confirmed int, asks bool) (int, int, bool) {
+		level, _ := p.Level()
+		p.Report(now, "pool/a", permitter.Report{Epoch: 1, Level: level, ConfirmedBelow: permitter.Open, Asks: asks, AskedTier: 1})
+		p.Report(now, "pool/b", permitter.Report{Epoch: 2, Level: level, ConfirmedBelow: confirmed})
+		if confirmed != permitter.Open {
+			p.Report(now, "pool/a", permitter.Report{Epoch: 1, Level: level, ConfirmedBelow: 1, Asks: asks, AskedTier: 1})
+		}
+		p.Step(now, roles, lowest)
+		level, _ = p.Level()
+		tier, ok := p.Permit(now)
+		return level.ClosedBelow, tier, ok
+	}
+	if level, _, ok := step(permitFor, permitter.Open, true); level != permitter.Open || ok {
+		t.Fatalf("level %d permit %t before the permits of an earlier leader have expired", level, ok)
+	}
+	now := permitFor + margin
+	step(now, permitter.Open, true)
+	if level, tier, ok := step(now, permitter.Open, true); level != 1 || !ok || tier != lowest {
+		t.Fatalf("level %d, permit %t for tier %d; want level 1 and a permit for the lowest tier", level, ok, tier)
+	}
+	if _, tier, ok := step(now, 2, true); !ok || tier != 2 {
+		t.Fatalf("permit %t for tier %d after b has closed below 2, want tier 2", ok, tier)
+	}
+	if _, tier, ok := step(now, 1, true); !ok || tier != 1 {
+		t.Fatalf("permit %t for tier %d after both have closed below 1, want tier 1", ok, tier)
+	}
+	if level, _, ok := step(now+permitFor, 1, false); level != 1 || ok {
+		t.Fatalf("level %d permit %t while a permit is in use", level, ok)
+	}
+	if level, _, _ := step(now+permitFor+margin, 1, false); level != permitter.Open {
+		t.Fatalf("level %d after all permits have expired, want open", level)
+	}
+	roles[1].Live = false
+	if _, _, ok := step(now+3*permitFor, 1, true); ok {
+		t.Fatal("a permit although pool b has no live holder")
+	}
+}
