--- /dev/null
+++ b/internal/applier/machine_test.go
@@ -0,0 +1,145 @@
+package applier_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+)
+
+const document = `{"tiers":[{"name":"snappy","order":0,"share":1}],"pools":[{"name":"p","kind":"service"}]}`
+
+func encode(t testing.TB, cmd *controllerpb.Command) []byte {
+	t.Helper()
+	raw, err := proto.Marshal(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func apply(t testing.TB, m *applier.Machine, cmd *controllerpb.Command) *controllerpb.Result {
+	t.Helper()
+	result := &controllerpb.Result{}
+	if err := proto.Unmarshal(m.Apply(1, encode(t, cmd)), result); err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func patch(id string, base uint64, body string) *controllerpb.Command {
+	return &controllerpb.Command{UnixMs: 1000, Body: &controllerpb.Command_PatchConfig{
+		PatchConfig: &controllerpb.PatchConfig{Id: id, Base: base, Body: []byte(body), Author: "op"},
+	}}
+}
+
+// commands cover every kind of command once.
+func commands() []*controllerpb.Command {
+	key := &controllerpb.Key{Workspace: "w", Value: "k"}
+	return []*controllerpb.Command{
+		{Term: 3, Body: &controllerpb.Command_BeginTerm{BeginTerm: &controllerpb.BeginTerm{}}},
+		patch("p1", 0, document),
+		patch("p2", 0, `{}`),
+		{Body: &controllerpb.Command_PutMember{PutMember: &controllerpb.PutMember{Host: "h1", Nonce: 7, Zone: "z", Addr: "a"}}},
+		{Term: 3, Body: &controllerpb.Command_GrantRole{GrantRole: &controllerpb.GrantRole{Role: "pool/p", Host: "h1", Incarnation: 1}}},
+		{ClockMs: 5, Body: &controllerpb.Command_IntendOrder{IntendOrder: &controllerpb.IntendOrder{Key: key, Digest: "d", RequestId: "r", Owner: "h1.1"}}},
+		{ClockMs: 6, Body: &controllerpb.Command_ConcludeOrder{ConcludeOrder: &controllerpb.ConcludeOrder{Key: key, Owner: "h1.1", Outcome: &controllerpb.Outcome{Outcome: "done", Status: 200, Header: map[string]string{"a": "b", "c": "d"}, Body: []byte("x")}}}},
+		{ClockMs: 7, Body: &controllerpb.Command_WithdrawOrder{WithdrawOrder: &controllerpb.WithdrawOrder{Key: &controllerpb.Key{Workspace: "w", Value: "k2"}, Owner: "h1.1", Attempt: 2}}},
+		{ClockMs: 8, Body: &controllerpb.Command_ExpireOrders{ExpireOrders: &controllerpb.ExpireOrders{}}},
+		{Term: 3, Body: &controllerpb.Command_RemoveMember{RemoveMember: &controllerpb.RemoveMember{Host: "h1", Incarnation: 1}}},
+	}
+}
+
+// Guards against a command that panics, and against replicas that differ after a snapshot, for any bytes in the log.
+func FuzzApply(f *testing.F) {
+	for _, cmd := range commands() {
+		f.Add(encode(f, cmd))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a := applier.New()
+		for _, cmd := range commands()[:6] {
+			apply(t, a, cmd)
+		}
+		snapshot, err := a.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := applier.New()
+		if err := b.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(a.Apply(1, raw), b.Apply(1, raw)); diff != "" {
+			t.Fatalf("results differ:\n%s", diff)
+		}
+		after, err := a.Snapshot()
+		if err != nil {
+			// Text that is not UTF-8 cannot be encoded, and a command that holds it cannot be decoded.
+			t.Fatal(err)
+		}
+		if err := b.Restore(after); err != nil {
+			t.Fatalf("the state cannot be restored: %v", err)
+		}
+		if again, _ := b.Snapshot(); string(again) != string(after) {
+			t.Fatal("states differ after a restore")
+		}
+	})
+}
+
+// Guards against decisions of an earlier leadership, stale grants, and an incarnation that is given out twice.
+func TestDecisionsAreFenced(t *testing.T) {
+	m := applier.New()
+	for _, cmd := range commands()[:5] {
+		apply(t, m, cmd)
+	}
+	grant := func(term, previous uint64) *controllerpb.Result {
+		return apply(t, m, &controllerpb.Command{Term: term, Body: &controllerpb.Command_GrantRole{
+			GrantRole: &controllerpb.GrantRole{Role: "pool/p", Host: "h2", Incarnation: 1, PreviousEpoch: previous},
+		}})
+	}
+	put := func(nonce, previous, known uint64) uint64 {
+		return apply(t, m, &controllerpb.Command{Body: &controllerpb.Command_PutMember{PutMember: &controllerpb.PutMember{
+			Host: "h1", Nonce: nonce, PreviousIncarnation: previous, KnownIncarnation: known,
+		}}}).GetNumber()
+	}
+	got := []any{
+		grant(2, 1).GetFailure().GetCode(), grant(3, 0).GetFailure().GetCode(), grant(3, 1).GetNumber(),
+		put(8, 0, 0), put(8, 1, 0), put(8, 1, 0), put(9, 2, 7),
+	}
+	// The first put of nonce 8 expects another incarnation and changes nothing; the last process knows of incarnation 7.
+	want := []any{"stale_term", "stale_epoch", uint64(2), uint64(1), uint64(2), uint64(2), uint64(8)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an unbounded history and against an old patch id being applied again once it is forgotten.
+func TestHistoryIsBounded(t *testing.T) {
+	m := applier.New()
+	apply(t, m, patch("first", 0, document))
+	body := `{"limits":{"max_waiting":%d}}` + strings.Repeat(" ", 100<<10)
+	var version uint64
+	for version = 1; version < 400; version++ {
+		if f := apply(t, m, patch(fmt.Sprint("p", version), version, fmt.Sprintf(body, version))).GetFailure(); f != nil {
+			t.Fatal(f)
+		}
+	}
+	history := m.History(0, 1000)
+	size := 0
+	for _, r := range history {
+		size += len(r.Patch)
+	}
+	if size > 32<<20 || history[len(history)-1].Version != version {
+		t.Errorf("history of %d bytes ends at version %d, want at most 32 MiB and version %d", size, history[len(history)-1].Version, version)
+	}
+	got := apply(t, m, patch("p1", 1, fmt.Sprintf(body, 1))).GetFailure()
+	want := &controllerpb.Failure{Code: "stale_version", Base: 1, Current: version}
+	if diff := cmp.Diff(want, got, protocmp.Transform(), protocmp.IgnoreFields(want, "message")); diff != "" {
+		t.Errorf("forgotten patch id (-want +got):\n%s", diff)
+	}
+}
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -74,6 +74,12 @@
 			if diff := cmp.Diff(s["want"], string(got)); diff != "" {
 				t.Errorf("document (-want +got):\n%s", diff)
 			}
+			if err != nil {
+				return
+			}
+			if _, again, err := configurer.Apply(got, []byte(`{}`)); err != nil || string(again) != string(got) {
+				t.Errorf("the canonical form reads back as %s, %v", again, err)
+			}
 		})
 	}
 }
--- a/internal/configurer/decode.go
+++ b/internal/configurer/decode.go
@@ -65,9 +65,28 @@
 	if problems := Validate(cfg); len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
+	fillArrays(cfg)
 	return cfg, nil
 }
 
+// fillArrays replaces missing arrays by empty ones: the canonical form would otherwise hold null, which is refused when it
+// is read again.
+func fillArrays(cfg *Config) {
+	fill(&cfg.Tiers)
+	fill(&cfg.Workspaces)
+	fill(&cfg.Pools)
+	fill(&cfg.Endpoints)
+	for i := range cfg.Workspaces {
+		fill(&cfg.Workspaces[i].Callers)
+	}
+}
+
+func fill[T any](items *[]T) {
+	if *items == nil {
+		*items = []T{}
+	}
+}
+
 // Encode returns the canonical JSON form of a configuration.
 func Encode(cfg *Config) ([]byte, error) { return json.Marshal(cfg) }
 
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/detector"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
@@ -51,8 +52,6 @@
 	Machine *Machine
 	// Wall returns the time shown to people; it decides nothing. It defaults to time.Now.
 	Wall func() time.Time
-	// Direct returns the hosts that confirm their configuration by heartbeat and are woken for a new version; nil means all.
-	Direct func(members []Member) []Member
 
 	origin  time.Time
 	confirm confirmer
@@ -236,7 +235,7 @@
 	if version > lead.toldVersion {
 		lead.toldVersion = version
 		klog.Infof("controller: configuration accepted version=%d term=%d", version, lead.term)
-		for _, m := range s.direct(members) {
+		for _, m := range distributor.Direct(s.HostID, members) {
 			s.wake(ctx, m.Addr, "configuration")
 		}
 	}
@@ -248,13 +247,6 @@
 	}
 }
 
-func (s *Service) direct(members []Member) []Member {
-	if s.Direct != nil {
-		return s.Direct(members)
-	}
-	return members
-}
-
 func (s *Service) removeDead(ctx context.Context, lead *leadership, now time.Duration, members []Member) {
 	processes := make([]detector.Process, 0, len(members))
 	for _, m := range members {
--- /dev/null
+++ b/internal/distributor/relay.go
@@ -0,0 +1,197 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor/distributorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+// Methods of the relay tree.
+const (
+	MethodPush    = "distributor.push"
+	MethodConfirm = "distributor.confirm"
+)
+
+const (
+	// ConfirmInterval is the time between confirmations with a parent. Three levels add up to about 1.3 s, within the 3 s for
+	// which a confirmation counts.
+	ConfirmInterval = 500 * time.Millisecond
+	exchangeTimeout = 400 * time.Millisecond
+)
+
+// Holder is the host's account of its configuration; *heartbeater.Agent implements it.
+type Holder interface {
+	Confirmation() (version uint64, document []byte, at time.Time)
+	Offer(version uint64, document []byte, confirmedAt time.Time)
+	Subscribe(fn func(version uint64, cfg *configurer.Config))
+	Members() []applier.Member
+	Leader() (id, addr string)
+}
+
+// Relay passes the configuration from a host's parent to its children. Set the exported fields before Register.
+type Relay struct {
+	HostID  string
+	Network heartbeater.Network
+	Holder  Holder
+
+	wake   chan struct{}
+	pushes chan struct{}
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	done   chan struct{}
+	wg     sync.WaitGroup
+}
+
+// Register adds the relay's methods to the network. Call it before the network runs.
+func (r *Relay) Register() {
+	r.wake, r.pushes, r.done = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
+	r.Network.Handle(MethodPush, r.handlePush)
+	r.Network.Handle(MethodConfirm, r.handleConfirm)
+	r.Holder.Subscribe(func(uint64, *configurer.Config) { signal(r.pushes) })
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run confirms with the parent and pushes new versions to the children until ctx ends or Close is called.
+func (r *Relay) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.cancel = cancel
+	r.mu.Unlock()
+	defer close(r.done)
+	defer r.wg.Wait()
+	r.wg.Go(func() { r.pushLoop(ctx) })
+	tick := time.NewTicker(ConfirmInterval)
+	defer tick.Stop()
+	for {
+		r.confirm(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-r.wake:
+		}
+	}
+}
+
+// Close stops the relay and waits.
+func (r *Relay) Close() error {
+	r.mu.Lock()
+	cancel := r.cancel
+	r.mu.Unlock()
+	if cancel != nil {
+		cancel()
+		<-r.done
+	}
+	return nil
+}
+
+func (r *Relay) position() (parent applier.Member, children []applier.Member, leader string) {
+	leader, _ = r.Holder.Leader()
+	if leader == "" {
+		return applier.Member{}, nil, ""
+	}
+	parent, children = Position(leader, r.HostID, r.Holder.Members())
+	return parent, children, leader
+}
+
+// confirm asks the parent to confirm the version held. Hosts directly under the leader use their heartbeat instead. When the
+// parent is silent, the agent falls back to the leader.
+func (r *Relay) confirm(ctx context.Context) {
+	parent, _, leader := r.position()
+	if parent.Addr == "" || parent.Host == leader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	version, _, _ := r.Holder.Confirmation()
+	reply := &distributorpb.ConfirmReply{}
+	sent := time.Now()
+	err := r.Network.Call(ctx, parent.Addr, MethodConfirm, &distributorpb.ConfirmRequest{Version: version}, reply)
+	if err != nil {
+		klog.V(1).Infof("distributor: no confirmation host=%s parent=%s reason=%q", r.HostID, parent.Host, err)
+		return
+	}
+	var confirmedAt time.Time
+	if reply.GetConfirmed() {
+		// The parent measured the age after this request was sent, so that the sum is never too young.
+		confirmedAt = sent.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond)
+	}
+	r.Holder.Offer(reply.GetVersion(), reply.GetDocument(), confirmedAt)
+}
+
+func (r *Relay) pushLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.pushes:
+		}
+		version, document, _ := r.Holder.Confirmation()
+		_, children, _ := r.position()
+		if len(children) == 0 || children[0].Host == "" || r.isLeader() {
+			// The hosts under the leader are woken by it and fetch the version with their heartbeat.
+			continue
+		}
+		req := &distributorpb.PushRequest{Version: version, Document: document}
+		for _, child := range children {
+			r.wg.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+				defer cancel()
+				if err := r.Network.Call(ctx, child.Addr, MethodPush, req, &distributorpb.PushReply{}); err != nil {
+					// The child gets the version with its next confirmation.
+					klog.V(1).Infof("distributor: cannot push version=%d child=%s reason=%q", version, child.Host, err)
+				}
+			})
+		}
+	}
+}
+
+func (r *Relay) isLeader() bool {
+	leader, _ := r.Holder.Leader()
+	return leader == r.HostID
+}
+
+func (r *Relay) handlePush(_ context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	req := &distributorpb.PushRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrap(err, "decode push")
+	}
+	r.Holder.Offer(req.GetVersion(), req.GetDocument(), time.Time{})
+	signal(r.wake)
+	return proto.Marshal(&distributorpb.PushReply{})
+}
+
+func (r *Relay) handleConfirm(_ context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+	req := &distributorpb.ConfirmRequest{}
+	if err := proto.Unmarshal(payload, req); err != nil {
+		return nil, eris.Wrap(err, "decode confirmation")
+	}
+	version, document, at := r.Holder.Confirmation()
+	reply := &distributorpb.ConfirmReply{Version: version}
+	if age := time.Since(at); !at.IsZero() && age < heartbeater.FreshFor {
+		// Rounded up, so that the child never counts its confirmation as younger than it is.
+		reply.Confirmed, reply.AgeMs = true, age.Milliseconds()+1
+	}
+	if req.GetVersion() < version {
+		reply.Document = document
+	}
+	return proto.Marshal(reply)
+}
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -8,8 +8,13 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 )
 
-// relayedFor is how long a confirmation by a parent keeps this host from asking the leader for documents.
-const relayedFor = time.Second
+const (
+	// relayedFor is how long an answer of a parent keeps this host from asking the leader for documents.
+	relayedFor = 1500 * time.Millisecond
+	// maxRelayedAge is the age above which a parent's confirmation counts as none, so that this host asks the leader before
+	// its own confirmation ends.
+	maxRelayedAge = 2 * time.Second
+)
 
 // Config returns the configuration this host acts on. It is fresh while the last confirmation by the leader, directly or
 // through parents, is at most FreshFor old. The version is 0 before the first confirmation.
@@ -44,7 +49,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	if !confirmedAt.IsZero() {
+	if !confirmedAt.IsZero() && time.Since(confirmedAt) < maxRelayedAge {
 		a.relayedAt = time.Now()
 	}
 	a.acceptConfig(version, document, confirmedAt)
@@ -70,12 +75,11 @@
 		}
 		klog.Infof("heartbeater: configuration in force host=%s version=%d previous=%d", a.HostID, version, a.version)
 		a.version, a.document, a.config = version, document, cfg
-		a.confirmedAt = confirmedAt
 		for _, fn := range a.subscribers {
 			a.enqueue(func() { fn(version, cfg) })
 		}
-		return
 	}
+	// An earlier confirmation still counts for a higher version: at that time no version above the lower one was known.
 	if confirmedAt.After(a.confirmedAt) {
 		a.confirmedAt = confirmedAt
 	}
