--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
 
@@ -46,7 +47,7 @@
 	s := &system{t: t, fabric: newFabric(), ctx: ctx, hosts: map[string]*host{}}
 	s.log = newMemoryLog(s.fabric)
 	for i := range hosts {
-		id := fmt.Sprintf("h%d", i)
+		id := hostID(i)
 		s.ids = append(s.ids, id)
 		if i < controls {
 			s.control = append(s.control, id)
@@ -63,6 +64,8 @@
 	return s
 }
 
+func hostID(i int) string { return fmt.Sprintf("h%d", i) }
+
 // boot starts the processes of a host with empty memory.
 func (s *system) boot(id, zone string, control bool) *host {
 	ctx, stop := context.WithCancel(s.ctx)
@@ -82,6 +85,9 @@
 		svc.Register()
 		run(s.t, ctx, &s.wg, svc.Run)
 	}
+	relay := &distributor.Relay{HostID: id, Network: e, Holder: h.agent}
+	relay.Register()
+	run(s.t, ctx, &s.wg, relay.Run)
 	run(s.t, ctx, &s.wg, h.agent.Run)
 	s.hosts[id] = h
 	return h
--- /dev/null
+++ b/internal/distributor/tree_test.go
@@ -0,0 +1,50 @@
+package distributor_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
+)
+
+// Guards against a host that nobody serves, that two parents serve, or that is further from the leader than planned.
+func TestEveryHostHasOneParent(t *testing.T) {
+	for size, levels := range map[int]int{1: 0, 2: 1, 9: 1, 17: 1, 18: 2, 60: 2, 273: 2, 274: 3, 640: 3} {
+		var members []applier.Member
+		for i := range size {
+			members = append(members, applier.Member{Host: fmt.Sprintf("h%03d", i)})
+		}
+		leader := members[size/2].Host
+		parents := map[string]string{}
+		for _, m := range members {
+			_, children := distributor.Position(leader, m.Host, members)
+			if len(children) > distributor.FanOut {
+				t.Errorf("%d hosts: %s has %d children", size, m.Host, len(children))
+			}
+			for _, c := range children {
+				if parents[c.Host] != "" {
+					t.Errorf("%d hosts: %s has two parents", size, c.Host)
+				}
+				parents[c.Host] = m.Host
+			}
+		}
+		deepest := 0
+		for _, m := range members {
+			parent, _ := distributor.Position(leader, m.Host, members)
+			if parent.Host != parents[m.Host] {
+				t.Errorf("%d hosts: parent of %s is %q, its children list says %q", size, m.Host, parent.Host, parents[m.Host])
+			}
+			depth := 0
+			for at := m.Host; at != leader; at = parents[at] {
+				if depth++; depth > size {
+					t.Fatalf("%d hosts: %s is not connected to the leader", size, m.Host)
+				}
+			}
+			deepest = max(deepest, depth)
+		}
+		if deepest != levels {
+			t.Errorf("%d hosts: %d levels, want %d", size, deepest, levels)
+		}
+	}
+}
