--- a/harness_test.go
+++ b/harness_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,9 +19,11 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
+	"github.com/dragonflycroft/dragonflycroft/internal/participant"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -35,14 +38,23 @@
 	services []*standin.Service
 	nodes    []*testNode
 	client   *http.Client
+	// voters are the control hosts of a system with the replicated control part; without them the local controller is used.
+	voters map[string]string
 }
 
 type testNode struct {
 	*Node
-	host  *localcontroller.Host
-	stop  context.CancelFunc
-	ended chan error
-	url   string
+	host        *localcontroller.Host
+	participant *participant.Participant
+	stop        context.CancelFunc
+	ended       chan error
+	url         string
+}
+
+func (n *testNode) waitReady() {
+	for n.Unready() != "" {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func keyDigest(key string) string {
@@ -80,13 +92,13 @@
 		must(t, e.Start())
 		t.Cleanup(func() { _ = e.Close() })
 		s.engines = append(s.engines, e)
-		s.cfg.Endpoints = append(s.cfg.Endpoints, configurer.Endpoint{Name: e.Name, Pool: "chat", Address: e.Addr(), Models: []string{"m"}})
+		s.cfg.Endpoints = append(s.cfg.Endpoints, configurer.Endpoint{Name: e.Name, Pool: "chat", Zone: "z1", Address: e.Addr(), Models: []string{"m"}})
 	}
 	service := &standin.Service{Name: "stock-0", ListenAddr: "127.0.0.1:0", Records: s.records}
 	must(t, service.Start())
 	t.Cleanup(func() { _ = service.Close() })
 	s.services = append(s.services, service)
-	s.cfg.Endpoints = append(s.cfg.Endpoints, configurer.Endpoint{Name: "stock-0", Pool: "orders", Address: service.Addr(), MaxConcurrent: 64})
+	s.cfg.Endpoints = append(s.cfg.Endpoints, configurer.Endpoint{Name: "stock-0", Pool: "orders", Zone: "z1", Address: service.Addr(), MaxConcurrent: 64})
 	s.control = localcontroller.New(s.cfg)
 	for i := range nodes {
 		s.startNode(fmt.Sprintf("entry-%d", i))
@@ -94,6 +106,42 @@
 	return s
 }
 
+// newReplicatedSystem starts the replicated control part on all entry hosts.
+func newReplicatedSystem(t *testing.T, nodes, engines int, speed emulator.Options) *system {
+	t.Helper()
+	s := newSystem(t, 0, engines, speed)
+	s.voters = make(map[string]string)
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must(t, err)
+		s.voters[fmt.Sprintf("entry-%d", i)] = l.Addr().String()
+		must(t, l.Close())
+	}
+	var first *participant.Participant
+	for i := range nodes {
+		n := s.launch(fmt.Sprintf("entry-%d", i))
+		if i == 0 {
+			first = n.participant
+		}
+	}
+	document, err := configurer.Encode(s.cfg)
+	must(t, err)
+	patch := controller.Patch{ID: "first", Body: document, Author: "test"}
+	for {
+		if _, err = first.Client().PatchConfig(context.Background(), patch); err == nil {
+			break
+		}
+		var unavailable *controller.UnavailableError
+		if !errors.As(err, &unavailable) {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range s.nodes {
+		n.waitReady()
+	}
+	return s
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
@@ -102,6 +150,13 @@
 }
 
 func (s *system) startNode(id string) *testNode {
+	s.t.Helper()
+	n := s.launch(id)
+	n.waitReady()
+	return n
+}
+
+func (s *system) launch(id string) *testNode {
 	s.t.Helper()
 	n := &testNode{ended: make(chan error, 1)}
 	n.Node = &Node{
@@ -109,10 +164,19 @@
 		Endpoint: connector.Timeouts{Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second},
 		Times:    dispatcher.Times{Linger: time.Minute},
 		NewControl: func(t *transporter.Transport) (Control, error) {
+			if s.voters != nil {
+				n.participant = participant.New(t, participant.Options{
+					HostID: id, Zone: "z1", Controllers: s.voters, DataDir: s.t.TempDir(), Bootstrap: true,
+				})
+				return n.participant, nil
+			}
 			n.host = s.control.Host(id, t.Addr())
 			return n.host, nil
 		},
 	}
+	if s.voters != nil {
+		n.PeerAddr = s.voters[id]
+	}
 	must(s.t, n.Listen())
 	n.url = "http://" + n.CallerAddress()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -124,9 +188,6 @@
 		<-n.ended
 		n.ended <- nil
 	})
-	for n.Unready() != "" {
-		time.Sleep(time.Millisecond)
-	}
 	s.nodes = append(s.nodes, n)
 	return n
 }
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -251,29 +251,45 @@
 func (s *Session) Run(ctx context.Context) error {
 	delay := minReconnectDelay
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := s.connect(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		if time.Since(began) > s.silenceLimit() {
-			delay = minReconnectDelay
-		}
-		klog.V(1).Infof("granter: session ended pool=%s reason=%q", s.Pool, err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay/2 + rand.N(delay)):
+		addr, epoch, ok := s.holder()
+		if ok {
+			began := time.Now()
+			err := s.connect(ctx, addr, epoch)
+			klog.V(1).Infof("granter: session ended pool=%s epoch=%d reason=%q", s.Pool, epoch, err)
+			if time.Since(began) > s.silenceLimit() {
+				delay = minReconnectDelay
+			}
 		}
+		s.awaitHolder(ctx, addr, epoch, delay/2+rand.N(delay))
 		delay = min(2*delay, maxReconnectDelay)
 	}
 	return nil
 }
 
-func (s *Session) connect(ctx context.Context) error {
-	_, addr, epoch, ok := s.Locator.Holder(RoleOf(s.Pool))
-	if !ok {
-		return eris.New("the pool has no holder")
+func (s *Session) holder() (addr string, epoch uint64, ok bool) {
+	_, addr, epoch, ok = s.Locator.Holder(RoleOf(s.Pool))
+	return addr, epoch, ok
+}
+
+// awaitHolder waits before the same holder is tried again. It returns early when there is another one, so that a hand-over
+// costs no back-off.
+func (s *Session) awaitHolder(ctx context.Context, addr string, epoch uint64, d time.Duration) {
+	until := time.Now().Add(d)
+	ticker := time.NewTicker(minReconnectDelay)
+	defer ticker.Stop()
+	for time.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if a, e, ok := s.holder(); ok && (a != addr || e != epoch) {
+			return
+		}
 	}
+}
+
+func (s *Session) connect(ctx context.Context, addr string, epoch uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := s.Transport.Open(ctx, addr, methodSession)
@@ -293,7 +309,7 @@
 	sent := make(chan error, 1)
 	go func() {
 		defer cancel()
-		sent <- s.sendLoop(ctx, stream, wake)
+		sent <- s.sendLoop(ctx, stream, wake, epoch)
 	}()
 	err = s.receiveLoop(stream)
 	cancel()
@@ -351,7 +367,7 @@
 	s.outbox, s.wake, s.connected = nil, nil, false
 }
 
-func (s *Session) sendLoop(ctx context.Context, stream *transporter.Stream, wake <-chan struct{}) error {
+func (s *Session) sendLoop(ctx context.Context, stream *transporter.Stream, wake <-chan struct{}, epoch uint64) error {
 	ticker := time.NewTicker(s.heartbeatInterval())
 	defer ticker.Stop()
 	for {
@@ -359,6 +375,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			if _, e, ok := s.holder(); ok && e > epoch {
+				return eris.Errorf("epoch %d has replaced epoch %d", e, epoch)
+			}
 			if err := stream.Send(s.nextHeartbeat()); err != nil {
 				return err
 			}
--- a/node_test.go
+++ b/node_test.go
@@ -397,3 +397,65 @@
 		t.Errorf("got %s", r.text)
 	}
 }
+
+// Guards against a break between the request path and the replicated control part: three hosts in one process agree on the
+// configuration, the pool holders and an order, also while the holder and owner dies.
+func TestReplicatedControl(t *testing.T) {
+	s := newReplicatedSystem(t, 3, 2, slow())
+	body := chatBody("first light", 40, true)
+	order := map[string]string{"Idempotency-Key": "refill-1"}
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			r, err := s.do("POST", s.nodes[i].url+chatPath, "key-k", body, nil)
+			if err != nil || r.outcome != "done" || r.text != standin.Answer(body, 40) {
+				t.Errorf("host %d: %+v %v", i, r, err)
+			}
+		})
+		wg.Go(func() {
+			r, err := s.do("POST", s.nodes[i].url+"/v1/services/stock/orders", "key-k", []byte("{}"), order)
+			if err != nil || r.outcome != "done" {
+				t.Errorf("order at host %d: %+v %v", i, r, err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := s.records.Executions()["refill-1"]; n != 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+	holder, _, _, ok := s.nodes[0].control.Holder("pool/chat")
+	if !ok {
+		t.Fatal("the pool has no holder")
+	}
+	var victim, other *testNode
+	for _, n := range s.nodes {
+		if n.HostID == holder {
+			victim = n
+		} else {
+			other = n
+		}
+	}
+	resp, err := s.request(context.Background(), "POST", victim.url+chatPath, "key-k", body, nil)
+	must(t, err)
+	first, err := readReply(resp, 3)
+	must(t, err)
+	victim.Abort()
+	resp.Body.Close()
+	<-victim.ended
+	victim.ended <- nil
+	rest, err := s.do("GET", fmt.Sprintf("%s/v1/requests/%s?from=%d", other.url, first.id, len(first.indexes)), "key-k", nil, nil)
+	must(t, err)
+	if first.text+rest.text != standin.Answer(body, 40) {
+		t.Errorf("fetched %+v", rest)
+	}
+	r, err := s.do("POST", other.url+chatPath, "key-k", body, nil)
+	must(t, err)
+	if r.outcome != "done" {
+		t.Errorf("after the loss of a host: %+v", r)
+	}
+	r, err = s.do("POST", other.url+"/v1/services/stock/orders", "key-k", []byte("{}"), order)
+	must(t, err)
+	if n := s.records.Executions()["refill-1"]; r.outcome != "done" || n != 1 {
+		t.Errorf("repeated order: %+v, ran %d times", r, n)
+	}
+}
