--- /dev/null
+++ b/internal/demonstrator/demonstrator.go
@@ -0,0 +1,245 @@
+// Package demonstrator runs a whole system in one process on loopback addresses, floods it and counts what the callers got.
+package demonstrator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflycroft/dragonflycroft"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
+	"github.com/dragonflycroft/dragonflycroft/internal/lister"
+	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/standin"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+const (
+	hosts = 3
+	// maxBatch keeps the stand-in engines small, so that a flood that exceeds them fits one process.
+	maxBatch = 6
+	// reportLag is the age of the engines' load reports and cache events.
+	reportLag    = 500 * time.Millisecond
+	startTimeout = 30 * time.Second
+	orderLatency = 20 * time.Millisecond
+)
+
+// Demonstrator is one demonstration. Set the exported fields before Run.
+type Demonstrator struct {
+	// Document is the configuration; the addresses of its endpoints are replaced by stand-ins.
+	Document []byte
+	Duration time.Duration
+	// Flood is the number of bulk requests per second.
+	Flood float64
+	Seed  uint64
+	Out   io.Writer
+
+	cfg     *configurer.Config
+	records *standin.Records
+	list    *standin.HostList
+	closers []func() error
+	nodes   []*dragonflycroft.Node
+	control []*participant.Participant
+	dir     string
+	running sync.WaitGroup
+	stop    context.CancelFunc
+	errs    chan error
+}
+
+// Run starts the system, floods it for the duration or until ctx ends, and prints the table.
+func (d *Demonstrator) Run(ctx context.Context) error {
+	defer d.close()
+	if err := d.start(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	d.printf("%d entry hosts, %d endpoints; flooding for %v (Ctrl-C ends earlier)\n", hosts, len(d.cfg.Endpoints), d.Duration)
+	flood := newFlood(d)
+	flood.run(ctx)
+	d.printf("%s", flood.table(d.records))
+	return d.shutDown()
+}
+
+func (d *Demonstrator) printf(format string, args ...any) { _, _ = fmt.Fprintf(d.Out, format, args...) }
+
+func (d *Demonstrator) start(ctx context.Context) error {
+	cfg, err := configurer.Decode(d.Document)
+	if err != nil {
+		return err
+	}
+	d.cfg, d.records = cfg, &standin.Records{}
+	if err := d.startEndpoints(); err != nil {
+		return err
+	}
+	if d.dir, err = os.MkdirTemp("", "dragonflycroft-demo-"); err != nil {
+		return eris.Wrap(err, "make a data folder")
+	}
+	if err := d.startNodes(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.configure(ctx); err != nil {
+		return err
+	}
+	return d.awaitReady(ctx)
+}
+
+// startEndpoints starts a stand-in for each endpoint of the configuration.
+func (d *Demonstrator) startEndpoints() error {
+	kinds := make(map[string]string)
+	for _, p := range d.cfg.Pools {
+		kinds[p.Name] = p.Kind
+	}
+	d.list = &standin.HostList{ListenAddr: "127.0.0.1:0"}
+	if err := d.list.Start(); err != nil {
+		return err
+	}
+	d.closers = append(d.closers, d.list.Close)
+	for i := range d.cfg.Endpoints {
+		e := &d.cfg.Endpoints[i]
+		d.list.Set(e.Name, "live")
+		if kinds[e.Pool] == configurer.KindService {
+			s := &standin.Service{Name: e.Name, ListenAddr: "127.0.0.1:0", Latency: orderLatency, Records: d.records}
+			if err := s.Start(); err != nil {
+				return err
+			}
+			d.closers = append(d.closers, s.Close)
+			e.Address = s.Addr()
+			continue
+		}
+		model, ok := emulator.Generation(e.Hardware)
+		if !ok {
+			return eris.Errorf("endpoint %s has the unknown hardware %q", e.Name, e.Hardware)
+		}
+		model.Name, model.MaxBatch, model.Seed = e.Name, maxBatch, d.Seed+uint64(i)
+		engine := &standin.Engine{
+			Name: e.Name, ListenAddr: "127.0.0.1:0", Model: model, Models: e.Models, ChecksFencing: e.ChecksFencing,
+			LoadLag: reportLag, CacheLag: reportLag, Records: d.records,
+		}
+		if err := engine.Start(); err != nil {
+			return err
+		}
+		d.closers = append(d.closers, engine.Close)
+		e.Address = engine.Addr()
+	}
+	return nil
+}
+
+// startNodes starts the entry hosts, which are also the control hosts. Their addresses are bound first, since each has to know
+// those of the others.
+func (d *Demonstrator) startNodes() error {
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	controllers := make(map[string]string)
+	key := []byte(rand.Text())
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop, d.errs = stop, make(chan error, hosts)
+	for i := range hosts {
+		id := fmt.Sprintf("host-%d", i+1)
+		n := &dragonflycroft.Node{
+			HostID: id, Zone: zones[i%len(zones)], PeerAddr: "127.0.0.1:0", CallerAddr: "127.0.0.1:0", Key: key,
+			HostList: &lister.HTTPSource{Addr: d.list.Addr()},
+		}
+		n.NewControl = func(t *transporter.Transport) (dragonflycroft.Control, error) {
+			controllers[id] = t.Addr()
+			p := participant.New(t, participant.Options{
+				HostID: id, Zone: n.Zone, Controllers: controllers, DataDir: filepath.Join(d.dir, id), Bootstrap: true,
+			})
+			d.control = append(d.control, p)
+			return p, nil
+		}
+		if err := n.Listen(); err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, n)
+	}
+	for i, n := range d.nodes {
+		d.control[i].SetControllers(controllers)
+		d.running.Go(func() { d.errs <- n.Run(ctx) })
+	}
+	return nil
+}
+
+// configure gives the system its first configuration.
+func (d *Demonstrator) configure(ctx context.Context) error {
+	document, err := configurer.Encode(d.cfg)
+	if err != nil {
+		return eris.Wrap(err, "encode configuration")
+	}
+	patch := controller.Patch{ID: "demo", Body: document, Author: "demo"}
+	for {
+		_, err := d.control[0].Client().PatchConfig(ctx, patch)
+		var unavailable *controller.UnavailableError
+		if err == nil || ctx.Err() != nil || !errors.As(err, &unavailable) {
+			return err
+		}
+	}
+}
+
+// awaitReady waits until all hosts take requests and every pool has a holder.
+func (d *Demonstrator) awaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "start the entry hosts")
+		case err := <-d.errs:
+			return errors.Join(eris.New("an entry host ended while the demo started"), err)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (d *Demonstrator) ready() bool {
+	for _, n := range d.nodes {
+		if n.Unready() != "" {
+			return false
+		}
+	}
+	for _, p := range d.cfg.Pools {
+		if _, _, _, ok := d.control[0].Holder(controller.PoolRole(p.Name)); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// shutDown stops the entry hosts as planned, one after the other except for the last ones, which have no quorum to leave.
+func (d *Demonstrator) shutDown() error {
+	d.stop()
+	var errs []error
+	for range d.nodes {
+		errs = append(errs, <-d.errs)
+	}
+	return errors.Join(errs...)
+}
+
+func (d *Demonstrator) close() {
+	if d.stop != nil {
+		d.stop()
+	}
+	for _, n := range d.nodes {
+		n.Abort()
+	}
+	d.running.Wait()
+	for _, c := range d.closers {
+		_ = c()
+	}
+	if d.dir != "" {
+		_ = os.RemoveAll(d.dir)
+	}
+}
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,28 +40,31 @@
 
 // New builds the parts of a host over its transport.
 func New(t *transporter.Transport, o Options) *Participant {
-	addrs := make([]string, 0, len(o.Controllers))
-	for _, addr := range o.Controllers {
-		addrs = append(addrs, addr)
-	}
-	slices.Sort(addrs)
 	p := &Participant{}
 	p.agent = &controller.Agent{
-		HostID: o.HostID, Zone: o.Zone, Addr: t.Addr(), CallersAddr: o.CallersAddr, Control: o.DataDir != "",
-		Network: t, Controllers: addrs,
-	}
-	p.client = &controller.Client{Network: t, Controllers: addrs, Known: p.known}
-	if o.DataDir == "" {
-		return p
+		HostID: o.HostID, Zone: o.Zone, Addr: t.Addr(), CallersAddr: o.CallersAddr, Control: o.DataDir != "", Network: t,
 	}
-	p.machine = controller.NewMachine()
-	p.sequencer = &sequencer.Sequencer{
-		HostID: o.HostID, DataDir: o.DataDir, Voters: o.Controllers, Bootstrap: o.Bootstrap, Transport: t, Machine: p.machine,
+	p.client = &controller.Client{Network: t, Known: p.known}
+	if o.DataDir != "" {
+		p.machine = controller.NewMachine()
+		p.sequencer = &sequencer.Sequencer{
+			HostID: o.HostID, DataDir: o.DataDir, Bootstrap: o.Bootstrap, Transport: t, Machine: p.machine,
+		}
+		p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, Machine: p.machine}
 	}
-	p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, Machine: p.machine}
+	p.SetControllers(o.Controllers)
 	return p
 }
 
+// SetControllers sets the ids and addresses of the control hosts. Call it before Run.
+func (p *Participant) SetControllers(controllers map[string]string) {
+	addrs := slices.Sorted(maps.Values(controllers))
+	p.agent.Controllers, p.client.Controllers = addrs, addrs
+	if p.sequencer != nil {
+		p.sequencer.Voters = maps.Clone(controllers)
+	}
+}
+
 // known returns the addresses of the control hosts among the members, the leader first.
 func (p *Participant) known() []string {
 	var addrs []string
--- a/node.go
+++ b/node.go
@@ -65,6 +65,8 @@
 	// PeerAddr is where other hosts reach this one, CallerAddr where callers do.
 	PeerAddr   string
 	CallerAddr string
+	// PeerAdvertise is the address that other hosts use; it defaults to PeerAddr.
+	PeerAdvertise string
 	// Key is shared by all hosts.
 	Key []byte
 	// NewControl builds the control part for this node's transport.
@@ -116,7 +118,9 @@
 
 func (n *Node) setup() error {
 	n.aborted = make(chan struct{})
-	n.transport = &transporter.Transport{HostID: n.HostID, Zone: n.Zone, ListenAddr: n.PeerAddr, Key: n.Key}
+	n.transport = &transporter.Transport{
+		HostID: n.HostID, Zone: n.Zone, ListenAddr: n.PeerAddr, AdvertiseAddr: n.PeerAdvertise, Key: n.Key,
+	}
 	if err := n.transport.Listen(); err != nil {
 		return err
 	}
