--- a/cmd/dragonflycroft/demo.go
+++ b/cmd/dragonflycroft/demo.go
@@ -14,7 +14,7 @@
 
 type demoCommand struct {
 	Duration string `help:"Length of the flood." default:"20s"`
-	Flood    string `help:"Bulk requests per second." default:"40"`
+	Flood    string `help:"Bulk requests per second." default:"100"`
 	Seed     string `help:"Seed of the random times and lengths." default:"1"`
 	Logs     bool   `help:"Show the log lines of the entry hosts."`
 }
--- a/cmd/dragonflycroft/settings.go
+++ b/cmd/dragonflycroft/settings.go
@@ -21,7 +21,7 @@
 
 // Error implements error.
 func (e *settingsError) Error() string {
-	return fmt.Sprintf("%d wrong settings:\n  %s", len(e.problems), strings.Join(e.problems, "\n  "))
+	return "wrong settings:\n  " + strings.Join(e.problems, "\n  ")
 }
 
 // checker parses settings and collects their problems, so that all of them are reported at once.
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -16,7 +16,9 @@
 
 	"github.com/dragonflycroft/dragonflycroft"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
@@ -26,8 +28,6 @@
 
 const (
 	hosts = 3
-	// maxBatch keeps the stand-in engines small, so that a flood that exceeds them fits one process.
-	maxBatch = 6
 	// reportLag is the age of the engines' load reports and cache events.
 	reportLag    = 500 * time.Millisecond
 	startTimeout = 30 * time.Second
@@ -124,7 +124,7 @@
 		if !ok {
 			return eris.Errorf("endpoint %s has the unknown hardware %q", e.Name, e.Hardware)
 		}
-		model.Name, model.MaxBatch, model.Seed = e.Name, maxBatch, d.Seed+uint64(i)
+		model.Name, model.Seed = e.Name, d.Seed+uint64(i)
 		engine := &standin.Engine{
 			Name: e.Name, ListenAddr: "127.0.0.1:0", Model: model, Models: e.Models, ChecksFencing: e.ChecksFencing,
 			LoadLag: reportLag, CacheLag: reportLag, Records: d.records,
@@ -150,7 +150,9 @@
 		id := fmt.Sprintf("host-%d", i+1)
 		n := &dragonflycroft.Node{
 			HostID: id, Zone: zones[i%len(zones)], PeerAddr: "127.0.0.1:0", CallerAddr: "127.0.0.1:0", Key: key,
-			HostList: &lister.HTTPSource{Addr: d.list.Addr()},
+			HostList: &lister.HTTPSource{Addr: d.list.Addr(), Timeouts: connector.DefaultTimeouts()},
+			// Callers that withdraw do not come back.
+			Times: dispatcher.Times{Linger: time.Second},
 		}
 		n.NewControl = func(t *transporter.Transport) (dragonflycroft.Control, error) {
 			controllers[id] = t.Addr()
@@ -218,7 +220,7 @@
 	return true
 }
 
-// shutDown stops the entry hosts as planned, one after the other except for the last ones, which have no quorum to leave.
+// shutDown stops the entry hosts as planned.
 func (d *Demonstrator) shutDown() error {
 	d.stop()
 	var errs []error
--- a/internal/demonstrator/stream.go
+++ b/internal/demonstrator/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -61,6 +62,16 @@
 // row counts the results of a tier.
 type row struct {
 	offered, done, within, shed, limited, notRun, unknown, withdrawn, tokens int
+	first, gaps                                                              []time.Duration
+}
+
+// p95 formats the value that 95 in 100 do not exceed.
+func p95(values []time.Duration) string {
+	if len(values) == 0 {
+		return "-"
+	}
+	slices.Sort(values)
+	return fmt.Sprintf("%d ms", values[min(len(values)*95/100, len(values)-1)].Milliseconds())
 }
 
 func (r *result) within(t configurer.Tier) bool {
@@ -80,6 +91,9 @@
 	case r.outcome == "done":
 		w.done++
 		w.tokens += r.tokens
+		if r.order == "" {
+			w.first, w.gaps = append(w.first, r.firstToken), append(w.gaps, r.gap)
+		}
 	case r.reason == "overload" || r.reason == "patience":
 		w.shed++
 	case r.reason == "limit":
@@ -114,7 +128,7 @@
 	}
 	var out strings.Builder
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "tier\toffered\tdone\twithin targets\tgoodput\tshed\tlimited\tnot run\tunknown\twithdrawn\ttokens/s\t")
+	_, _ = fmt.Fprintln(w, "tier\toffered\tdone\twithin targets\tgoodput\tshed\tlimited\tnot run\tunknown\twithdrawn\tfirst token p95\tgap p95\ttokens/s\t")
 	shed := 0
 	for _, t := range f.d.cfg.Tiers {
 		c := rows[t.Name]
@@ -122,9 +136,9 @@
 			continue
 		}
 		shed += c.shed
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t%.0f\t\n", t.Name, c.offered, c.done, c.within,
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%.0f\t\n", t.Name, c.offered, c.done, c.within,
 			100*float64(c.within)/float64(c.offered), c.shed, c.limited, c.notRun, c.unknown, c.withdrawn,
-			float64(c.tokens)/f.elapsed.Seconds())
+			p95(c.first), p95(c.gaps), float64(c.tokens)/f.elapsed.Seconds())
 	}
 	_ = w.Flush()
 	_, _ = fmt.Fprintf(&out, "lost %d, duplicated %d, shed %d\n", lost, duplicated(records), shed)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"expvar"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -209,8 +210,11 @@
 	d.closed = true
 	cut := make([]string, 0, len(d.runs))
 	for id, r := range d.runs {
-		cut = append(cut, id+" "+string(r.machine.State()))
+		if r.answer.End() == nil {
+			cut = append(cut, id+" "+string(r.machine.State()))
+		}
 	}
+	slices.Sort(cut)
 	d.mu.Unlock()
 	d.cancel(&cancelError{reason: reasonStopped})
 	d.wg.Wait()
--- a/node.go
+++ b/node.go
@@ -26,7 +26,7 @@
 )
 
 // leaveTimeout bounds the last exchanges of a stop with the control hosts.
-const leaveTimeout = 2 * time.Second
+const leaveTimeout = time.Second
 
 // Control is the part of a node that agrees with the other hosts on configuration, roles, members and orders.
 type Control interface {
