--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -35,9 +35,13 @@
 
 // chat dispatches a chat request. It returns false when nothing was sent and the request waits on.
 func (r *run) chat(g grant) bool {
-	engine, ok := r.d.Endpoints.Engine(g.endpoint)
-	if !ok {
-		return r.decline(g, scheduler.DeclineConnect)
+	var engine connector.Engine
+	known := func() (ok bool) {
+		engine, ok = r.d.Endpoints.Engine(g.endpoint)
+		return ok
+	}
+	if !r.endpointKnown(g, known) {
+		return r.decline(g, scheduler.DeclineExpired)
 	}
 	stop := time.AfterFunc(r.d.Times.Total, func() { r.cancelRun("time_limit") })
 	defer stop.Stop()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,8 @@
 	Intend(ctx context.Context, o recorder.Intent) (recorder.Record, error)
 	Conclude(ctx context.Context, key recorder.Key, owner string, out recorder.Outcome) error
 	Withdraw(ctx context.Context, key recorder.Key, owner string) error
+	// Order returns an order, and false when the ledger does not hold it.
+	Order(ctx context.Context, key recorder.Key) (recorder.Record, bool, error)
 }
 
 // Hosts gives the peer addresses of entry hosts.
@@ -221,6 +223,9 @@
 	return cut
 }
 
+// NewID returns an id for a request that is refused before it is accepted.
+func (d *Dispatcher) NewID(workspace string) string { return d.newID(workspace) }
+
 // newID names the owner and ties the id to a workspace: no other workspace can fetch the answer by guessing an id.
 func (d *Dispatcher) newID(workspace string) string {
 	id := d.Owner() + "." + strconv.FormatUint(d.seq.Add(1), 10)
--- a/internal/dispatcher/follow.go
+++ b/internal/dispatcher/follow.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/attacher"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
 
 const (
@@ -24,6 +25,10 @@
 // claim ties the key to this request at the pool's scheduler. It returns true when the request has ended, be it by the answer
 // of an earlier request with the same key.
 func (r *run) claim() bool {
+	if needsLedger(r.req) {
+		// The ledger decides on orders; an index in memory must not stand before it.
+		return false
+	}
 	c := granter.Claim{Workspace: r.req.Workspace, Key: r.req.Key, Digest: r.req.Digest, RequestID: r.id}
 	for attempt := 0; ; attempt++ {
 		l, err := r.session.Claim(r.ctx, c)
@@ -37,6 +42,8 @@
 			}
 		}
 		if ended := r.leave(attempt); ended {
+			// The claim may have been recorded although its answer was lost.
+			r.session.Cancelled(r.id)
 			return true
 		}
 	}
@@ -107,12 +114,24 @@
 		}
 		klog.V(1).Infof("dispatcher: cannot follow request=%s owner=%s reason=%q", id, owner, err)
 	}
-	if r.ctx.Err() == nil && r.adopt(id) {
+	if r.ctx.Err() == nil && r.recover(id) {
 		return
 	}
 	r.finish(triggerLose, unknownEnd())
 }
 
+// recover finds the answer of a request whose entry host is lost: orders in the ledger, runs at the engines.
+func (r *run) recover(id string) bool {
+	key := recorder.Key{Workspace: r.req.Workspace, Value: id}
+	if r.req.Kind == answerer.KindService {
+		key = r.ledgerKey()
+	}
+	if record, ok := r.lookUp(key); ok {
+		return r.finishRecorded(record)
+	}
+	return r.req.Kind != answerer.KindService && r.adopt(id)
+}
+
 func (r *run) finishFollowed() {
 	end := *r.answer.End()
 	trig := triggerLose
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -17,6 +17,9 @@
 // maxConnectDeclines bounds how many endpoints in a row are tried for one request.
 const maxConnectDeclines = 8
 
+// endpointPoll is how often the resolver is asked for an endpoint that this host does not know yet.
+const endpointPoll = 10 * time.Millisecond
+
 // reasonStopped ends requests with their entry host. Their runs go on, so that another entry host can deliver the answers.
 const reasonStopped = "stopped"
 
@@ -82,7 +85,7 @@
 // drive takes the request from received to its end.
 func (r *run) drive() {
 	defer r.release()
-	if r.req.Key != "" && r.claim() {
+	if r.req.Key != "" && (r.recorded() || r.claim()) {
 		return
 	}
 	r.answer.Settle()
@@ -169,7 +172,7 @@
 	if !time.Now().Before(g.deadline) {
 		return r.decline(g, scheduler.DeclineExpired)
 	}
-	klog.Infof("dispatcher: dispatch request=%s tier=%s workspace=%s endpoint=%s reason=%q",
+	klog.V(1).Infof("dispatcher: dispatch request=%s tier=%s workspace=%s endpoint=%s reason=%q",
 		r.id, r.req.Tier, r.req.Workspace, g.endpoint, "granted")
 	if r.req.Kind == answerer.KindService {
 		return r.call(g)
@@ -191,6 +194,23 @@
 	return false
 }
 
+// endpointKnown waits until this host knows a granted endpoint: the holder may act on a newer configuration than this host.
+func (r *run) endpointKnown(g grant, known func() bool) bool {
+	ticker := time.NewTicker(endpointPoll)
+	defer ticker.Stop()
+	for !known() {
+		select {
+		case <-r.ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if !time.Now().Before(g.deadline) {
+			return false
+		}
+	}
+	return true
+}
+
 // giveUp ends a request that was never dispatched.
 func (r *run) giveUp(reason, message string) bool {
 	r.session.Cancelled(r.id)
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -23,9 +23,13 @@
 
 // call dispatches a call of a plain service. It returns false when nothing was sent and the request waits on.
 func (r *run) call(g grant) bool {
-	service, ok := r.d.Endpoints.Service(g.endpoint)
-	if !ok {
-		return r.decline(g, scheduler.DeclineConnect)
+	var service connector.Service
+	known := func() (ok bool) {
+		service, ok = r.d.Endpoints.Service(g.endpoint)
+		return ok
+	}
+	if !r.endpointKnown(g, known) {
+		return r.decline(g, scheduler.DeclineExpired)
 	}
 	stop := time.AfterFunc(r.d.Times.Total, func() { r.cancelRun("time_limit") })
 	defer stop.Stop()
@@ -111,6 +115,27 @@
 	return true, false
 }
 
+// recorded ends a request whose key belongs to an order in the ledger, without waiting for an endpoint.
+func (r *run) recorded() bool {
+	if !needsLedger(r.req) {
+		return false
+	}
+	record, ok := r.lookUp(r.ledgerKey())
+	if !ok {
+		return false
+	}
+	r.attachRecord(record)
+	return true
+}
+
+// lookUp reads an order of the ledger. A failure counts as an unknown order, since the intent decides later.
+func (r *run) lookUp(key recorder.Key) (recorder.Record, bool) {
+	ctx, cancel := context.WithTimeout(r.ctx, r.d.Times.Ledger)
+	defer cancel()
+	record, ok, err := r.d.Ledger.Order(ctx, key)
+	return record, ok && err == nil
+}
+
 func (r *run) commitIntent(g grant) (recorder.Record, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, r.d.Times.Ledger)
 	defer cancel()
@@ -153,15 +178,7 @@
 		return
 	}
 	switch {
-	case record.Outcome != nil && record.Outcome.Outcome == string(answerer.Done):
-		end := answerer.End{Outcome: answerer.Done, Response: &connector.Response{
-			Status: record.Outcome.Status, Header: record.Outcome.Header, Body: record.Outcome.Body,
-		}}
-		if record.Outcome.Truncated {
-			end.Reason, end.Message = "answer_not_kept", "the order was done; its answer was too large to be kept"
-		}
-		r.answer.Follow(record.RequestID, answerer.KindService, "", r.answer.Meta().Created)
-		r.finish(triggerDone, end)
+	case r.finishRecorded(record):
 	case record.Phase == recorder.PhaseIntended:
 		host, _, _ := parseID(record.RequestID, record.Key.Workspace)
 		r.follow(record.RequestID, host, record.Owner)
@@ -173,6 +190,22 @@
 	}
 }
 
+// finishRecorded answers with the outcome in the ledger. It returns false when the ledger has no answer.
+func (r *run) finishRecorded(record recorder.Record) bool {
+	if record.Outcome == nil || record.Outcome.Outcome != recorder.OutcomeDone {
+		return false
+	}
+	end := answerer.End{Outcome: answerer.Done, Response: &connector.Response{
+		Status: record.Outcome.Status, Header: record.Outcome.Header, Body: record.Outcome.Body,
+	}}
+	if record.Outcome.Truncated {
+		end.Reason, end.Message = "answer_not_kept", "the order was done; its answer was too large to be kept"
+	}
+	r.answer.Follow(record.RequestID, answerer.KindService, "", r.answer.Meta().Created)
+	r.finish(triggerDone, end)
+	return true
+}
+
 func keyReusedEnd(id string) answerer.End {
 	return answerer.End{
 		Outcome: answerer.Refused, Reason: "key_reused",
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -203,16 +203,13 @@
 	}}})
 }
 
-// Cancelled withdraws a waiting request.
+// Cancelled withdraws a waiting request, or the claim of one that was not submitted.
 func (s *Session) Cancelled(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.requests[id]
-	if t == nil {
-		return
-	}
 	delete(s.requests, id)
-	if t.phase == phaseGranted {
+	if t != nil && t.phase == phaseGranted {
 		s.pushDeclined(id, t.endpoint, scheduler.DeclineGone)
 		return
 	}
--- a/internal/localcontroller/localcontroller.go
+++ b/internal/localcontroller/localcontroller.go
@@ -308,6 +308,17 @@
 	return nil
 }
 
+// Order returns an order of the ledger.
+func (h *Host) Order(_ context.Context, key recorder.Key) (recorder.Record, bool, error) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	r := h.c.orders[key]
+	if r == nil {
+		return recorder.Record{}, false, nil
+	}
+	return *r, true, nil
+}
+
 // Orders returns a copy of the ledger.
 func (c *Controller) Orders() map[recorder.Key]recorder.Record {
 	c.mu.Lock()
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -188,6 +188,11 @@
 	return p.client.Withdraw(ctx, key, owner)
 }
 
+// Order returns an order of the ledger.
+func (p *Participant) Order(ctx context.Context, key recorder.Key) (recorder.Record, bool, error) {
+	return p.client.Order(ctx, key)
+}
+
 // HandOver gives up all roles.
 func (p *Participant) HandOver(ctx context.Context) error { return p.agent.HandOver(ctx) }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -65,6 +65,8 @@
 type Requests interface {
 	Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error)
 	Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error)
+	// NewID returns an id for a request that is refused before it is accepted.
+	NewID(workspace string) string
 }
 
 // Server serves callers. Set the exported fields before Run.
@@ -185,12 +187,19 @@
 func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		countRequests.Add(kind, 1)
+		refuse := func(f *failure) {
+			// The body stays unread, so that the connection cannot carry another request.
+			if c.Request.Header.ContentLength() != 0 {
+				c.SetConnectionClose()
+			}
+			s.fail(c, f)
+		}
 		index := s.lookup()
 		if reason := s.Ready(); isNew && reason != "" || index == nil {
 			if reason == "" {
 				reason = "no configuration is known"
 			}
-			s.fail(c, &failure{
+			refuse(&failure{
 				status: http.StatusServiceUnavailable, outcome: answerer.NotRun, reason: "unready",
 				message: "this entry host takes no new requests: " + reason, retryAfter: time.Second,
 			})
@@ -198,14 +207,14 @@
 		}
 		key, ok := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 		if !ok {
-			s.fail(c, &failure{
+			refuse(&failure{
 				status: http.StatusUnauthorized, reason: "no_key", message: "an API key is required as a bearer token",
 			})
 			return
 		}
 		identity, ok := index.CallerByKey(key)
 		if !ok {
-			s.fail(c, &failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
+			refuse(&failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
 			return
 		}
 		serve(&call{ctx: ctx, c: c, index: index, identity: identity})
@@ -238,6 +247,7 @@
 			models = append(models, model{ID: m, Object: "model", OwnedBy: "dragonflycroft"})
 		}
 	}
+	k.c.Response.Header.Set(HeaderRequestID, s.Requests.NewID(k.identity.Workspace.Name))
 	k.c.Response.Header.Set(HeaderOutcome, string(answerer.Done))
 	k.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": models})
 }
@@ -277,9 +287,10 @@
 	countRefused.Add(f.reason, 1)
 	h := &c.Response.Header
 	h.Set(HeaderOutcome, string(f.outcome))
-	if f.requestID != "" {
-		h.Set(HeaderRequestID, f.requestID)
+	if f.requestID == "" {
+		f.requestID = s.Requests.NewID("")
 	}
+	h.Set(HeaderRequestID, f.requestID)
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatInt(int64((f.retryAfter+time.Second-1)/time.Second), 10))
 	}
--- a/node.go
+++ b/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,10 +103,12 @@
 	resolver  *resolver.Resolver
 	desk      *granter.Desk
 	sessions  *sessionSet
+	placement *placement
 	requests  atomic.Pointer[dispatcher.Dispatcher]
 	store     *answerer.Store
 	server    *server.Server
 	stopping  atomic.Bool
+	refused   atomic.Uint64
 	aborted   chan struct{}
 	abortOnce sync.Once
 }
@@ -188,6 +191,15 @@
 	return d.Fetch(workspace, id, from)
 }
 
+// NewID implements server.Requests.
+func (n *Node) NewID(workspace string) string {
+	if d := n.requests.Load(); d != nil {
+		return d.NewID(workspace)
+	}
+	// Incarnation 0 names no process: nothing with this id can run.
+	return dispatcher.OwnerOf(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
+}
+
 // Run serves until ctx ends, and then stops as planned: it becomes unready, waits for the balancer, hands its roles over and
 // lets each accepted request finish. After Abort it returns a *CutOffError if requests were in progress.
 func (n *Node) Run(ctx context.Context) error {
@@ -239,6 +251,8 @@
 	}
 	n.desk.Start(ctx)
 	n.control.OnShed(n.desk.Shed)
+	n.placement = &placement{node: n, ctx: ctx}
+	n.control.OnRole(n.placement.onRole)
 	n.control.Register()
 }
 
@@ -358,6 +372,7 @@
 	_ = n.server.Close(now)
 	err := n.transport.Close()
 	n.desk.Wait()
+	n.placement.wait()
 	if n.sessions != nil {
 		n.sessions.wait()
 	}
--- a/sessions.go
+++ b/sessions.go
@@ -13,6 +13,9 @@
 // Config is one version of the configuration of the whole system.
 type Config = configurer.Config
 
+// Endpoint is one model engine or plain service instance of the configuration.
+type Endpoint = configurer.Endpoint
+
 // sessionSet keeps a session with the holder of each pool of the configuration.
 type sessionSet struct {
 	ctx   context.Context
