--- a/internal/dispatcher/chat.go
+++ b/internal/dispatcher/chat.go
@@ -121,7 +121,9 @@
 			}
 		}
 		if attempts >= r.d.Times.ResumeAttempts || total >= maxResumes {
-			s.failed(scheduler.FailureSilent)
+			if len(s.reported) == 0 {
+				s.failed(scheduler.FailureSilent)
+			}
 			return result{reason: "endpoint_lost", err: err}
 		}
 		// The first attempt follows at once: most breaks are of one connection only.
