--- a/cmd/dragonflycroft/main.go
+++ b/cmd/dragonflycroft/main.go
@@ -95,7 +95,6 @@
 		settings    *settingsError
 		cut         *dragonflycroft.CutOffError
 		refused     *commander.RefusedError
-		unknown     *commander.UnknownEndpointsError
 		unreachable *commander.UnreachableError
 	)
 	switch {
@@ -105,7 +104,7 @@
 		return exitCutOff
 	case errors.As(err, &unreachable):
 		return exitUnreachable
-	case errors.As(err, &refused), errors.As(err, &unknown):
+	case errors.As(err, &refused):
 		return exitRefused
 	}
 	return exitFailure
--- a/cmd/dragonflycroft/operate.go
+++ b/cmd/dragonflycroft/operate.go
@@ -126,14 +126,14 @@
 
 type membersAdd struct {
 	operatorFlags
-	Member string `arg:"" help:"Id of the host."`
-	Addr   string `help:"Peer address of the host, IP:PORT; needed for a learner." default:""`
-	Role   string `help:"learner or voter. A learner becomes a voter once it has caught up." enum:"learner,voter" default:"learner"`
+	Member  string `arg:"" help:"Id of the host."`
+	Addr    string `help:"Peer address of the host, IP:PORT; needed for a learner." default:""`
+	Promote bool   `help:"Make a learner that has caught up a voter."`
 }
 
 // Run adds or promotes the member.
 func (a *membersAdd) Run(out io.Writer) error {
-	if a.Role == "learner" {
+	if !a.Promote {
 		c := &checker{}
 		c.address("addr", a.Addr)
 		if err := c.err(); err != nil {
@@ -141,7 +141,10 @@
 		}
 	}
 	return a.show(out, func(ctx context.Context, c *commander.Commander) ([]byte, error) {
-		return c.AddMember(ctx, a.Member, a.Addr, a.Role)
+		if a.Promote {
+			return c.PromoteMember(ctx, a.Member)
+		}
+		return c.AddMember(ctx, a.Member, a.Addr)
 	})
 }
 
@@ -167,17 +170,18 @@
 type drainCommand struct {
 	operatorFlags
 	Undo      bool     `help:"Allow new work again."`
-	ID        string   `help:"Id of the patch; a random one if empty." default:"" name:"id"`
 	Endpoints []string `arg:"" help:"Names of the endpoints."`
 }
 
-// Run changes the drain flag of the endpoints in the configuration.
+// Run changes the drain flag of the endpoints in the configuration, one after the other.
 func (d *drainCommand) Run(out io.Writer) error {
-	id := d.ID
-	if id == "" {
-		id = rand.Text()
+	for _, name := range d.Endpoints {
+		err := d.show(out, func(ctx context.Context, c *commander.Commander) ([]byte, error) {
+			return c.Drain(ctx, name, !d.Undo)
+		})
+		if err != nil {
+			return eris.Wrapf(err, "drain %s", name)
+		}
 	}
-	return d.show(out, func(ctx context.Context, c *commander.Commander) ([]byte, error) {
-		return c.Drain(ctx, id, d.Endpoints, !d.Undo)
-	})
+	return nil
 }
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -7,14 +7,12 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 )
 
@@ -24,6 +22,12 @@
 	PathHistory = "/v1/config/history"
 	PathMembers = "/v1/members"
 	PathStatus  = "/v1/status"
+	PathDrain   = "/v1/drain/"
+)
+
+const (
+	headerPatchID = "X-Dragonflycroft-Patch-Id"
+	headerVersion = "Etag"
 )
 
 // exchangeTimeout covers an election of the control hosts and a few retries by the host that is asked.
@@ -57,8 +61,8 @@
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
 // do tries the hosts in order until one answers without a server error. All commands may be repeated: patches carry an id, and
-// changes of members name their result.
-func (c *Commander) do(ctx context.Context, call connector.Call) ([]byte, error) {
+// the other changes name their result.
+func (c *Commander) do(ctx context.Context, call connector.Call) (*connector.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	if call.Header == nil {
@@ -77,18 +81,53 @@
 		case response.Status/100 != 2:
 			return nil, &RefusedError{Status: response.Status, Body: string(response.Body)}
 		default:
-			return response.Body, nil
+			return response, nil
 		}
 	}
 	return nil, &UnreachableError{Err: last}
 }
 
+func (c *Commander) body(ctx context.Context, call connector.Call) ([]byte, error) {
+	response, err := c.do(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return response.Body, nil
+}
+
 func (c *Commander) get(ctx context.Context, path string) ([]byte, error) {
-	return c.do(ctx, connector.Call{Method: http.MethodGet, Path: path})
+	return c.body(ctx, connector.Call{Method: http.MethodGet, Path: path})
+}
+
+func (c *Commander) send(ctx context.Context, method, path string, content any) ([]byte, error) {
+	call := connector.Call{Method: method, Path: path}
+	if content != nil {
+		body, err := json.Marshal(content)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode command")
+		}
+		call.Body, call.Header = body, map[string]string{"Content-Type": "application/json"}
+	}
+	return c.body(ctx, call)
 }
 
 // Config returns the current configuration with its version.
-func (c *Commander) Config(ctx context.Context) ([]byte, error) { return c.get(ctx, PathConfig) }
+func (c *Commander) Config(ctx context.Context) ([]byte, error) {
+	response, err := c.do(ctx, connector.Call{Method: http.MethodGet, Path: PathConfig})
+	if err != nil {
+		return nil, err
+	}
+	version, err := strconv.ParseUint(strings.Trim(response.Header[headerVersion], `"`), 10, 64)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the version of the configuration")
+	}
+	answer := struct {
+		Version uint64          `json:"version"`
+		Config  json.RawMessage `json:"config"`
+	}{version, response.Body}
+	data, err := json.Marshal(answer)
+	return data, eris.Wrap(err, "decode configuration")
+}
 
 // History returns revisions from a version on.
 func (c *Commander) History(ctx context.Context, from uint64, limit int) ([]byte, error) {
@@ -97,73 +136,35 @@
 
 // Patch applies a JSON merge patch that was written against version base.
 func (c *Commander) Patch(ctx context.Context, id string, base uint64, patch []byte) ([]byte, error) {
-	return c.do(ctx, connector.Call{Method: http.MethodPatch, Path: PathConfig, Body: patch, Header: map[string]string{
+	return c.body(ctx, connector.Call{Method: http.MethodPatch, Path: PathConfig, Body: patch, Header: map[string]string{
 		"Content-Type": "application/merge-patch+json",
 		"If-Match":     strconv.Quote(strconv.FormatUint(base, 10)),
-		"X-Patch-Id":   id,
+		headerPatchID:  id,
 	}})
 }
 
 // Members lists the hosts.
 func (c *Commander) Members(ctx context.Context) ([]byte, error) { return c.get(ctx, PathMembers) }
 
-// AddMember adds a control host as a learner, or promotes it to a voter.
-func (c *Commander) AddMember(ctx context.Context, id, addr, role string) ([]byte, error) {
-	body, err := json.Marshal(map[string]string{"id": id, "addr": addr, "role": role})
-	if err != nil {
-		return nil, eris.Wrap(err, "encode member")
-	}
-	return c.do(ctx, connector.Call{
-		Method: http.MethodPost, Path: PathMembers, Body: body, Header: map[string]string{"Content-Type": "application/json"},
-	})
+// AddMember adds a control host as a learner.
+func (c *Commander) AddMember(ctx context.Context, id, addr string) ([]byte, error) {
+	return c.send(ctx, http.MethodPost, PathMembers, map[string]string{"action": "add", "id": id, "addr": addr})
+}
+
+// PromoteMember makes a learner that has caught up a voter.
+func (c *Commander) PromoteMember(ctx context.Context, id string) ([]byte, error) {
+	return c.send(ctx, http.MethodPost, PathMembers, map[string]string{"action": "promote", "id": id})
 }
 
 // RemoveMember removes a control host.
 func (c *Commander) RemoveMember(ctx context.Context, id string) ([]byte, error) {
-	return c.do(ctx, connector.Call{Method: http.MethodDelete, Path: PathMembers + "/" + url.PathEscape(id)})
+	return c.send(ctx, http.MethodDelete, PathMembers+"/"+url.PathEscape(id), nil)
 }
 
-// Status returns the state of the host that answers.
+// Status returns the state of the system.
 func (c *Commander) Status(ctx context.Context) ([]byte, error) { return c.get(ctx, PathStatus) }
 
-// versioned is the answer to a look-up of the configuration.
-type versioned struct {
-	Version uint64            `json:"version"`
-	Config  configurer.Config `json:"config"`
-}
-
-// UnknownEndpointsError reports endpoints that the configuration does not have.
-type UnknownEndpointsError struct{ Names []string }
-
-// Error implements error.
-func (e *UnknownEndpointsError) Error() string {
-	return "unknown endpoints: " + strings.Join(e.Names, ", ")
-}
-
-// Drain stops new work at endpoints, or allows it again, by a patch against the current version.
-func (c *Commander) Drain(ctx context.Context, id string, names []string, drain bool) ([]byte, error) {
-	data, err := c.Config(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var current versioned
-	if err := json.Unmarshal(data, &current); err != nil {
-		return nil, eris.Wrap(err, "decode configuration")
-	}
-	unknown := slices.Clone(names)
-	for i := range current.Config.Endpoints {
-		e := &current.Config.Endpoints[i]
-		if slices.Contains(names, e.Name) {
-			e.Drain = drain
-			unknown = slices.DeleteFunc(unknown, func(n string) bool { return n == e.Name })
-		}
-	}
-	if len(unknown) > 0 {
-		return nil, &UnknownEndpointsError{Names: unknown}
-	}
-	patch, err := json.Marshal(map[string]any{"endpoints": current.Config.Endpoints})
-	if err != nil {
-		return nil, eris.Wrap(err, "encode patch")
-	}
-	return c.Patch(ctx, id, current.Version, patch)
+// Drain stops new work at an endpoint, or allows it again.
+func (c *Commander) Drain(ctx context.Context, endpoint string, drain bool) ([]byte, error) {
+	return c.send(ctx, http.MethodPost, PathDrain+url.PathEscape(endpoint), map[string]bool{"drain": drain})
 }
--- a/internal/granter/index.go
+++ b/internal/granter/index.go
@@ -17,6 +17,8 @@
 const (
 	// maxIndexed bounds the memory of the index, about 300 bytes each.
 	maxIndexed = 1 << 16
+	// maxMoved bounds the work of one eviction.
+	maxMoved = 64
 	// indexRetention is how long a finished or lost request can be located.
 	indexRetention = 5 * time.Minute
 	// lostWaitingRetention outlasts every grant that a lost host may still use.
@@ -155,15 +157,24 @@
 	}
 }
 
-// evict drops expired entries at the old end, and the oldest ended ones when the index is full.
+// evict drops expired entries at the old end, and the oldest ended ones when the index is full. An entry that is still in
+// progress moves to the new end when it stands in the way of others.
 func (x *index) evict(now time.Duration) {
-	for len(x.order) > 0 {
-		e := x.byID[x.order[0]]
+	for moved := 0; len(x.order) > 0 && moved < maxMoved; {
+		id := x.order[0]
+		e := x.byID[id]
 		full := len(x.byID) >= maxIndexed
-		if e != nil && !e.expired(now) && (!full || !e.ended) {
-			break
+		crowded := full || len(x.order) > 2*len(x.byID)+maxMoved
+		switch {
+		case e == nil:
+		case e.expired(now), full && e.ended:
+			x.remove(id)
+		case crowded:
+			x.order = append(x.order, id)
+			moved++
+		default:
+			return
 		}
-		x.remove(x.order[0])
 		x.order = x.order[1:]
 	}
 }
