scheduler: bound runs by measured lateness, detect floods by service received

Floods of the most urgent work are detected by the part of the service received, since sizes in tokens of different tiers do not compare.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -13,12 +13,22 @@
 	// increasePerRound is added to the bound of runs when a round of measurements stayed within the targets.
 	increasePerRound = 1.0
 	// startFactor multiplies the bounds instead until the first cut, so that the start can be conservative.
-	startFactor = 1.5
+	startFactor = 1.3
 	cutFactor   = 0.8
+	// nearCut is the part of the bound before the last cut from which growth slows to slowIncrease, so that the bound
+	// stays below the level that was too high for most of the time.
+	nearCut      = 0.85
+	slowIncrease = 0.2
+	// minFullReports is the number of reports that show a full batch.
+	minFullReports = 3
 	// growBelow and cutAbove are parts of the target. The space between them keeps the bound from swinging, and the
 	// distance to 1 leaves room for the deviation between the mean and the 95th percentile.
 	growBelow = 0.75
 	cutAbove  = 0.9
+	// latePart divides the first-token target into what may pass at the endpoint beside the prefill of queued prompts.
+	latePart = 3
+	// maxLate is the part of the first tokens that may be late.
+	maxLate = 0.05
 	// roundTime is the shortest time between two changes, so that one is measured before the next.
 	roundTime = 500 * time.Millisecond
 	// busyPart is the part of the bound that must be in use for a good round to raise it.
@@ -36,11 +46,14 @@
 	targets       Targets
 	runs, tokens  float64
 	fixed         bool
-	started       bool // a cut has ended the multiplicative start
+	started       bool // a sign of fullness has ended the multiplicative start
 	changed       time.Duration
+	lastCut       float64 // runs before the last cut
+	reportedMax   int     // highest number of runs that the engine reported
+	fullReports   int     // reports of that number with requests waiting in the engine
 	gapSum        time.Duration
 	gaps          int
-	late          int
+	firsts, late  int
 	usedRuns      int
 	usedTokens    int
 	peakRuns      int
@@ -131,21 +144,50 @@
 	l.review(now)
 }
 
-// ObserveFirstToken records the time from dispatch to first token of one run, and the time that its own prompt needs.
-// A first token is late when the endpoint added more than the target to the run's own prefill.
-func (l *Limiter) ObserveFirstToken(now, took, own time.Duration) {
-	if l.targets.FirstToken > 0 && took-own > l.targets.FirstToken {
+// ObserveFirstToken records the time from dispatch to first token of one run, and the time that the prompts queued at the
+// endpoint explain. A first token is late when it took much longer, as it does behind a full batch.
+func (l *Limiter) ObserveFirstToken(now, took, explained time.Duration) {
+	if l.targets.FirstToken > 0 && took-explained > l.targets.FirstToken/latePart {
 		l.late++
+		l.started = true
 	}
+	l.firsts++
 	l.review(now)
 }
 
+// ObserveQueue records an engine's own report of running and waiting requests. An engine whose batch is full shows the
+// same highest number of runs again and again while others wait in it; a single report may only have caught requests
+// between two steps.
+func (l *Limiter) ObserveQueue(runs, waiting int) {
+	switch {
+	case l.fixed || runs < l.reportedMax:
+		return
+	case runs > l.reportedMax:
+		l.reportedMax, l.fullReports = runs, 0
+	}
+	if waiting > 0 {
+		l.fullReports++
+		l.started = true
+	}
+	if l.fullReports >= minFullReports {
+		l.runs = min(l.runs, l.ceiling())
+	}
+}
+
+// ceiling is the size of the engine's batch as far as it is known.
+func (l *Limiter) ceiling() float64 {
+	if l.fullReports < minFullReports {
+		return maxRuns
+	}
+	return max(float64(l.reportedMax), minRuns)
+}
+
 func (l *Limiter) review(now time.Duration) {
 	if l.fixed || now-l.changed < roundTime || (l.gaps < 3 && l.late == 0) {
 		return
 	}
-	slow := l.late >= 2
-	fast := l.late == 0
+	slow := l.late >= 2 && float64(l.late) > maxLate*float64(l.firsts)
+	fast := !slow && l.late <= 1
 	if l.gaps > 0 && l.targets.Gap > 0 {
 		mean := float64(l.gapSum) / float64(l.gaps) / float64(l.targets.Gap)
 		slow = slow || mean > cutAbove
@@ -159,25 +201,29 @@
 	case fast && (busyRuns || busyTokens):
 		l.grow(busyRuns, busyTokens)
 	}
-	l.changed, l.gapSum, l.gaps, l.late = now, 0, 0, 0
+	l.changed, l.gapSum, l.gaps, l.firsts, l.late = now, 0, 0, 0, 0
 	l.peakRuns, l.peakTokens = l.usedRuns, l.usedTokens
 }
 
 // cut starts from the use that was measured, since a bound far above it has not been tested.
 func (l *Limiter) cut() {
 	l.started = true
+	l.lastCut = min(l.runs, float64(l.peakRuns))
 	l.runs = max(minRuns, min(l.runs, float64(l.peakRuns))*cutFactor)
 	l.tokens = max(minTokens, min(l.tokens, max(float64(l.peakTokens), startTokens))*cutFactor)
 }
 
 func (l *Limiter) grow(runs, tokens bool) {
 	if runs {
-		if l.started {
-			l.runs += increasePerRound
-		} else {
+		switch {
+		case !l.started:
 			l.runs *= startFactor
+		case l.runs >= nearCut*l.lastCut && l.lastCut > 0:
+			l.runs += slowIncrease
+		default:
+			l.runs += increasePerRound
 		}
-		l.runs = min(l.runs, maxRuns)
+		l.runs = min(l.runs, l.ceiling())
 	}
 	if tokens {
 		if l.started {
--- a/internal/queuer/shares.go
+++ b/internal/queuer/shares.go
@@ -9,11 +9,13 @@
 	// rateTime is the averaging time of demand and service. It covers the output time of a typical short answer, so
 	// that single long requests do not look like a flood.
 	rateTime = 5 * time.Second
-	// floodFactor is the part of the measured service that the demand of a tier and all higher ones must reach before
-	// the tier counts as flooded. Below it, strict order can serve them all.
-	floodFactor = 0.9
+	// floodPart is the part of the service that a tier and those above it must have received before the tier counts as
+	// flooded. Below it, strict order can still give them more.
+	floodPart = 0.8
+	// floodDemand is the part of the service given that must have been asked for.
+	floodDemand = 0.9
 	// creditTime bounds how much service a tier can be owed or owe, in time of the whole pool's service.
-	creditTime = 10 * time.Second
+	creditTime = 5 * time.Second
 	// agedShare is the part of the service kept for tiers whose oldest request has waited for the ageing time.
 	agedShare = 0.02
 )
@@ -29,8 +31,9 @@
 }
 
 // Shares decide which tier is served next. As long as the demand of the higher tiers is within capacity, the order is
-// strict. A tier whose demand, together with that of the tiers above it, exceeds the service is flooded; it is then
-// served only while it has received no more than its share.
+// strict. A tier that, together with the tiers above it, receives nearly all service and still waits longer than its
+// target is flooded; from then on it is served only while it has received no more than its share, until its demand falls
+// below what the pool gave it before.
 type Shares struct {
 	tiers   []*shareState // by order
 	served  Rate
@@ -39,10 +42,14 @@
 
 type shareState struct {
 	TierShare
-	credit  float64
-	demand  Rate
-	oldest  time.Duration
-	backlog bool
+	credit   float64
+	demand   Rate // size of the requests that arrived
+	given    Rate // size of the requests that were granted
+	served   Rate // tokens of service
+	oldest   time.Duration
+	backlog  bool
+	flooded  bool
+	capacity float64 // size per second that this tier and those above it were given at the start of the flood
 }
 
 // NewShares returns shares of the given tiers, keeping the accounts of tiers that old already knows. Old may be nil.
@@ -57,7 +64,9 @@
 		}
 		state := &shareState{TierShare: t}
 		if o := old.state(t.Order); o != nil {
-			state.credit, state.demand = o.credit, o.demand
+			share := state.TierShare
+			*state = *o
+			state.TierShare = share
 		}
 		s.tiers = append(s.tiers, state)
 	}
@@ -91,8 +100,9 @@
 	}
 }
 
-// Serve books tokens of service granted to a tier. Tiers that wait earn their share of it.
-func (s *Shares) Serve(now time.Duration, order int, tokens float64) {
+// Serve books a request granted to a tier: its size, in the measure of Demand, and its tokens of service, which leave
+// out what a cached prefix saves. Tiers that wait earn their share of the service.
+func (s *Shares) Serve(now time.Duration, order int, size, tokens float64) {
 	s.served.Add(now, tokens)
 	limit := max(s.served.PerSecond(now)*creditTime.Seconds(), tokens)
 	sum := 0.0
@@ -108,6 +118,8 @@
 			}
 		}
 		if t.Order == order {
+			t.given.Add(now, size)
+			t.served.Add(now, tokens)
 			t.credit -= tokens
 			if t.AgeWait > 0 && t.oldest >= t.AgeWait {
 				s.agedDue -= tokens
@@ -122,25 +134,42 @@
 func (s *Shares) ServedPerSecond(now time.Duration) float64 { return s.served.PerSecond(now) }
 
 // Flooded reports whether a tier's demand exceeds what strict order can serve.
-func (s *Shares) Flooded(now time.Duration, order int) bool {
-	demand := 0.0
+func (s *Shares) Flooded(order int) bool {
+	t := s.state(order)
+	return t != nil && t.flooded
+}
+
+// detect updates which tiers are flooded.
+func (s *Shares) detect(now time.Duration) {
+	demand, given, served := 0.0, 0.0, 0.0
 	for _, t := range s.tiers {
 		demand += t.demand.PerSecond(now)
-		if t.Order == order {
-			return t.backlog && t.oldest >= t.FloodWait && demand >= floodFactor*s.served.PerSecond(now)
+		given += t.given.PerSecond(now)
+		served += t.served.PerSecond(now)
+		switch {
+		case !t.backlog || t.oldest < t.FloodWait/2:
+			t.flooded = false
+		case t.flooded:
+			t.capacity = max(t.capacity, given)
+			t.flooded = demand >= floodDemand*t.capacity
+		case t.oldest >= t.FloodWait && served >= floodPart*s.served.PerSecond(now) && demand >= floodDemand*given:
+			t.flooded, t.capacity = true, given
 		}
 	}
-	return false
 }
 
-// Order appends the tiers with waiting work to dst in the order in which they are to be tried.
+// Order appends the tiers with waiting work to dst in the order in which they are to be tried. From the first flooded
+// tier on, the shares count.
 func (s *Shares) Order(now time.Duration, dst []int) []int {
+	s.detect(now)
 	var behind []*shareState
+	flooded := false
 	for _, t := range s.tiers {
+		flooded = flooded || t.flooded
 		if !t.backlog {
 			continue
 		}
-		if t.credit < 0 && s.Flooded(now, t.Order) {
+		if t.credit < 0 && flooded {
 			behind = append(behind, t)
 			continue
 		}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -263,14 +263,15 @@
 // headroomOpen reports whether the most urgent work is flooded itself; headroom for it would then only keep the other
 // tiers from their shares.
 func (s *Scheduler) headroomOpen() bool {
-	return len(s.tiers) > 0 && s.tiers[0].urgent && s.shares.Flooded(s.now, s.tiers[0].Order)
+	return len(s.tiers) > 0 && s.tiers[0].urgent && s.shares.Flooded(s.tiers[0].Order)
 }
 
 // grant gives a request to an endpoint.
 func (s *Scheduler) grant(r *request, e *endpoint) {
-	uncached := 0
+	uncached, first := 0, time.Duration(0)
 	if !s.service() {
-		uncached = s.uncached(r, e)
+		c := s.candidate(r, e)
+		uncached, first = c.Uncached, c.FirstToken()
 	}
 	s.dequeue(r)
 	_, probe := e.avail.Part(s.now)
@@ -291,10 +292,11 @@
 		r.charged = 1
 	}
 	s.accounts.Charge(r.tier.Order, r.d.Workspace, r.d.Caller, r.charged)
-	s.shares.Serve(s.now, r.tier.Order, r.charged)
+	s.shares.Serve(s.now, r.tier.Order, float64(r.tokens), r.charged)
 	r.expiry = s.at(s.now+s.opts.GrantTTL+grantMargin, func() { s.expire(r) })
 	s.emit(Grant{Host: r.host, RequestID: r.id, Endpoint: e.Name, TTL: s.opts.GrantTTL})
-	reason := fmt.Sprintf("waited %dms, prefill %d of %d tokens", (s.now - r.arrived).Milliseconds(), uncached, r.d.PromptTokens)
+	reason := fmt.Sprintf("waited %dms, prefill %d of %d tokens, first token predicted in %dms",
+		(s.now - r.arrived).Milliseconds(), uncached, r.d.PromptTokens, first.Milliseconds())
 	switch {
 	case r.alone:
 		reason += ", alone"
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -21,6 +21,8 @@
 	maxReportAge = 15 * time.Second
 	// headroomRank sorts endpoints that have headroom only behind all others.
 	headroomRank = 1e6
+	// pendingRank weighs seconds of queued prompts against the used part of the bound.
+	pendingRank = 4
 	// nominalTokens is the size of request for which an endpoint counts as having room.
 	nominalTokens = 64
 	// stallTime without any progress, with runs in progress, is a sign of failure.
@@ -239,7 +241,7 @@
 		}
 		return
 	}
-	score := e.limit.Load(e.extra)/part + float64(e.pending)/e.speed.Prefill() + nominalTokens*e.speed.Gap().Seconds()
+	score := e.limit.Load(e.extra)/part + pendingRank*float64(e.pending)/e.speed.Prefill() + nominalTokens*e.speed.Gap().Seconds()
 	if !e.limit.Fits(nominalTokens, e.extra, part, false) {
 		score += headroomRank
 	}
@@ -355,6 +357,7 @@
 	if e == nil || l.Age > maxReportAge {
 		return
 	}
+	e.limit.ObserveQueue(l.Running, l.Waiting)
 	known, _ := e.limit.Used()
 	for _, at := range e.recentEnded {
 		if at >= s.now-l.Age-time.Second {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -158,9 +158,9 @@
 func (s *Scheduler) firstToken(e *endpoint, r *request) {
 	took := s.now - r.startedAt
 	r.firstAt = s.now
+	explained := time.Duration(float64(r.queued) / e.speed.Prefill() * float64(time.Second))
+	e.limit.ObserveFirstToken(s.now, took, explained)
 	e.speed.ObserveFirstToken(r.queued, took)
-	own := time.Duration(float64(r.uncached) / e.speed.Prefill() * float64(time.Second))
-	e.limit.ObserveFirstToken(s.now, took, own)
 	s.endPrefill(e, r)
 }
 
