scheduler: keep conversations at the endpoint that holds their prefix

A request with a long cached prefix now prefers its endpoint strongly, may use half of the headroom there, and waits up to 2 s for it when it is busy.

--- a/internal/ejector/outliers.go
+++ b/internal/ejector/outliers.go
@@ -10,7 +10,7 @@
 	// compared apart; within one, load explains a factor of two.
 	slowFactor = 2.5
 	// slowRounds is the number of consecutive reviews that must agree.
-	slowRounds = 3
+	slowRounds = 4
 	// minPeers is the number of measured peers without which nothing is judged.
 	minPeers = 3
 	// DefaultMaxShare bounds the ejected part of a pool. A third keeps two thirds of the capacity in the worst case.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -109,11 +109,9 @@
 func (l *Limiter) Bounds() (runs, tokens int) { return int(l.runs), int(l.tokens) }
 
 // Fits reports whether a run of the given tokens has room in a part of the bound. Extra runs are in use beyond those
-// booked. An idle endpoint has room for one run of any size.
-func (l *Limiter) Fits(tokens, extraRuns int, part float64, urgent bool) bool {
-	if !urgent {
-		part *= 1 - l.headroomShare
-	}
+// booked. Headroom is the part of the headroom that the run may use. An idle endpoint has room for one run of any size.
+func (l *Limiter) Fits(tokens, extraRuns int, part, headroom float64) bool {
+	part *= 1 - l.headroomShare*(1-headroom)
 	runs := l.usedRuns + extraRuns
 	if runs == 0 && part > 0 {
 		return true
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -28,6 +28,16 @@
 	probePenalty = 5.0
 	// suspectPart bounds the endpoints that are kept for suspect requests at a time.
 	suspectPart = 0.125
+	// affinityTokens is the length of a cached prefix from which a request is kept with its endpoint. Shorter ones, such
+	// as system prompts, are soon everywhere. Each further token missed counts as affinityCost seconds: without it,
+	// conversations move to whichever endpoint is fastest at the moment and are prefilled again and again.
+	affinityTokens = 512
+	affinityCost   = 0.01
+	// affinityHeadroom is the part of the headroom that a request with a long cached prefix may use at its endpoint.
+	affinityHeadroom = 0.5
+	// affinityWait bounds the wait for a busy endpoint with the prefix, and maxPins the requests that wait for one.
+	affinityWait = 2 * time.Second
+	maxPins      = 4
 	// longPart bounds the endpoints with a long prefill, so that the others answer short requests promptly.
 	longPart = 2.0 / 3
 )
@@ -40,6 +50,7 @@
 	noRoom
 	noPrefillRoom
 	noDistinct // its fingerprint runs already
+	noAffinity // it is worth waiting for the endpoint that holds its prefix
 )
 
 // dispatch grants waiting requests until no more fit.
@@ -48,6 +59,7 @@
 		return
 	}
 	s.dispatchSuspects()
+	s.dispatchPinned()
 	blocked := make(map[*lane]int) // tiers of this order and below are blocked
 	for s.dispatchOne(blocked) {
 	}
@@ -90,6 +102,8 @@
 		case noDistinct:
 			s.unassign(r)
 			r.held = true
+		case noAffinity:
+			s.pin(r, e)
 		default:
 			s.block(blocked, l, order, slices.Min(rest), why)
 		}
@@ -151,8 +165,9 @@
 			names = append(names, e.Name)
 		}
 	}
-	var best *endpoint
-	bestCost := 0.0
+	var found []option
+	var busy *endpoint // cannot take the request now, although it holds a long prefix
+	busyUncached := r.d.PromptTokens
 	why := noRoom
 	for _, name := range names {
 		e := s.endpoints[name]
@@ -163,19 +178,108 @@
 			why = max(why, noDistinct)
 			continue
 		}
-		cost, obstacle := s.examine(r, e)
+		o, obstacle := s.examine(r, e)
 		if obstacle != none {
 			why = max(why, obstacle)
+			if o.uncached < busyUncached && e.avail.Open(s.now) && e.eligible() {
+				busy, busyUncached = e, o.uncached
+			}
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		found = append(found, o)
+	}
+	if s.worthPin(r, busy, busyUncached, found) {
+		return busy, noAffinity
+	}
+	if len(found) == 0 {
+		return nil, why
+	}
+	return cheapest(found), none
+}
+
+// option is an endpoint that may take a request.
+type option struct {
+	endpoint *endpoint
+	cost     float64
+	uncached int
+}
+
+// cheapest returns the endpoint of the least cost, counting what it misses of the longest cached prefix.
+func cheapest(found []option) *endpoint {
+	least := found[0].uncached
+	for _, o := range found {
+		least = min(least, o.uncached)
+	}
+	var best option
+	for _, o := range found {
+		if missed := o.uncached - least; missed > affinityTokens {
+			o.cost += affinityCost * float64(missed)
+		}
+		if best.endpoint == nil || o.cost < best.cost {
+			best = o
+		}
+	}
+	return best.endpoint
+}
+
+// worthPin reports whether a request should wait for a busy endpoint that holds much more of its prompt than those with
+// room. Urgent work does not wait.
+func (s *Scheduler) worthPin(r *request, busy *endpoint, uncached int, found []option) bool {
+	if busy == nil || r.tier.urgent || r.unpinned || len(busy.pins) >= maxPins {
+		return false
+	}
+	least := r.d.PromptTokens
+	for _, o := range found {
+		least = min(least, o.uncached)
+	}
+	return least-uncached > affinityTokens
+}
+
+// pin lets a request wait for one endpoint, for a bounded time.
+func (s *Scheduler) pin(r *request, e *endpoint) {
+	s.unassign(r)
+	r.held, r.pinned, r.unpinned = true, e, true
+	e.pins = append(e.pins, r)
+	if len(e.pins) == 1 {
+		s.pinned = append(s.pinned, e)
+	}
+	r.expiry = s.at(s.now+affinityWait, func() {
+		r.expiry = nil
+		s.reassign(r)
+	})
+}
+
+// dispatchPinned grants requests to the endpoints for which they wait. They were next in order when they were pinned, so
+// only waiting urgent work goes first.
+func (s *Scheduler) dispatchPinned() {
+	for _, e := range slices.Clone(s.pinned) {
+		for _, r := range slices.Clone(e.pins) {
+			if s.tierClosed(r.tier.Order) || (s.tiers[0].urgent && s.tiers[0].waiting > 0 && !s.headroomOpen()) {
+				continue
+			}
+			if len(s.freshEndpoints(r)) > 0 {
+				continue
+			}
+			if _, obstacle := s.examine(r, e); obstacle == none {
+				s.grant(r, e)
+			}
 		}
 	}
-	if best != nil {
-		return best, none
+}
+
+// unpin ends the wait for one endpoint.
+func (s *Scheduler) unpin(r *request) {
+	e := r.pinned
+	if e == nil {
+		return
+	}
+	r.pinned = nil
+	s.stop(r.expiry)
+	r.expiry = nil
+	e.pins = slices.DeleteFunc(e.pins, func(o *request) bool { return o == r })
+	if len(e.pins) == 0 {
+		s.pinned = slices.DeleteFunc(s.pinned, func(o *endpoint) bool { return o == e })
 	}
-	return nil, why
 }
 
 // freshEndpoints returns the endpoints that run a fingerprint of which no run has finished yet.
@@ -190,44 +294,51 @@
 	return p.endpointsOf()
 }
 
-// examine returns the cost of an endpoint for a request, or what stands against it.
-func (s *Scheduler) examine(r *request, e *endpoint) (float64, obstacle) {
+// examine returns what an endpoint costs for a request, or what stands against it.
+func (s *Scheduler) examine(r *request, e *endpoint) (option, obstacle) {
+	o := option{endpoint: e}
 	urgent := r.tier.urgent
 	part, probe := s.part(e, urgent)
-	if part <= 0 || !e.limit.Fits(r.tokens, e.extra, part, urgent || s.headroomOpen()) {
-		return 0, noRoom
+	if !s.service() {
+		o.uncached = s.uncached(r, e)
+	}
+	headroom := 0.0
+	switch {
+	case urgent || s.headroomOpen():
+		headroom = 1
+	case r.d.PromptTokens-o.uncached >= affinityTokens:
+		headroom = affinityHeadroom
+	}
+	if part <= 0 || !e.limit.Fits(r.tokens, e.extra, part, headroom) {
+		return o, noRoom
 	}
 	if probe && (len(e.runs) > 0 || r.tokens > probeTokens) {
-		return 0, noRoom
+		return o, noRoom
+	}
+	if probe && urgent {
+		o.cost = probePenalty
 	}
 	if s.service() {
-		cost := e.limit.Load(e.extra)
-		if probe && urgent {
-			cost += probePenalty
-		}
-		return cost, none
+		o.cost += e.limit.Load(e.extra)
+		return o, none
 	}
-	c := s.candidate(r, e)
+	c := s.candidate(r, e, o.uncached)
 	prefill := time.Duration(float64(c.Uncached) / c.PrefillRate * float64(time.Second))
-	target := s.firstTokenTarget(r.tier)
-	if !s.prefillFits(r, e, c, prefill, target) {
-		return 0, noPrefillRoom
-	}
-	cost := placer.Cost(c, r.output, urgent)
-	if probe && urgent {
-		cost += probePenalty
+	if !s.prefillFits(r, e, c, prefill, s.firstTokenTarget(r.tier)) {
+		return o, noPrefillRoom
 	}
-	return cost, none
+	o.cost += placer.Cost(c, r.output, urgent)
+	return o, none
 }
 
-func (s *Scheduler) candidate(r *request, e *endpoint) placer.Candidate {
+func (s *Scheduler) candidate(r *request, e *endpoint, uncached int) placer.Candidate {
 	return placer.Candidate{
 		PendingPrefill: e.pending,
 		PrefillRate:    e.speed.Prefill(),
 		Gap:            e.speed.Gap(),
 		Load:           e.limit.Load(e.extra),
 		OtherZone:      e.Zone != r.d.Zone,
-		Uncached:       s.uncached(r, e),
+		Uncached:       uncached,
 	}
 }
 
@@ -270,8 +381,8 @@
 func (s *Scheduler) grant(r *request, e *endpoint) {
 	uncached, first := 0, time.Duration(0)
 	if !s.service() {
-		c := s.candidate(r, e)
-		uncached, first = c.Uncached, c.FirstToken()
+		uncached = s.uncached(r, e)
+		first = s.candidate(r, e, uncached).FirstToken()
 	}
 	s.dequeue(r)
 	_, probe := e.avail.Part(s.now)
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -44,11 +44,12 @@
 	classes    []*class
 
 	runs     map[*request]struct{}
-	pending  int    // prompt tokens dispatched and not yet processed
-	longs    int    // long prefills in progress
-	alone    bool   // kept for a suspect request
-	reserved *class // whose suspects the endpoint is being emptied for
-	extra    int    // runs beyond the scheduler's own account, from load reports
+	pending  int        // prompt tokens dispatched and not yet processed
+	pins     []*request // wait for this endpoint
+	longs    int        // long prefills in progress
+	alone    bool       // kept for a suspect request
+	reserved *class     // whose suspects the endpoint is being emptied for
+	extra    int        // runs beyond the scheduler's own account, from load reports
 
 	progressed  time.Duration
 	reviewed    [2]int // measurements at the last review
@@ -150,7 +151,7 @@
 		s.configureLimit(e, targets)
 	}
 	s.order = slices.DeleteFunc(s.order, func(e *endpoint) bool {
-		gone := !e.configured && len(e.runs) == 0
+		gone := !e.configured && len(e.runs) == 0 && len(e.pins) == 0
 		if gone {
 			if e.reserved != nil {
 				s.unreserve(e.reserved)
@@ -231,7 +232,7 @@
 func (s *Scheduler) rank(e *endpoint) {
 	s.wakeEndpoint(e)
 	part, probe := s.part(e, true)
-	room := part > 0 && e.limit.Fits(nominalTokens, e.extra, part, true)
+	room := part > 0 && e.limit.Fits(nominalTokens, e.extra, part, 1)
 	if probe && len(e.runs) > 0 {
 		room = false
 	}
@@ -242,7 +243,7 @@
 		return
 	}
 	score := e.limit.Load(e.extra)/part + pendingRank*float64(e.pending)/e.speed.Prefill() + nominalTokens*e.speed.Gap().Seconds()
-	if !e.limit.Fits(nominalTokens, e.extra, part, false) {
+	if !e.limit.Fits(nominalTokens, e.extra, part, 0) {
 		score += headroomRank
 	}
 	for _, c := range e.classes {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -43,7 +43,10 @@
 	entry  *queuer.Entry[*request]
 	age    *ranker.Node[*request]
 	handle *shedder.Handle
-	held   bool // left out of the lanes until a run of its fingerprint ends
+	held   bool // left out of the lanes until a run of its fingerprint ends or while pinned
+	pinned *endpoint
+	// unpinned requests have waited for an endpoint once.
+	unpinned bool
 
 	endpoint *endpoint
 	booked   int // tokens booked at the endpoint
@@ -201,6 +204,7 @@
 		r.lane.queue.Remove(r.entry)
 		r.entry = nil
 	}
+	s.unpin(r)
 	r.held = false
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -72,8 +72,9 @@
 	classes    []*class
 	classByKey map[classKey]*class
 	prefixes   *placer.Prefixes
-	longs      int // long prefills in progress
-	alone      int // endpoints reserved for suspects or running one
+	pinned     []*endpoint // with requests that wait for them
+	longs      int         // long prefills in progress
+	alone      int         // endpoints reserved for suspects or running one
 
 	accounts   *queuer.Accounts
 	shares     *queuer.Shares
