--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -217,9 +217,6 @@
 	if f.OutputTokens > 0 {
 		s.lengths.Observe(f.OutputTokens, r.lengthKeys()...)
 	}
-	if r.seen == 0 && f.OutputTokens > 0 {
-		s.firstToken(e, r)
-	}
 	e.progressed = s.now
 	s.quarantine.Finished(s.now, r.d.Fingerprint)
 	s.proveAlive(e, r)
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// askInterval is the time between repeated requests for a permit to shed.
@@ -127,5 +130,6 @@
 		return maxRetry
 	}
 	seconds := float64(s.wanted) / rate
-	return min(max(time.Duration(seconds*float64(time.Second)), minRetry), maxRetry)
+	// Whole seconds suffice for advice and keep log lines equal in replays on other platforms.
+	return min(max(time.Duration(math.Ceil(seconds))*time.Second, minRetry), maxRetry)
 }
