--- a/internal/estimator/length.go
+++ b/internal/estimator/length.go
@@ -17,10 +17,9 @@
 	maxLengthKeys = 20_000
 )
 
-// Lengths predict output lengths by quantile. A key names a source such as a workspace and kind; the empty key is the
+// Lengths predict output lengths by quantile of what was observed. A key names a source such as a workspace and kind; the empty key is the
 // source that stands in while a key has too few observations.
 type Lengths struct {
-	quantile  float64
 	histogram map[string]*histogram
 }
 
@@ -29,10 +28,8 @@
 	total  float64
 }
 
-// NewLengths returns a predictor of the given quantile in (0, 1).
-func NewLengths(quantile float64) *Lengths {
-	return &Lengths{quantile: quantile, histogram: make(map[string]*histogram)}
-}
+// NewLengths returns a predictor without observations.
+func NewLengths() *Lengths { return &Lengths{histogram: make(map[string]*histogram)} }
 
 // Observe records the output length of a finished run for each of the keys.
 func (l *Lengths) Observe(tokens int, keys ...string) {
@@ -49,13 +46,13 @@
 	}
 }
 
-// Predict returns the output length to book: the quantile of the first key with enough observations, capped by limit
-// when limit is positive.
-func (l *Lengths) Predict(limit int, keys ...string) int {
+// Predict returns a quantile of the output length, from the first key with enough observations, capped by limit when
+// limit is positive.
+func (l *Lengths) Predict(quantile float64, limit int, keys ...string) int {
 	n := defaultOutputTokens
 	for _, k := range keys {
 		if h := l.histogram[k]; h != nil && h.total >= minLengthSamples {
-			n = h.at(l.quantile)
+			n = h.at(quantile)
 			break
 		}
 	}
--- a/internal/estimator/speed.go
+++ b/internal/estimator/speed.go
@@ -23,6 +23,8 @@
 	gap             float64 // seconds between tokens under the recent load
 	prefillSamples  int
 	gapSamples      int
+	bestPrefill     float64 // least seconds per prompt token since the last call of Best
+	bestGap         float64
 }
 
 // NewSpeed returns the speed of an endpoint about which nothing is known.
@@ -37,6 +39,7 @@
 		return
 	}
 	s.prefillSamples++
+	s.bestPrefill = least(s.bestPrefill, took.Seconds()/float64(queued))
 	s.tokens += float64(queued)
 	s.seconds += max((took - s.Gap()).Seconds(), took.Seconds()/2)
 	if s.tokens > prefillMemory {
@@ -51,6 +54,7 @@
 		return
 	}
 	s.gapSamples++
+	s.bestGap = least(s.bestGap, took.Seconds()/float64(tokens))
 	s.gap += max(gapGain, 1/float64(s.gapSamples)) * (took.Seconds()/float64(tokens) - s.gap)
 }
 
@@ -62,3 +66,18 @@
 
 // Samples returns the number of measurements of prefill and gap.
 func (s *Speed) Samples() (prefill, gap int) { return s.prefillSamples, s.gapSamples }
+
+// Best returns the least seconds per prompt token and between tokens since the last call, and zero for what was not
+// measured. A healthy endpoint with a queue has quick moments, which a slow one has not.
+func (s *Speed) Best() (prefill, gap float64) {
+	prefill, gap = s.bestPrefill, s.bestGap
+	s.bestPrefill, s.bestGap = 0, 0
+	return prefill, gap
+}
+
+func least(a, b float64) float64 {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,7 +1,10 @@
 // Package limiter bounds the work in flight at an endpoint and the requests of a workspace.
 package limiter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	startRuns   = 8
@@ -15,12 +18,14 @@
 	// startFactor multiplies the bounds instead until the first cut, so that the start can be conservative.
 	startFactor = 1.3
 	cutFactor   = 0.8
+	// overrunFactor times the bound in use means that runs are left over from before a cut.
+	overrunFactor = 1.1
 	// nearCut is the part of the bound before the last cut from which growth slows to slowIncrease, so that the bound
 	// stays below the level that was too high for most of the time.
 	nearCut      = 0.85
 	slowIncrease = 0.2
 	// minFullReports is the number of reports that show a full batch.
-	minFullReports = 3
+	minFullReports = 2
 	// growBelow and cutAbove are parts of the target. The space between them keeps the bound from swinging, and the
 	// distance to 1 leaves room for the deviation between the mean and the 95th percentile.
 	growBelow = 0.75
@@ -55,6 +60,7 @@
 	gaps          int
 	firsts, late  int
 	usedRuns      int
+	urgentRuns    int
 	usedTokens    int
 	peakRuns      int
 	peakTokens    int
@@ -83,7 +89,10 @@
 }
 
 // Take books one run of the given tokens.
-func (l *Limiter) Take(tokens int) {
+func (l *Limiter) Take(tokens int, urgent bool) {
+	if urgent {
+		l.urgentRuns++
+	}
 	l.usedRuns++
 	l.usedTokens += tokens
 	l.peakRuns = max(l.peakRuns, l.usedRuns)
@@ -97,7 +106,10 @@
 }
 
 // Give returns what Take booked.
-func (l *Limiter) Give(tokens int) {
+func (l *Limiter) Give(tokens int, urgent bool) {
+	if urgent {
+		l.urgentRuns--
+	}
 	l.usedRuns--
 	l.usedTokens -= tokens
 }
@@ -111,16 +123,27 @@
 // Fits reports whether a run of the given tokens has room in a part of the bound. Extra runs are in use beyond those
 // booked. Headroom is the part of the headroom that the run may use. An idle endpoint has room for one run of any size.
 func (l *Limiter) Fits(tokens, extraRuns int, part, headroom float64) bool {
-	part *= 1 - l.headroomShare*(1-headroom)
 	runs := l.usedRuns + extraRuns
 	if runs == 0 && part > 0 {
 		return true
 	}
-	if float64(runs+1) > l.runs*part {
+	share := part * (1 - l.headroomShare*(1-headroom))
+	booked := float64(l.usedTokens) + float64(extraRuns*l.meanTokens())
+	if float64(runs+1) <= l.runs*share && booked+min(float64(tokens), l.tokens/smallestShare) <= l.tokens*share {
+		return true
+	}
+	return headroom == 1 && part == 1 && l.overrun(extraRuns)
+}
+
+// overrun reports whether one more urgent run fits beside other work that has overrun a bound after a cut. The other work
+// drains slowly; urgent work does not wait for that, but keeps to the headroom that it would have beside it.
+func (l *Limiter) overrun(extraRuns int) bool {
+	others := float64(l.usedRuns - l.urgentRuns + extraRuns)
+	if others <= l.runs*(1-l.headroomShare) && float64(l.usedTokens) <= l.tokens*(1-l.headroomShare) {
 		return false
 	}
-	booked := float64(l.usedTokens) + float64(extraRuns*l.meanTokens())
-	return booked+min(float64(tokens), l.tokens/smallestShare) <= l.tokens*part
+	return float64(l.urgentRuns+1) <= others*l.headroomShare/(1-l.headroomShare) &&
+		float64(l.usedRuns+extraRuns+1) <= l.ceiling()
 }
 
 func (l *Limiter) meanTokens() int {
@@ -186,18 +209,21 @@
 	}
 	slow := l.late >= 2 && float64(l.late) > maxLate*float64(l.firsts)
 	fast := !slow && l.late <= 1
+	mean := 0.0
 	if l.gaps > 0 && l.targets.Gap > 0 {
-		mean := float64(l.gapSum) / float64(l.gaps) / float64(l.targets.Gap)
+		mean = float64(l.gapSum) / float64(l.gaps) / float64(l.targets.Gap)
 		slow = slow || mean > cutAbove
 		fast = fast && mean < growBelow
 	}
+	// Work that has overrun the bound is still draining after an earlier cut; what it causes says nothing of the bound.
+	slow = slow && float64(l.usedRuns) <= l.runs*overrunFactor
 	busyRuns := float64(l.peakRuns) >= busyPart*l.runs*(1-l.headroomShare)
 	busyTokens := float64(l.peakTokens) >= busyPart*l.tokens*(1-l.headroomShare)
 	switch {
 	case slow:
 		l.cut()
 	case fast && (busyRuns || busyTokens):
-		l.grow(busyRuns, busyTokens)
+		l.grow(mean, busyRuns, busyTokens)
 	}
 	l.changed, l.gapSum, l.gaps, l.firsts, l.late = now, 0, 0, 0, 0
 	l.peakRuns, l.peakTokens = l.usedRuns, l.usedTokens
@@ -211,11 +237,17 @@
 	l.tokens = max(minTokens, min(l.tokens, max(float64(l.peakTokens), startTokens))*cutFactor)
 }
 
-func (l *Limiter) grow(runs, tokens bool) {
+// grow raises the bounds that were in use. Gap is the part of the target that was measured: the gap grows more slowly than
+// the runs do, so runs divided by it never lead far beyond the target.
+func (l *Limiter) grow(gap float64, runs, tokens bool) {
+	factor := startFactor
+	if gap > 0 {
+		factor = min(factor, max(math.Sqrt(cutAbove/gap), 1))
+	}
 	if runs {
 		switch {
 		case !l.started:
-			l.runs *= startFactor
+			l.runs *= factor
 		case l.runs >= nearCut*l.lastCut && l.lastCut > 0:
 			l.runs += slowIncrease
 		default:
@@ -227,7 +259,7 @@
 		if l.started {
 			l.tokens += max(increasePerRound*float64(l.meanTokens()), 512)
 		} else {
-			l.tokens *= startFactor
+			l.tokens *= factor
 		}
 		l.tokens = min(l.tokens, maxTokens)
 	}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -38,6 +38,9 @@
 	// affinityWait bounds the wait for a busy endpoint with the prefix, and maxPins the requests that wait for one.
 	affinityWait = 2 * time.Second
 	maxPins      = 4
+	// onTimePart of the first-token target may pass until the predicted first token of a request that counts as in time,
+	// and minOnTimePart may pass in any case.
+	onTimePart, minOnTimePart = 0.9, 0.15
 	// longPart bounds the endpoints with a long prefill, so that the others answer short requests promptly.
 	longPart = 2.0 / 3
 )
@@ -74,7 +77,7 @@
 		}
 		s.shares.Backlog(t.Order, t.waiting > 0 && !s.tierClosed(t.Order), oldest)
 	}
-	if aged, ok := s.shares.Aged(); ok && s.dispatchTier(aged, []int{aged}, map[*lane]int{}) {
+	if aged, ok := s.shares.Aged(); ok && s.dispatchOldest(aged) {
 		return true
 	}
 	tried := s.shares.Order(s.now, nil)
@@ -83,6 +86,39 @@
 			return true
 		}
 	}
+	return s.dispatchHopeless(tried, blocked)
+}
+
+// dispatchOldest grants the oldest request of a tier, whatever its lane.
+func (s *Scheduler) dispatchOldest(order int) bool {
+	for _, t := range s.tiers {
+		n := t.ages.Min()
+		if t.Order != order || n == nil || n.Value.held || n.Value.lane.kind == suspectLane {
+			continue
+		}
+		if e, why := s.place(n.Value); why == none {
+			s.grant(n.Value, e)
+			return true
+		}
+	}
+	return false
+}
+
+// dispatchHopeless grants a request whose caller will probably give up first, when nothing else waits.
+func (s *Scheduler) dispatchHopeless(tried []int, blocked map[*lane]int) bool {
+	if len(blocked) > 0 {
+		return false
+	}
+	for _, order := range tried {
+		if l, r := s.head(order, blocked, hopelessLane); r != nil {
+			e, why := s.place(r)
+			if why == none {
+				s.grant(r, e)
+				return true
+			}
+			blocked[l] = order
+		}
+	}
 	return false
 }
 
@@ -90,10 +126,17 @@
 // those that come later in the order.
 func (s *Scheduler) dispatchTier(order int, rest []int, blocked map[*lane]int) bool {
 	for {
-		l, r := s.head(order, blocked)
+		l, r := s.head(order, blocked, shortLane, longLane)
+		if r == nil && !s.waits(order, shortLane, longLane) {
+			l, r = s.head(order, blocked, lateLane)
+		}
 		if r == nil {
 			return false
 		}
+		if kind := s.timeliness(r); kind > l.kind && kind != l.kind && kind >= lateLane {
+			s.reassign(r)
+			continue
+		}
 		e, why := s.place(r)
 		switch why {
 		case none:
@@ -114,7 +157,7 @@
 // tiers that come later in it are blocked too, up to the order first. A request that only waits for other prefills lets
 // the other lane pass, except in a flood.
 func (s *Scheduler) block(blocked map[*lane]int, l *lane, order, first int, why obstacle) {
-	for _, other := range []*lane{l.class.lanes[shortLane], l.class.lanes[longLane]} {
+	for _, other := range []*lane{l.class.lanes[shortLane], l.class.lanes[longLane], l.class.lanes[lateLane]} {
 		if other != l && why == noPrefillRoom && first == order {
 			continue
 		}
@@ -124,13 +167,19 @@
 	}
 }
 
-// head returns the next request of a tier over all lanes that are not blocked.
-func (s *Scheduler) head(order int, blocked map[*lane]int) (*lane, *request) {
+// waits reports whether a tier has work in lanes of the given kinds.
+func (s *Scheduler) waits(order int, kinds ...laneKind) bool {
+	_, r := s.head(order, nil, kinds...)
+	return r != nil
+}
+
+// head returns the next request of a tier over all lanes of the given kinds that are not blocked.
+func (s *Scheduler) head(order int, blocked map[*lane]int, kinds ...laneKind) (*lane, *request) {
 	var best *lane
 	var next *request
 	least := 0.0
 	for _, c := range s.classes {
-		for _, k := range []laneKind{shortLane, longLane} {
+		for _, k := range kinds {
 			l := c.lanes[k]
 			if at, ok := blocked[l]; ok && order >= at {
 				continue
@@ -144,10 +193,9 @@
 	return best, next
 }
 
-func (s *Scheduler) firstTokenTarget(t *tier) time.Duration {
-	if t.urgent {
-		return time.Duration(t.FirstTokenTargetMS) * time.Millisecond
-	}
+// promptTarget is the strictest first-token target. It bounds the prompts queued at an endpoint for all tiers, since they
+// delay the first tokens of every request that comes after them.
+func (s *Scheduler) promptTarget() time.Duration {
 	if d := s.targets().FirstToken; d > 0 {
 		return d
 	}
@@ -324,7 +372,7 @@
 	}
 	c := s.candidate(r, e, o.uncached)
 	prefill := time.Duration(float64(c.Uncached) / c.PrefillRate * float64(time.Second))
-	if !s.prefillFits(r, e, c, prefill, s.firstTokenTarget(r.tier)) {
+	if !s.prefillFits(r, e, c, prefill, s.promptTarget()) {
 		return o, noPrefillRoom
 	}
 	o.cost += placer.Cost(c, r.output, urgent)
@@ -392,7 +440,7 @@
 	r.state, r.reported = granted, false
 	prefill := time.Duration(float64(uncached) / e.speed.Prefill() * float64(time.Second))
 	s.occupy(r, e, uncached)
-	if !s.service() && float64(prefill) > longPrefill*float64(s.firstTokenTarget(r.tier)) {
+	if !s.service() && float64(prefill) > longPrefill*float64(s.promptTarget()) {
 		r.long = true
 		e.longs++
 		s.longs++
@@ -531,14 +579,7 @@
 // measure returns the slowness since the last review.
 func (e *endpoint) measure(now time.Duration) ejector.Measure {
 	m := ejector.Measure{Endpoint: e.Name, Group: e.Hardware, Slowness: make([]float64, 2), Out: e.avail.Ejected(now)}
-	prefill, gap := e.speed.Samples()
-	if prefill > e.reviewed[0] {
-		m.Slowness[0] = 1 / e.speed.Prefill()
-	}
-	if gap > e.reviewed[1] {
-		m.Slowness[1] = e.speed.Gap().Seconds()
-	}
-	e.reviewed = [2]int{prefill, gap}
+	m.Slowness[0], m.Slowness[1] = e.speed.Best()
 	return m
 }
 
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -52,7 +52,6 @@
 	extra    int        // runs beyond the scheduler's own account, from load reports
 
 	progressed  time.Duration
-	reviewed    [2]int // measurements at the last review
 	recentEnded []time.Duration
 }
 
@@ -73,6 +72,12 @@
 	shortLane laneKind = iota
 	// longLane keeps prompts that wait for a place among the long prefills from blocking short ones.
 	longLane
+	// lateLane holds requests that have missed their first-token target. They go after those that can meet it:
+	// in an overload, serving the oldest first would make all of them late.
+	lateLane
+	// hopelessLane holds requests whose caller will give up before the answer ends. They run only when nothing else
+	// waits, since their prefill would be wasted.
+	hopelessLane
 	suspectLane
 	laneKinds
 )
@@ -183,7 +188,7 @@
 	if !e.limit.SetFixed(n) {
 		fixed := limiter.NewFixed(n, headroom)
 		for _, r := range sorted(e.runs) {
-			fixed.Take(r.booked)
+			fixed.Take(r.booked, r.urgent)
 		}
 		e.limit = fixed
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -36,8 +36,11 @@
 	state   state
 	arrived time.Duration
 	output  int // predicted output tokens
-	tokens  int // prompt and predicted output
-	wanted  int // tokens counted as waiting
+	longest int // output tokens that are rarely exceeded
+	// deadline is when the caller gives up; 0 means never.
+	deadline time.Duration
+	tokens   int // prompt and predicted output
+	wanted   int // tokens counted as waiting
 
 	lane   *lane
 	entry  *queuer.Entry[*request]
@@ -49,7 +52,8 @@
 	unpinned bool
 
 	endpoint *endpoint
-	booked   int // tokens booked at the endpoint
+	booked   int  // tokens booked at the endpoint
+	urgent   bool // booked as urgent
 	uncached int
 	long     bool // counts as a long prefill at the endpoint
 	queued   int  // prompt tokens queued at the endpoint when it started
@@ -125,7 +129,11 @@
 
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
-	return &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	r := &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	if d.Remaining > 0 {
+		r.deadline = s.now + d.Remaining
+	}
+	return r
 }
 
 // submit admits a new request.
@@ -182,22 +190,44 @@
 		s.refuse(r, RefuseQuarantine, retry)
 		return false
 	}
-	r.lane = c.lanes[shortLane]
+	kind := s.timeliness(r)
 	switch {
 	case verdict == quarantiner.Suspect:
-		r.lane = c.lanes[suspectLane]
-	case r.d.PromptTokens >= longPrompt:
-		r.lane = c.lanes[longLane]
+		kind = suspectLane
+	case kind == shortLane && r.d.PromptTokens >= longPrompt:
+		kind = longLane
 	}
-	deadline := r.arrived + defaultDeadline
-	if r.d.Remaining > 0 {
-		deadline = r.arrived + max(r.d.Waited, 0) + r.d.Remaining
+	r.lane = c.lanes[kind]
+	deadline := r.deadline
+	if deadline == 0 {
+		deadline = r.arrived + defaultDeadline
 	}
 	place := queuer.Place{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.entry = r.lane.queue.Push(place, deadline, r.seq, r)
 	return true
 }
 
+// timeliness returns the lane by what the request can still achieve.
+func (s *Scheduler) timeliness(r *request) laneKind {
+	if s.service() {
+		return shortLane
+	}
+	if r.deadline > 0 {
+		need := r.tier.firstTook + float64(r.longest)*s.gap
+		if (r.deadline - s.now).Seconds() < need {
+			return hopelessLane
+		}
+	}
+	if r.tier.FirstTokenTargetMS > 0 {
+		target := float64(r.tier.FirstTokenTargetMS) / 1000
+		// A part of the target always counts as in time, so that slow first tokens do not make all work late.
+		if (s.now - r.arrived).Seconds() > max(onTimePart*target-r.tier.firstTook, minOnTimePart*target) {
+			return lateLane
+		}
+	}
+	return shortLane
+}
+
 // unassign takes a waiting request out of its lane.
 func (s *Scheduler) unassign(r *request) {
 	if r.entry != nil {
@@ -254,7 +284,7 @@
 		return
 	}
 	r.endpoint = nil
-	e.limit.Give(r.booked)
+	e.limit.Give(r.booked, r.urgent)
 	delete(e.runs, r)
 	s.endPrefill(e, r)
 	if r.alone {
@@ -295,7 +325,8 @@
 // occupy books a request at an endpoint.
 func (s *Scheduler) occupy(r *request, e *endpoint, uncached int) {
 	r.endpoint, r.booked, r.uncached = e, r.tokens, uncached
-	e.limit.Take(r.booked)
+	r.urgent = r.tier != nil && r.tier.urgent
+	e.limit.Take(r.booked, r.urgent)
 	e.runs[r] = struct{}{}
 	e.pending += uncached
 	if r.tier != nil {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -39,8 +39,9 @@
 		r.output, r.tokens = 0, 1
 		return
 	}
-	r.output = s.lengths.Predict(r.d.MaxOutputTokens, r.lengthKeys()...)
+	r.output = s.lengths.Predict(lengthQuantile, r.d.MaxOutputTokens, r.lengthKeys()...)
 	r.tokens = max(r.d.PromptTokens, 1) + r.output
+	r.longest = s.lengths.Predict(longQuantile, r.d.MaxOutputTokens, r.lengthKeys()...)
 }
 
 // lengthKeys name the sources of the output length, the most specific first. The tier stands in for the kind of work,
@@ -143,6 +144,7 @@
 		s.firstToken(e, r)
 	} else if took := s.now - r.progressed; tokens > 0 && took > 0 {
 		e.speed.ObserveGap(tokens, took)
+		s.gap += poolGain * (took.Seconds()/float64(tokens) - s.gap)
 		e.limit.ObserveGap(s.now, took/time.Duration(tokens))
 	}
 	if tokens <= 0 {
@@ -161,6 +163,9 @@
 	explained := time.Duration(float64(r.queued) / e.speed.Prefill() * float64(time.Second))
 	e.limit.ObserveFirstToken(s.now, took, explained)
 	e.speed.ObserveFirstToken(r.queued, took)
+	if r.tier != nil {
+		r.tier.firstTook += poolGain * (took.Seconds() - r.tier.firstTook)
+	}
 	s.endPrefill(e, r)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,7 +21,11 @@
 	// that is under way when the entry host's own deadline passes.
 	grantMargin = 250 * time.Millisecond
 	// lengthQuantile books enough for two answers in three; longer ones are booked again while they run.
-	lengthQuantile    = 0.65
+	lengthQuantile = 0.65
+	// longQuantile of the output must be possible in the time that a caller has left.
+	longQuantile = 0.8
+	// poolGain weighs one measurement in the averages over the pool.
+	poolGain          = 0.02
 	defaultQuarantine = 10 * time.Minute
 	defaultMaxWaiting = 50_000
 	// sweepInterval is the time between removals of accounts that are no longer in use.
@@ -81,6 +85,7 @@
 	workspaces map[string]*limiter.Workspace
 	weights    map[string]float64
 	lengths    *estimator.Lengths
+	gap        float64 // seconds between tokens, over the pool
 	book       *shedder.Book[*request]
 	quarantine *quarantiner.Quarantine
 	outliers   *ejector.Outliers
@@ -117,7 +122,7 @@
 		shares:     queuer.NewShares(nil, nil),
 		workspaces: make(map[string]*limiter.Workspace),
 		weights:    make(map[string]float64),
-		lengths:    estimator.NewLengths(lengthQuantile),
+		lengths:    estimator.NewLengths(),
 		book:       shedder.NewBook[*request](),
 		quarantine: quarantiner.New(defaultQuarantine),
 		outliers:   ejector.NewOutliers(),
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -18,18 +18,23 @@
 	ageWait = 20 * time.Second
 	// defaultGapTarget applies when no tier has one.
 	defaultGapTarget = 46 * time.Millisecond
-	// headroom is the part of each endpoint's bound that only tiers with a first-token target may use.
+	// headroom is the part of each endpoint's bound that only urgent tiers may use.
 	headroom          = 0.15
 	defaultConcurrent = 8
+	// urgentSpan times the strictest first-token target makes a tier urgent. Headroom shared with patient tiers would not
+	// be there when the strictest tier needs it.
+	urgentSpan = 1.5
 )
 
 // tier is a configured tier with its waiting and running requests.
 type tier struct {
 	configurer.Tier
-	urgent  bool // has a first-token target
-	waiting int
-	active  int // granted or running
-	ages    *ranker.Heap[*request]
+	urgent bool // its first-token target is about the strictest of all
+	// firstTook is the mean time from dispatch to first token, in seconds.
+	firstTook float64
+	waiting   int
+	active    int // granted or running
+	ages      *ranker.Heap[*request]
 }
 
 func lessAge(a, b *request) bool {
@@ -70,16 +75,23 @@
 	s.tiers, s.byTier = nil, make(map[string]*tier)
 	var shares []queuer.TierShare
 	for _, t := range tiers {
-		n := &tier{Tier: t, urgent: t.FirstTokenTargetMS > 0, ages: ranker.New(lessAge)}
+		n := &tier{Tier: t, ages: ranker.New(lessAge)}
+		if o := old[t.Name]; o != nil {
+			n.firstTook = o.firstTook
+		}
 		s.tiers = append(s.tiers, n)
 		s.byTier[t.Name] = n
 		wait := defaultFloodWait
-		if n.urgent {
+		if t.FirstTokenTargetMS > 0 {
 			wait = time.Duration(t.FirstTokenTargetMS) * time.Millisecond
 		}
 		shares = append(shares, queuer.TierShare{Order: t.Order, Share: t.Share, FloodWait: wait, AgeWait: ageWait})
 	}
 	slices.SortStableFunc(s.tiers, func(a, b *tier) int { return cmp.Compare(a.Order, b.Order) })
+	strictest := s.targets().FirstToken.Milliseconds()
+	for _, t := range s.tiers {
+		t.urgent = t.FirstTokenTargetMS > 0 && float64(t.FirstTokenTargetMS) <= urgentSpan*float64(strictest)
+	}
 	s.shares = queuer.NewShares(shares, s.shares)
 	for _, r := range s.sortedRequests(func(r *request) bool { return r.endpoint != nil }) {
 		if r.tier = s.tierOf(r.d.Tier); r.tier != nil {
