--- a/internal/ejector/availability.go
+++ b/internal/ejector/availability.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// Proving returns how long the endpoint could have proved itself; it is meaningful while Part asks for a probe.
+func (a *Availability) Proving(now time.Duration) time.Duration { return now - a.until }
+
 // Open reports whether the endpoint is in full use.
 func (a *Availability) Open(now time.Duration) bool {
 	part, probe := a.Part(now)
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -26,6 +26,8 @@
 	// probeTokens bounds the request that proves an endpoint, and probePenalty keeps urgent work away from it.
 	probeTokens  = 2048
 	probePenalty = 5.0
+	// probePatience is how long an endpoint waits for a small request before any request may prove it.
+	probePatience = 3 * time.Second
 	// suspectPart bounds the endpoints that are kept for suspect requests at a time.
 	suspectPart = 0.125
 	// affinityTokens is the length of a cached prefix from which a request is kept with its endpoint. Shorter ones, such
@@ -38,6 +40,10 @@
 	// affinityWait bounds the wait for a busy endpoint with the prefix, and maxPins the requests that wait for one.
 	affinityWait = 2 * time.Second
 	maxPins      = 4
+	// oldestTried bounds the oldest requests that one aged decision examines.
+	oldestTried = 8
+	// freshWait is the wait below which a request runs even if its caller is predicted to give up first.
+	freshWait = 100 * time.Millisecond
 	// onTimePart of the first-token target may pass until the predicted first token of a request that counts as in time,
 	// and minOnTimePart may pass in any case.
 	onTimePart, minOnTimePart = 0.9, 0.15
@@ -49,7 +55,8 @@
 type obstacle int
 
 const (
-	none obstacle = iota
+	none    obstacle = iota
+	noProbe          // too large to prove an endpoint
 	noRoom
 	noPrefillRoom
 	noDistinct // its fingerprint runs already
@@ -92,13 +99,18 @@
 // dispatchOldest grants the oldest request of a tier, whatever its lane.
 func (s *Scheduler) dispatchOldest(order int) bool {
 	for _, t := range s.tiers {
-		n := t.ages.Min()
-		if t.Order != order || n == nil || n.Value.held || n.Value.lane.kind == suspectLane {
+		if t.Order != order {
 			continue
 		}
-		if e, why := s.place(n.Value); why == none {
-			s.grant(n.Value, e)
-			return true
+		for _, r := range t.ages.Least(nil, oldestTried) {
+			if r.held || r.lane.kind == suspectLane {
+				continue
+			}
+			if e, why := s.place(r); why == none {
+				s.grant(r, e)
+				return true
+			}
+			return false
 		}
 	}
 	return false
@@ -110,7 +122,17 @@
 		return false
 	}
 	for _, order := range tried {
-		if l, r := s.head(order, blocked, hopelessLane); r != nil {
+		for {
+			l, r := s.head(order, blocked, hopelessLane)
+			if r == nil {
+				break
+			}
+			if s.now-r.arrived > freshWait && !s.canFinish(r, r.output, 1) {
+				// Its caller gives up before the answer ends; only a new request is tried on a prediction.
+				s.unassign(r)
+				r.held = true
+				continue
+			}
 			e, why := s.place(r)
 			if why == none {
 				s.grant(r, e)
@@ -125,9 +147,10 @@
 // dispatchTier grants one request of a tier. Lanes in which its next request has no room are blocked for this tier and
 // those that come later in the order.
 func (s *Scheduler) dispatchTier(order int, rest []int, blocked map[*lane]int) bool {
+	var unproven map[*lane]int // lanes whose next request is too large for the endpoints that have room
 	for {
 		l, r := s.head(order, blocked, shortLane, longLane)
-		if r == nil && !s.waits(order, shortLane, longLane) {
+		if r == nil && !s.waits(order, unproven, shortLane, longLane) {
 			l, r = s.head(order, blocked, lateLane)
 		}
 		if r == nil {
@@ -147,6 +170,11 @@
 			r.held = true
 		case noAffinity:
 			s.pin(r, e)
+		case noProbe:
+			if unproven == nil {
+				unproven = make(map[*lane]int)
+			}
+			unproven[l], blocked[l] = order, order
 		default:
 			s.block(blocked, l, order, slices.Min(rest), why)
 		}
@@ -167,9 +195,9 @@
 	}
 }
 
-// waits reports whether a tier has work in lanes of the given kinds.
-func (s *Scheduler) waits(order int, kinds ...laneKind) bool {
-	_, r := s.head(order, nil, kinds...)
+// waits reports whether a tier has work in lanes of the given kinds, apart from some lanes.
+func (s *Scheduler) waits(order int, apart map[*lane]int, kinds ...laneKind) bool {
+	_, r := s.head(order, apart, kinds...)
 	return r != nil
 }
 
@@ -216,7 +244,7 @@
 	var found []option
 	var busy *endpoint // cannot take the request now, although it holds a long prefix
 	busyUncached := r.d.PromptTokens
-	why := noRoom
+	why := none
 	for _, name := range names {
 		e := s.endpoints[name]
 		if e == nil || !slices.Contains(e.classes, c) {
@@ -239,10 +267,13 @@
 	if s.worthPin(r, busy, busyUncached, found) {
 		return busy, noAffinity
 	}
-	if len(found) == 0 {
-		return nil, why
+	switch {
+	case len(found) > 0:
+		return cheapest(found), none
+	case why == none:
+		return nil, noRoom
 	}
-	return cheapest(found), none
+	return nil, why
 }
 
 // option is an endpoint that may take a request.
@@ -360,9 +391,12 @@
 	if part <= 0 || !e.limit.Fits(r.tokens, e.extra, part, headroom) {
 		return o, noRoom
 	}
-	if probe && (len(e.runs) > 0 || r.tokens > probeTokens) {
+	if probe && len(e.runs) > 0 {
 		return o, noRoom
 	}
+	if probe && r.tokens > probeTokens && e.avail.Proving(s.now) < probePatience {
+		return o, noProbe
+	}
 	if probe && urgent {
 		o.cost = probePenalty
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -21,6 +21,9 @@
 	running
 )
 
+// finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
+const finishMargin = 1.3
+
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -213,8 +216,7 @@
 		return shortLane
 	}
 	if r.deadline > 0 {
-		need := r.tier.firstTook + float64(r.longest)*s.gap
-		if (r.deadline - s.now).Seconds() < need {
+		if !s.canFinish(r, r.longest, finishMargin) {
 			return hopelessLane
 		}
 	}
@@ -228,6 +230,12 @@
 	return shortLane
 }
 
+// canFinish reports whether an answer of the given length would end before its caller gives up.
+func (s *Scheduler) canFinish(r *request, output int, margin float64) bool {
+	need := r.tier.firstTook + float64(output)*s.gap
+	return r.deadline == 0 || (r.deadline-s.now).Seconds() >= margin*need
+}
+
 // unassign takes a waiting request out of its lane.
 func (s *Scheduler) unassign(r *request) {
 	if r.entry != nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -23,7 +23,7 @@
 	// lengthQuantile books enough for two answers in three; longer ones are booked again while they run.
 	lengthQuantile = 0.65
 	// longQuantile of the output must be possible in the time that a caller has left.
-	longQuantile = 0.8
+	longQuantile = 0.9
 	// poolGain weighs one measurement in the averages over the pool.
 	poolGain          = 0.02
 	defaultQuarantine = 10 * time.Minute
