scheduler: let the request for the most urgent permit stand

The control leader goes by the last request of a pool, so asking for the tiers below on the way reopened them.

--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -8,6 +8,8 @@
 const (
 	// askInterval is the time between repeated requests for a permit to shed.
 	askInterval = time.Second
+	// askMemory is how long a request for a permit stands without being repeated.
+	askMemory = 3 * time.Second
 	// drainTime lets runs of a closed tier end by themselves before they are cancelled, since their prefill would be
 	// wasted.
 	drainTime = 3 * time.Second
@@ -115,9 +117,13 @@
 	}
 }
 
+// askPermit asks to shed a tier. The control leader goes by the last request and permits the tiers below it on the way,
+// so a request for a more urgent tier stands.
 func (s *Scheduler) askPermit(order int) {
-	if last, ok := s.asked[order]; ok && s.now-last < askInterval {
-		return
+	for o, last := range s.asked {
+		if o == order && s.now-last < askInterval || o < order && s.now-last < askMemory {
+			return
+		}
 	}
 	s.asked[order] = s.now
 	s.emit(AskShedPermit{Tier: order})
