--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -21,6 +21,8 @@
 	maxReportAge = 15 * time.Second
 	// headroomRank sorts endpoints that have headroom only behind all others.
 	headroomRank = 1e6
+	// pendingRank weighs seconds of queued prompts against the used part of the bound.
+	pendingRank = 4
 	// nominalTokens is the size of request for which an endpoint counts as having room.
 	nominalTokens = 64
 	// stallTime without any progress, with runs in progress, is a sign of failure.
@@ -42,14 +44,14 @@
 	classes    []*class
 
 	runs     map[*request]struct{}
-	pending  int    // prompt tokens dispatched and not yet processed
-	longs    int    // long prefills in progress
-	alone    bool   // kept for a suspect request
-	reserved *class // whose suspects the endpoint is being emptied for
-	extra    int    // runs beyond the scheduler's own account, from load reports
+	pending  int        // prompt tokens dispatched and not yet processed
+	pins     []*request // wait for this endpoint
+	longs    int        // long prefills in progress
+	alone    bool       // kept for a suspect request
+	reserved *class     // whose suspects the endpoint is being emptied for
+	extra    int        // runs beyond the scheduler's own account, from load reports
 
 	progressed  time.Duration
-	reviewed    [2]int // measurements at the last review
 	recentEnded []time.Duration
 }
 
@@ -70,6 +72,12 @@
 	shortLane laneKind = iota
 	// longLane keeps prompts that wait for a place among the long prefills from blocking short ones.
 	longLane
+	// lateLane holds requests that have missed their first-token target. They go after those that can meet it:
+	// in an overload, serving the oldest first would make all of them late.
+	lateLane
+	// hopelessLane holds requests whose caller will give up before the answer ends. They run only when nothing else
+	// waits, since their prefill would be wasted.
+	hopelessLane
 	suspectLane
 	laneKinds
 )
@@ -148,7 +156,7 @@
 		s.configureLimit(e, targets)
 	}
 	s.order = slices.DeleteFunc(s.order, func(e *endpoint) bool {
-		gone := !e.configured && len(e.runs) == 0
+		gone := !e.configured && len(e.runs) == 0 && len(e.pins) == 0
 		if gone {
 			if e.reserved != nil {
 				s.unreserve(e.reserved)
@@ -180,7 +188,7 @@
 	if !e.limit.SetFixed(n) {
 		fixed := limiter.NewFixed(n, headroom)
 		for _, r := range sorted(e.runs) {
-			fixed.Take(r.booked)
+			fixed.Take(r.booked, r.urgent)
 		}
 		e.limit = fixed
 	}
@@ -229,7 +237,7 @@
 func (s *Scheduler) rank(e *endpoint) {
 	s.wakeEndpoint(e)
 	part, probe := s.part(e, true)
-	room := part > 0 && e.limit.Fits(nominalTokens, e.extra, part, true)
+	room := part > 0 && e.limit.Fits(nominalTokens, e.extra, part, 1)
 	if probe && len(e.runs) > 0 {
 		room = false
 	}
@@ -239,8 +247,8 @@
 		}
 		return
 	}
-	score := e.limit.Load(e.extra)/part + float64(e.pending)/e.speed.Prefill() + nominalTokens*e.speed.Gap().Seconds()
-	if !e.limit.Fits(nominalTokens, e.extra, part, false) {
+	score := e.limit.Load(e.extra)/part + pendingRank*float64(e.pending)/e.speed.Prefill() + nominalTokens*e.speed.Gap().Seconds()
+	if !e.limit.Fits(nominalTokens, e.extra, part, 0) {
 		score += headroomRank
 	}
 	for _, c := range e.classes {
@@ -355,6 +363,7 @@
 	if e == nil || l.Age > maxReportAge {
 		return
 	}
+	e.limit.ObserveQueue(l.Running, l.Waiting)
 	known, _ := e.limit.Used()
 	for _, at := range e.recentEnded {
 		if at >= s.now-l.Age-time.Second {
