comparer: state outcomes per trace and compare them

Prompts now hash all of their blocks, as entry hosts do; with only the shared blocks the scheduler took a prompt as cached as a whole.

--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/auditor"
 	"github.com/dragonflycroft/dragonflycroft/internal/baseliner"
 	"github.com/dragonflycroft/dragonflycroft/internal/replayer"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/scorer"
 	"github.com/dragonflycroft/dragonflycroft/internal/tracer"
 )
@@ -30,6 +31,8 @@
 	Out io.Writer
 	// Decisions receives a line for each action of the policies; nil drops them. With it, traces run one by one.
 	Decisions io.Writer
+	// Records receives a JSON line for each request; nil drops them. With it, traces run one by one.
+	Records io.Writer
 	// Parallel bounds the replays in progress; 0 means 1.
 	Parallel int
 }
@@ -54,7 +57,11 @@
 	if baseliner.New(policy, "") == nil {
 		return nil, fmt.Errorf("unknown policy %q, want one of %s", policy, strings.Join(Policies(), ", "))
 	}
-	return func(pool string, _, _ uint64) replayer.Policy { return baseliner.New(policy, pool) }, nil
+	return func(setup replayer.Setup) replayer.Policy { return baseliner.New(policy, setup.Pool) }, nil
+}
+
+func buildScheduler(setup replayer.Setup) replayer.Policy {
+	return scheduler.New(scheduler.Options{Pool: setup.Pool, Epoch: setup.Epoch, Seed: setup.Seed, Hosts: setup.Hosts})
 }
 
 // Replay runs one trace under one policy. A trace with a flood also runs without it, for comparison.
@@ -119,13 +126,16 @@
 	rows := make([]*Row, len(traces)*len(policies))
 	var group errgroup.Group
 	group.SetLimit(max(1, o.Parallel))
-	if o.Decisions != nil {
+	if o.Decisions != nil || o.Records != nil {
 		group.SetLimit(1)
 	}
 	for i, t := range traces {
 		for j, p := range policies {
 			group.Go(func() error {
 				row, err := Replay(t, p, o.Decisions)
+				if err == nil && o.Records != nil {
+					err = row.Result.Write(o.Records)
+				}
 				rows[i*len(policies)+j] = row
 				return err
 			})
--- a/internal/comparer/comparer_test.go
+++ b/internal/comparer/comparer_test.go
@@ -16,7 +16,13 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/tracer"
 )
 
-var rewrite = flag.Bool("record", false, "write the hashes of the scenarios' traces and the packed traces")
+var (
+	rewrite = flag.Bool("record", false, "write the hashes of the scenarios' traces and the packed traces")
+	table   = flag.String("table", "", "print the measures of all policies for a set of scenarios: tuning or held_out")
+	only    = flag.String("only", "", "select traces for -table by a part of their name")
+	policy  = flag.String("policy", "", "select one policy for -table")
+	dump    = flag.String("dump", "", "write decisions and records of -table to files that begin with this path")
+)
 
 func readScenarios(t *testing.T, path string) []generator.Scenario {
 	t.Helper()
@@ -84,6 +90,33 @@
 	}
 }
 
+// Prints the measures for docs/measurements.md on request. It is no check.
+func TestTable(t *testing.T) {
+	if *table == "" {
+		t.Skip("no set is named by -table")
+	}
+	o := Options{Paths: []string{"testdata/scenarios/" + *table + ".json"}, Only: *only, Out: os.Stdout, Parallel: 4}
+	if *policy != "" {
+		o.Policies = []string{*policy}
+	}
+	if *dump != "" {
+		decisions, err := os.Create(*dump + ".decisions")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer decisions.Close()
+		records, err := os.Create(*dump + ".records")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer records.Close()
+		o.Decisions, o.Records = decisions, records
+	}
+	if err := Run(o); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a change of the generator that silently changes what the outcomes are stated for.
 func TestTraceHashes(t *testing.T) {
 	for _, name := range []string{"tuning", "held_out"} {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -12,10 +12,12 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 )
 
+// BlockTokens is the default number of prompt tokens in one block of the prefix cache.
+const BlockTokens = 64
+
 const (
 	defaultChunkTokens = 512
 	defaultMaxBatch    = 32
-	defaultBlockTokens = 64
 	// stepJitter is the largest relative deviation of one step's time. Kernel launch and sampling times of real engines
 	// vary by a few in a hundred.
 	stepJitter = 0.03
@@ -94,7 +96,7 @@
 		o.MaxBatch = defaultMaxBatch
 	}
 	if o.BlockTokens <= 0 {
-		o.BlockTokens = defaultBlockTokens
+		o.BlockTokens = BlockTokens
 	}
 	if o.ChunkTokens <= 0 {
 		o.ChunkTokens = defaultChunkTokens
--- a/internal/emulator/generation.go
+++ b/internal/emulator/generation.go
@@ -8,7 +8,7 @@
 // The generations differ fourfold in prefill and by a factor of 2.4 in the decode gap. Each step's prompt budget takes
 // about 12 ms, so that a step with prefill stays within a token gap of 46 ms on the slowest generation in a small batch.
 func Generation(name string) (Options, bool) {
-	o := Options{BatchSlowdown: 0.015, BlockTokens: defaultBlockTokens}
+	o := Options{BatchSlowdown: 0.015, BlockTokens: BlockTokens}
 	switch name {
 	case "g1":
 		o.PrefillTokensPerSecond, o.DecodeTokensPerSecond = 4000, 1/0.024
--- a/internal/generator/generate.go
+++ b/internal/generator/generate.go
@@ -12,8 +12,6 @@
 
 const (
 	second = 1_000_000 // in microseconds
-	// blockTokens is the block length of the emulated engines' prefix caches.
-	blockTokens = 64
 	// repeatRate is the share of non-idempotent orders that their callers send twice under one key.
 	repeatRate = 0.03
 	repeatUS   = 40_000
@@ -139,7 +137,7 @@
 		r.Prefix = append(r.Prefix, fmt.Sprintf("%s-%s-%d*%d", workspace, c.name, b.rng.IntN(threads), turns))
 		shared += turns
 	}
-	r.PromptTokens = shared*blockTokens + b.draw(c.prompt)
+	r.PromptTokens = shared*tracer.BlockTokens + b.draw(c.prompt)
 	r.OutputTokens = b.draw(c.output)
 	r.MaxOutputTokens = c.output.high
 	return r
--- a/internal/replayer/pool.go
+++ b/internal/replayer/pool.go
@@ -19,7 +19,13 @@
 // install starts the policy of a pool at its holder with the accounts of all hosts.
 func (s *sim) install(p *pool) {
 	p.epoch++
-	p.policy = s.opts.Build(p.name, p.epoch, p.seed)
+	setup := Setup{Pool: p.name, Epoch: p.epoch, Seed: p.seed}
+	for _, h := range s.hosts {
+		if h.up {
+			setup.Hosts = append(setup.Hosts, h.name)
+		}
+	}
+	p.policy = s.opts.Build(setup)
 	s.step(p, scheduler.Configure{Version: 1, Config: s.trace.Header.Config})
 	s.step(p, s.list(p))
 	if s.leader.level < s.maxOrder {
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -23,8 +23,16 @@
 	Step(now time.Duration, ev scheduler.Event) []scheduler.Action
 }
 
-// Builder returns the policy of one pool. A new holder of the pool gets a higher epoch.
-type Builder func(pool string, epoch, seed uint64) Policy
+// Setup tells a new holder of a pool what it needs to start. A later holder has a higher epoch.
+type Setup struct {
+	Pool        string
+	Epoch, Seed uint64
+	// Hosts are the entry hosts that will report their requests.
+	Hosts []string
+}
+
+// Builder returns the policy of one pool.
+type Builder func(Setup) Policy
 
 // Options configure a replay.
 type Options struct {
--- a/internal/replayer/replayer_test.go
+++ b/internal/replayer/replayer_test.go
@@ -16,7 +16,7 @@
 )
 
 func baseline(name string) replayer.Builder {
-	return func(pool string, _, _ uint64) replayer.Policy { return baseliner.New(name, pool) }
+	return func(setup replayer.Setup) replayer.Policy { return baseliner.New(name, setup.Pool) }
 }
 
 func generate(t *testing.T, shape string, load float64) *tracer.Trace {
@@ -124,7 +124,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			trace := generate(t, generator.ShapeRollingReplacement, 0.05)
-			r, err := replayer.Replay(trace, replayer.Options{Build: func(string, uint64, uint64) replayer.Policy { return test.policy }})
+			r, err := replayer.Replay(trace, replayer.Options{Build: func(replayer.Setup) replayer.Policy { return test.policy }})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/tracer/decode.go
+++ b/internal/tracer/decode.go
@@ -143,27 +143,38 @@
 	return nil
 }
 
-// Blocks returns the block hashes of a request's shared prompt prefix.
+// Blocks returns the hashes of all whole blocks of a request's prompt: first those of the shared segments, then those of
+// the text that only this request has.
 func (r *Request) Blocks() []uint64 {
-	var blocks []uint64
-	var buf [16]byte
-	chain := uint64(0)
+	var c chain
 	for _, segment := range r.Prefix {
 		name, n, err := splitSegment(segment)
 		if err != nil {
-			return blocks
-		}
-		for i := range n {
-			binary.LittleEndian.PutUint64(buf[:8], chain)
-			binary.LittleEndian.PutUint64(buf[8:], uint64(i))
-			h := xxhash.New()
-			_, _ = h.Write(buf[:])
-			_, _ = h.WriteString(name)
-			chain = h.Sum64()
-			blocks = append(blocks, chain)
+			return c.blocks
 		}
+		c.extend(name, n)
+	}
+	c.extend(r.ID, r.PromptTokens/BlockTokens-len(c.blocks))
+	return c.blocks
+}
+
+// chain hashes blocks, each over the whole prefix up to its end.
+type chain struct {
+	blocks []uint64
+	last   uint64
+}
+
+func (c *chain) extend(name string, n int) {
+	var buf [16]byte
+	for i := range max(n, 0) {
+		binary.LittleEndian.PutUint64(buf[:8], c.last)
+		binary.LittleEndian.PutUint64(buf[8:], uint64(i))
+		h := xxhash.New()
+		_, _ = h.Write(buf[:])
+		_, _ = h.WriteString(name)
+		c.last = h.Sum64()
+		c.blocks = append(c.blocks, c.last)
 	}
-	return blocks
 }
 
 func splitSegment(segment string) (name string, blocks int, err error) {
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
 )
 
 // Version is the version of the schema that this package reads and writes.
 const Version = 1
 
+// BlockTokens is the number of prompt tokens in one block, as in the prefix caches of the emulated engines.
+const BlockTokens = emulator.BlockTokens
+
 // Trace is one decoded trace.
 type Trace struct {
 	Header   Header
--- a/internal/tracer/tracer_test.go
+++ b/internal/tracer/tracer_test.go
@@ -88,6 +88,10 @@
 	if diff := cmp.Diff(short, long[:3]); diff != "" {
 		t.Errorf("shared blocks differ:\n%s", diff)
 	}
+	whole := (&tracer.Request{ID: "r1", PromptTokens: 7 * tracer.BlockTokens, Prefix: []string{"sys*2", "thread*1"}}).Blocks()
+	if diff := cmp.Diff(short, whole[:3]); diff != "" || len(whole) != 7 {
+		t.Errorf("%d blocks of the whole prompt, want 7; shared ones differ:\n%s", len(whole), diff)
+	}
 	if other := blocks("sys*2", "other*1"); other[1] != short[1] || other[2] == short[2] {
 		t.Error("blocks do not depend on their whole prefix")
 	}
