--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -64,8 +64,9 @@
 	return scheduler.New(scheduler.Options{Pool: setup.Pool, Epoch: setup.Epoch, Seed: setup.Seed, Hosts: setup.Hosts})
 }
 
-// Replay runs one trace under one policy. A trace with a flood also runs without it, for comparison.
-func Replay(t *tracer.Trace, policy string, decisions io.Writer) (*Row, error) {
+// Replay runs one trace under one policy. With beside, a trace with a flood also runs without it, for the measures that
+// compare the two.
+func Replay(t *tracer.Trace, policy string, beside bool, decisions io.Writer) (*Row, error) {
 	build, err := Builder(policy)
 	if err != nil {
 		return nil, err
@@ -78,7 +79,7 @@
 		return nil, fmt.Errorf("write decisions: %w", err)
 	}
 	var quiet *replayer.Result
-	if t.Header.Flood != nil {
+	if beside && t.Header.Flood != nil {
 		if quiet, err = replayer.Replay(t.WithoutFlood(), replayer.Options{Build: build}); err != nil {
 			return nil, err
 		}
@@ -102,15 +103,11 @@
 	}
 	var traces []*tracer.Trace
 	for _, path := range o.Paths {
-		loaded, err := Load(path)
+		loaded, err := Load(path, o.Only)
 		if err != nil {
 			return err
 		}
-		for _, t := range loaded {
-			if strings.Contains(t.Header.Name, o.Only) {
-				traces = append(traces, t)
-			}
-		}
+		traces = append(traces, loaded...)
 	}
 	if len(traces) == 0 {
 		return fmt.Errorf("no trace is named by %q in %s", o.Only, strings.Join(o.Paths, ", "))
@@ -132,7 +129,7 @@
 	for i, t := range traces {
 		for j, p := range policies {
 			group.Go(func() error {
-				row, err := Replay(t, p, o.Decisions)
+				row, err := Replay(t, p, true, o.Decisions)
 				if err == nil && o.Records != nil {
 					err = row.Result.Write(o.Records)
 				}
--- a/internal/comparer/comparer_test.go
+++ b/internal/comparer/comparer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -72,7 +73,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	row, err := Replay(trace, PolicyScheduler, nil)
+	beside := slices.ContainsFunc(outcome.Bounds, func(b Bound) bool { return b.Measure == "small_ratio" })
+	row, err := Replay(trace, PolicyScheduler, beside, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +130,7 @@
 		}
 		lines := strings.Split(string(text), "\n")
 		for i := range scenarios {
-			_, hash, err := scenarios[i].Encode()
+			_, hash, err := scenarios[i].Record(io.Discard)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -164,14 +166,14 @@
 			if scenarios[i].Name() != name {
 				continue
 			}
-			data, _, err := scenarios[i].Encode()
-			if err != nil {
+			var data bytes.Buffer
+			if _, _, err := scenarios[i].Record(&data); err != nil {
 				t.Fatal(err)
 			}
 			if *rewrite {
-				pack(t, path, data)
+				pack(t, path, data.Bytes())
 			}
-			loaded, err := Load(path)
+			loaded, err := Load(path, "")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -179,7 +181,7 @@
 			if err := tracer.Encode(&again, loaded[0]); err != nil {
 				t.Fatal(err)
 			}
-			if diff := cmp.Diff(string(data), again.String()); diff != "" {
+			if diff := cmp.Diff(data.String(), again.String()); diff != "" {
 				t.Errorf("%s (-generated +recorded):\n%.2000s", path, diff)
 			}
 		}
--- a/internal/comparer/load.go
+++ b/internal/comparer/load.go
@@ -1,7 +1,6 @@
 package comparer
 
 import (
-	"bytes"
 	"compress/gzip"
 	"fmt"
 	"io"
@@ -24,8 +23,8 @@
 }
 
 // Load reads the traces of a file: a recorded trace (.jsonl, or .jsonl.gz when packed), or a scenario file (.json) whose
-// traces are generated and compared with their recorded hashes.
-func Load(path string) ([]*tracer.Trace, error) {
+// traces are generated and compared with their recorded hashes. Only selects traces by a part of their name.
+func Load(path, only string) ([]*tracer.Trace, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -36,7 +35,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
-		return record(scenarios)
+		return record(scenarios, only)
 	}
 	var r io.Reader = file
 	if strings.HasSuffix(path, ".gz") {
@@ -50,12 +49,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if !strings.Contains(t.Header.Name, only) {
+		return nil, nil
+	}
 	return []*tracer.Trace{t}, nil
 }
 
-func record(scenarios []generator.Scenario) ([]*tracer.Trace, error) {
+func record(scenarios []generator.Scenario, only string) ([]*tracer.Trace, error) {
 	var traces []*tracer.Trace
 	for i := range scenarios {
+		if !strings.Contains(scenarios[i].Name(), only) {
+			continue
+		}
 		t, err := Record(&scenarios[i])
 		if err != nil {
 			return nil, err
@@ -65,14 +70,14 @@
 	return traces, nil
 }
 
-// Record generates the trace of a scenario, compares its bytes with the recorded hash and decodes them.
+// Record generates the trace of a scenario and compares the hash of its bytes with the recorded one.
 func Record(c *generator.Scenario) (*tracer.Trace, error) {
-	data, hash, err := c.Encode()
+	t, hash, err := c.Record(io.Discard)
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", c.Name(), err)
 	}
 	if c.TraceXXH64 != "" && c.TraceXXH64 != hash {
 		return nil, &HashError{Scenario: c.Name(), Want: c.TraceXXH64, Got: hash}
 	}
-	return tracer.Decode(bytes.NewReader(data))
+	return t, nil
 }
--- a/internal/generator/scenario.go
+++ b/internal/generator/scenario.go
@@ -2,7 +2,6 @@
 package generator
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -75,15 +74,14 @@
 	return nil
 }
 
-// Encode returns the bytes of the scenario's trace and their hash in hexadecimal.
-func (c *Scenario) Encode() (data []byte, hash string, err error) {
-	t, err := Generate(c)
-	if err != nil {
+// Record makes the scenario's trace, writes its bytes to w and returns their hash in hexadecimal.
+func (c *Scenario) Record(w io.Writer) (t *tracer.Trace, hash string, err error) {
+	if t, err = Generate(c); err != nil {
 		return nil, "", err
 	}
-	var buf bytes.Buffer
-	if err := tracer.Encode(&buf, t); err != nil {
+	digest := xxhash.New()
+	if err := tracer.Encode(io.MultiWriter(w, digest), t); err != nil {
 		return nil, "", err
 	}
-	return buf.Bytes(), fmt.Sprintf("%016x", xxhash.Sum64(buf.Bytes())), nil
+	return t, fmt.Sprintf("%016x", digest.Sum64()), nil
 }
