generator: traces of the loss of holders and of a queue without room

Nothing in the nine shapes let a pool change its holder twice or made the scheduler ask for a permit to shed. Two more shapes do, with bounds of their own.

--- a/internal/comparer/comparer_test.go
+++ b/internal/comparer/comparer_test.go
@@ -41,7 +41,7 @@
 // Guards against a scheduler that misses what the design page states for one of the recorded situations.
 func TestOutcomes(t *testing.T) {
 	paths, err := filepath.Glob("testdata/outcomes/*.json")
-	if err != nil || len(paths) != 18 {
+	if err != nil || len(paths) != 22 {
 		t.Fatalf("%d outcome files, error %v", len(paths), err)
 	}
 	scenarios := readScenarios(t, "testdata/scenarios/tuning.json")
--- a/internal/generator/scenario.go
+++ b/internal/generator/scenario.go
@@ -23,6 +23,10 @@
 	ShapeZoneLoss           = "zone_loss"
 	ShapePoisonRequest      = "poison_request"
 	ShapeRollingReplacement = "rolling_replacement"
+	// ShapeHolderLoss loses the host that schedules the model pool, and its successor right after the repair.
+	ShapeHolderLoss = "holder_loss"
+	// ShapeRoomEnds floods the most urgent tier until the bound of waiting requests forces the system to shed.
+	ShapeRoomEnds = "room_ends"
 )
 
 // Scenario holds the parameters of one trace.
--- a/internal/generator/shapes.go
+++ b/internal/generator/shapes.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/tracer"
@@ -25,6 +26,11 @@
 		ShapeZoneLoss:           {more: func(b *build) { b.change(b.floodUS[0], tracer.Change{Change: tracer.ChangeZoneDown, Zone: zones()[1]}) }},
 		ShapePoisonRequest:      {more: poison},
 		ShapeRollingReplacement: {more: replacement},
+		ShapeHolderLoss:         {more: holderLoss},
+		ShapeRoomEnds: {more: func(b *build) {
+			b.flood(b.profile.floodMost, "", "")
+			b.trace.Header.Config.Limits.MaxWaiting = 1000
+		}},
 	}
 }
 
@@ -78,3 +84,10 @@
 		b.change(at+startAfter, tracer.Change{Change: tracer.ChangeStart, Endpoint: runnerName(i)})
 	}
 }
+
+// holderLoss ends three of the six hosts, two of them shortly after another.
+func holderLoss(b *build) {
+	for i, at := range []int64{0, 4 * second, 30 * second} {
+		b.change(b.floodUS[0]+at, tracer.Change{Change: tracer.ChangeHostDown, Host: fmt.Sprintf("e%d", i+1)})
+	}
+}
--- a/internal/replayer/endpoint.go
+++ b/internal/replayer/endpoint.go
@@ -97,9 +97,17 @@
 
 // change applies a recorded change.
 func (s *sim) change(c *tracer.Change) {
-	if c.Change == tracer.ChangeZoneDown {
+	switch c.Change {
+	case tracer.ChangeZoneDown:
 		s.loseZone(c.Zone)
 		return
+	case tracer.ChangeHostDown:
+		for _, h := range s.hosts {
+			if h.name == c.Host {
+				s.loseHosts([]*host{h}, func() {})
+			}
+		}
+		return
 	}
 	e := s.byName[c.Endpoint]
 	switch c.Change {
--- a/internal/replayer/pool.go
+++ b/internal/replayer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 )
@@ -129,33 +130,47 @@
 func (s *sim) loseZone(zone string) {
 	var lost []*host
 	for _, h := range s.hosts {
-		if h.zone == zone && h.up {
-			h.up = false
+		if h.zone == zone {
 			lost = append(lost, h)
 		}
 	}
-	for _, e := range s.endpoints {
-		if e.cfg.Zone == zone {
-			s.crash(e, true)
+	s.loseHosts(lost, func() {
+		for _, e := range s.endpoints {
+			if e.cfg.Zone == zone {
+				s.crash(e, true)
+			}
 		}
+	})
+}
+
+// loseHosts ends entry hosts, and with them the pools that they hold. Also runs once they no longer act.
+func (s *sim) loseHosts(lost []*host, also func()) {
+	lost = slices.DeleteFunc(lost, func(h *host) bool { return !h.up })
+	for _, h := range lost {
+		h.up = false
 	}
+	also()
 	for _, h := range lost {
 		s.orphan(h)
 	}
 	for _, p := range s.pools {
-		if p.holder.up {
+		switch {
+		case p.holder.up:
 			s.after(sessionTimeout, func() {
 				for _, h := range lost {
 					s.step(p, scheduler.HostLost{Host: h.name})
 				}
 			})
-			continue
+		case slices.Contains(lost, p.holder):
+			s.after(failoverTime, func() { s.failOver(p) })
 		}
-		s.after(failoverTime, func() {
-			if h := s.pickHost(s.rng.Uint64()); h != nil {
-				p.holder = h
-				s.install(p)
-			}
-		})
+	}
+}
+
+// failOver gives a pool to the first host that is up.
+func (s *sim) failOver(p *pool) {
+	if h := s.pickHost(0); h != nil {
+		p.holder = h
+		s.install(p)
 	}
 }
--- a/internal/tracer/check.go
+++ b/internal/tracer/check.go
@@ -10,7 +10,7 @@
 
 // checker holds the names that the records of a trace may refer to.
 type checker struct {
-	tiers, callers, zones map[string]bool
+	tiers, callers, zones, hosts map[string]bool
 	pools                 map[string]string // name -> kind
 	endpoints             map[string]bool
 	ids                   map[string]bool
@@ -27,7 +27,7 @@
 		return nil, fmt.Errorf("duration_us %d is out of range", h.DurationUS)
 	}
 	c := &checker{
-		tiers: map[string]bool{}, callers: map[string]bool{}, zones: map[string]bool{},
+		tiers: map[string]bool{}, callers: map[string]bool{}, zones: map[string]bool{}, hosts: map[string]bool{},
 		pools: map[string]string{}, endpoints: map[string]bool{}, ids: map[string]bool{},
 	}
 	for _, t := range h.Config.Tiers {
@@ -42,7 +42,7 @@
 		c.pools[p.Name] = p.Kind
 	}
 	for _, host := range h.Hosts {
-		c.zones[host.Zone] = true
+		c.zones[host.Zone], c.hosts[host.Name] = true, true
 	}
 	return c, errors.Join(c.conditions(h.Conditions), c.flood(h.Flood), c.addEndpoints(h))
 }
@@ -130,6 +130,11 @@
 			return fmt.Errorf("unknown zone %q", k.Zone)
 		}
 		return nil
+	case ChangeHostDown:
+		if !c.hosts[k.Host] {
+			return fmt.Errorf("unknown host %q", k.Host)
+		}
+		return nil
 	case ChangeSpeed:
 		if !(k.Factor > 0.001 && k.Factor < 1000) {
 			return fmt.Errorf("factor %v is out of range", k.Factor)
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -111,15 +111,17 @@
 	ChangeStop     = "stop"      // the endpoint stops
 	ChangeStart    = "start"     // the endpoint starts afresh
 	ChangeZoneDown = "zone_down" // all hosts and endpoints of the zone fall silent
+	ChangeHostDown = "host_down" // an entry host dies
 )
 
-// Change is something that happens to an endpoint or a zone.
+// Change is something that happens to an endpoint, a zone or an entry host.
 type Change struct {
 	Record   string  `json:"record"`
 	AtUS     int64   `json:"at_us"`
 	Change   string  `json:"change"`
 	Endpoint string  `json:"endpoint,omitempty"`
 	Zone     string  `json:"zone,omitempty"`
+	Host     string  `json:"host,omitempty"`
 	Factor   float64 `json:"factor,omitempty"`
 }
 
