replayer: play the control leader with the real decisions on permits

The harness had its own rules for permits, under which the scheduler never got one for the tiers between; it now runs the permitter package behind heartbeats. The shortest answers are shorter, so that lengths differ a hundredfold in each trace.

--- a/internal/comparer/comparer_test.go
+++ b/internal/comparer/comparer_test.go
@@ -213,3 +213,24 @@
 		t.Errorf("unknown measure: %v", err)
 	}
 }
+
+// Guards against a scheduler that decides by map order, a clock or an unseeded random source.
+func TestSchedulerRepeats(t *testing.T) {
+	for _, shape := range []string{generator.ShapeHolderLoss, generator.ShapeRoomEnds} {
+		trace, err := generator.Generate(&generator.Scenario{User: "gramofon", Shape: shape, Seed: 5, DurationMS: 60000, Load: 0.4, FloodFactor: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var digests [2]uint64
+		for i := range digests {
+			row, err := Replay(trace, PolicyScheduler, false, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			digests[i] = row.Result.Digest
+		}
+		if digests[0] != digests[1] {
+			t.Errorf("%s: two replays differ, digests %x", shape, digests)
+		}
+	}
+}
--- a/internal/generator/profile.go
+++ b/internal/generator/profile.go
@@ -64,7 +64,7 @@
 		},
 		classes: []class{
 			{name: "counter_chat", tier: "counter", rate: 40, weight: 3, prompt: lengths{220, 0.5, 40, 900}, output: lengths{50, 0.5, 10, 160}, system: 3, thread: 4, deadlineMS: 10000, retries: 1},
-			{name: "fill_weight", tier: "counter", rate: 40, weight: 2, prompt: lengths{90, 0.4, 30, 300}, output: lengths{24, 0.4, 7, 60}, system: 3, deadlineMS: 10000, retries: 1},
+			{name: "fill_weight", tier: "counter", rate: 40, weight: 2, prompt: lengths{90, 0.4, 30, 300}, output: lengths{20, 0.6, 4, 60}, system: 3, deadlineMS: 10000, retries: 1},
 			{name: "order_chat", tier: "orders", rate: 20, weight: 3, prompt: lengths{350, 0.5, 60, 1200}, output: lengths{100, 0.5, 20, 300}, system: 4, thread: 5, deadlineMS: 20000, retries: 2},
 			{name: "custom_quote", tier: "quotes", rate: 7, weight: 12, prompt: lengths{900, 0.6, 200, 3000}, output: lengths{400, 0.4, 120, 700}, system: 6, thread: 16, deadlineMS: 60000, targetMS: 45000, retries: 3},
 			{name: "catalogue_text", tier: "bulk", rate: 10, weight: 1, prompt: lengths{600, 0.6, 100, 2500}, output: lengths{320, 0.5, 60, 700}, system: 4, deadlineMS: 60000, retries: 2},
@@ -92,7 +92,7 @@
 		},
 		classes: []class{
 			{name: "fault_diagnosis", tier: "diagnosis", rate: 24, weight: 4, prompt: lengths{260, 0.5, 40, 1000}, output: lengths{70, 0.5, 12, 200}, system: 4, thread: 3, deadlineMS: 10000, retries: 1},
-			{name: "spring_part", tier: "diagnosis", rate: 26, weight: 2, prompt: lengths{80, 0.4, 30, 250}, output: lengths{24, 0.4, 7, 60}, system: 4, deadlineMS: 10000, retries: 1},
+			{name: "spring_part", tier: "diagnosis", rate: 26, weight: 2, prompt: lengths{80, 0.4, 30, 250}, output: lengths{20, 0.6, 4, 60}, system: 4, deadlineMS: 10000, retries: 1},
 			{name: "parts_chat", tier: "parts", rate: 12, weight: 3, prompt: lengths{320, 0.5, 60, 1000}, output: lengths{100, 0.5, 20, 300}, system: 4, thread: 4, deadlineMS: 20000, retries: 2},
 			{name: "restoration", tier: "writeups", rate: 4.5, weight: 8, prompt: lengths{1000, 0.6, 200, 3500}, output: lengths{480, 0.3, 200, 700}, system: 6, thread: 12, deadlineMS: 60000, targetMS: 50000, retries: 3},
 			{name: "archive_text", tier: "archive", rate: 6, weight: 1, prompt: lengths{700, 0.6, 100, 2500}, output: lengths{320, 0.5, 60, 700}, system: 4, deadlineMS: 60000, retries: 2},
--- a/internal/replayer/pool.go
+++ b/internal/replayer/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 )
 
@@ -15,6 +16,7 @@
 	holder *host
 	epoch  uint64
 	seed   uint64
+	shed   shedState
 }
 
 // install starts the policy of a pool at its holder with the accounts of all hosts.
@@ -29,9 +31,8 @@
 	p.policy = s.opts.Build(setup)
 	s.step(p, scheduler.Configure{Version: 1, Config: s.trace.Header.Config})
 	s.step(p, s.list(p))
-	if s.leader.level < s.maxOrder {
-		s.step(p, scheduler.TiersClosed{Below: s.leader.level})
-	}
+	p.shed = shedState{told: s.leader.level(), confirmed: permitter.Open}
+	s.step(p, scheduler.TiersClosed{Below: p.shed.told.ClosedBelow})
 	for _, h := range s.hosts {
 		if h.up {
 			s.step(p, s.account(h, p))
@@ -82,9 +83,9 @@
 		}
 		s.toHost(p, act.Host, func(h *host) { s.cut(h, act) })
 	case scheduler.AskShedPermit:
-		s.after(delay(p.holder.zone, s.leader.zone), func() { s.leader.ask(p, act.Tier) })
+		s.leader.ask(p, act.Tier)
 	case scheduler.ConfirmClosed:
-		s.after(delay(p.holder.zone, s.leader.zone), func() { s.leader.confirm(p, act.Below) })
+		s.leader.confirm(p, act.Below)
 	}
 }
 
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -148,7 +148,9 @@
 			s.step(p, scheduler.Tick{})
 		}
 	})
-	s.every(heartbeatInterval, heartbeatInterval, s.leader.beat)
+	for i, p := range s.pools {
+		s.every(time.Duration(i+1)*heartbeatInterval/time.Duration(len(s.pools)), heartbeatInterval, func() { s.leader.beat(p) })
+	}
 	s.every(time.Second, time.Second, s.sendLists)
 	s.every(cacheInterval, cacheInterval, func() { s.sampleLoad(); s.sendCacheEvents() })
 	for i, h := range s.hosts {
--- a/internal/tracer/check.go
+++ b/internal/tracer/check.go
@@ -11,9 +11,9 @@
 // checker holds the names that the records of a trace may refer to.
 type checker struct {
 	tiers, callers, zones, hosts map[string]bool
-	pools                 map[string]string // name -> kind
-	endpoints             map[string]bool
-	ids                   map[string]bool
+	pools                        map[string]string // name -> kind
+	endpoints                    map[string]bool
+	ids                          map[string]bool
 }
 
 func newChecker(h *Header) (*checker, error) {
