--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/auditor"
 	"github.com/dragonflycroft/dragonflycroft/internal/baseliner"
 	"github.com/dragonflycroft/dragonflycroft/internal/replayer"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/scorer"
 	"github.com/dragonflycroft/dragonflycroft/internal/tracer"
 )
@@ -30,6 +31,8 @@
 	Out io.Writer
 	// Decisions receives a line for each action of the policies; nil drops them. With it, traces run one by one.
 	Decisions io.Writer
+	// Records receives a JSON line for each request; nil drops them. With it, traces run one by one.
+	Records io.Writer
 	// Parallel bounds the replays in progress; 0 means 1.
 	Parallel int
 }
@@ -54,11 +57,16 @@
 	if baseliner.New(policy, "") == nil {
 		return nil, fmt.Errorf("unknown policy %q, want one of %s", policy, strings.Join(Policies(), ", "))
 	}
-	return func(pool string, _, _ uint64) replayer.Policy { return baseliner.New(policy, pool) }, nil
+	return func(setup replayer.Setup) replayer.Policy { return baseliner.New(policy, setup.Pool) }, nil
 }
 
-// Replay runs one trace under one policy. A trace with a flood also runs without it, for comparison.
-func Replay(t *tracer.Trace, policy string, decisions io.Writer) (*Row, error) {
+func buildScheduler(setup replayer.Setup) replayer.Policy {
+	return scheduler.New(scheduler.Options{Pool: setup.Pool, Epoch: setup.Epoch, Seed: setup.Seed, Hosts: setup.Hosts})
+}
+
+// Replay runs one trace under one policy. With beside, a trace with a flood also runs without it, for the measures that
+// compare the two.
+func Replay(t *tracer.Trace, policy string, beside bool, decisions io.Writer) (*Row, error) {
 	build, err := Builder(policy)
 	if err != nil {
 		return nil, err
@@ -71,7 +79,7 @@
 		return nil, fmt.Errorf("write decisions: %w", err)
 	}
 	var quiet *replayer.Result
-	if t.Header.Flood != nil {
+	if beside && t.Header.Flood != nil {
 		if quiet, err = replayer.Replay(t.WithoutFlood(), replayer.Options{Build: build}); err != nil {
 			return nil, err
 		}
@@ -95,15 +103,11 @@
 	}
 	var traces []*tracer.Trace
 	for _, path := range o.Paths {
-		loaded, err := Load(path)
+		loaded, err := Load(path, o.Only)
 		if err != nil {
 			return err
 		}
-		for _, t := range loaded {
-			if strings.Contains(t.Header.Name, o.Only) {
-				traces = append(traces, t)
-			}
-		}
+		traces = append(traces, loaded...)
 	}
 	if len(traces) == 0 {
 		return fmt.Errorf("no trace is named by %q in %s", o.Only, strings.Join(o.Paths, ", "))
@@ -119,13 +123,16 @@
 	rows := make([]*Row, len(traces)*len(policies))
 	var group errgroup.Group
 	group.SetLimit(max(1, o.Parallel))
-	if o.Decisions != nil {
+	if o.Decisions != nil || o.Records != nil {
 		group.SetLimit(1)
 	}
 	for i, t := range traces {
 		for j, p := range policies {
 			group.Go(func() error {
-				row, err := Replay(t, p, o.Decisions)
+				row, err := Replay(t, p, true, o.Decisions)
+				if err == nil && o.Records != nil {
+					err = row.Result.Write(o.Records)
+				}
 				rows[i*len(policies)+j] = row
 				return err
 			})
