--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 	DefaultWriteTimeout    = 30 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
 	maxKeyBytes            = 256
+	exitWait               = 100 * time.Millisecond
 )
 
 var (
@@ -89,6 +91,8 @@
 	listener net.Listener
 	hertz    *hertzserver.Hertz
 	memory   *memory
+	inflight inflight
+	closing  atomic.Bool
 	index    atomic.Pointer[indexed]
 }
 
@@ -130,7 +134,8 @@
 		hertzserver.WithWriteTimeout(orDefault(s.WriteTimeout, DefaultWriteTimeout)),
 		hertzserver.WithIdleTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
 		hertzserver.WithKeepAliveTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
-		hertzserver.WithExitWaitTime(time.Second),
+		// Close waits for responses itself; the library would wait for idle connections as well.
+		hertzserver.WithExitWaitTime(exitWait),
 	)
 	s.routes()
 	return nil
@@ -142,13 +147,66 @@
 // Run serves until Close.
 func (s *Server) Run() error { return s.hertz.Run() }
 
-// Close stops listening and closes the connections that are idle; it waits for the others until ctx ends.
+// Close waits until every response in progress has been written or ctx has ended, and closes the listener and all connections.
 func (s *Server) Close(ctx context.Context) error {
-	err := s.hertz.Shutdown(ctx)
+	s.closing.Store(true)
+	err := s.inflight.wait(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitWait)
+	defer cancel()
+	_ = s.hertz.Shutdown(ctx)
 	_ = s.listener.Close()
 	return err
 }
 
+// inflight counts the requests whose responses have not been written yet.
+type inflight struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{}
+}
+
+// begin counts a request until the library has written its response.
+func (f *inflight) begin(c *app.RequestContext) (returned func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n++
+	written := c.Finished()
+	return func() {
+		go func() {
+			<-written
+			f.end()
+		}()
+	}
+}
+
+func (f *inflight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.n--; f.n == 0 && f.idle != nil {
+		close(f.idle)
+		f.idle = nil
+	}
+}
+
+func (f *inflight) wait(ctx context.Context) error {
+	f.mu.Lock()
+	if f.n == 0 {
+		f.mu.Unlock()
+		return nil
+	}
+	if f.idle == nil {
+		f.idle = make(chan struct{})
+	}
+	idle := f.idle
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-idle:
+		return nil
+	}
+}
+
 func (s *Server) routes() {
 	h := s.hertz
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
@@ -187,6 +245,10 @@
 func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		countRequests.Add(kind, 1)
+		defer s.inflight.begin(c)()
+		if s.closing.Load() {
+			c.SetConnectionClose()
+		}
 		refuse := func(f *failure) {
 			// The body stays unread, so that the connection cannot carry another request.
 			if c.Request.Header.ContentLength() != 0 {
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,258 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+)
+
+// requests accepts everything and lets the test answer.
+type requests struct {
+	mu       sync.Mutex
+	accepted []dispatcher.Request
+	answers  []*answerer.Answer
+	arrived  chan struct{}
+}
+
+func (r *requests) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := answerer.New(answerer.Meta{RequestID: fmt.Sprintf("r%d", len(r.answers)), Kind: req.Kind, Model: req.Model, Created: time.Unix(1, 0)}, nil)
+	r.accepted, r.answers = append(r.accepted, req), append(r.answers, a)
+	r.arrived <- struct{}{}
+	return a, a.Read(0), nil
+}
+
+func (r *requests) Fetch(_, id string, _ int) (*answerer.Answer, *answerer.Reader, error) {
+	return nil, nil, &dispatcher.NotFoundError{RequestID: id}
+}
+
+func (r *requests) NewID(string) string { return "refused" }
+
+// at returns request number i and its answer.
+func (r *requests) at(i int) (dispatcher.Request, *answerer.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted[i], r.answers[i]
+}
+
+// finish ends the answer to the next request, which is number i.
+func (r *requests) finish(i int, end answerer.End) {
+	<-r.arrived
+	_, a := r.at(i)
+	a.Finish(end)
+}
+
+func (r *requests) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.accepted)
+}
+
+func start(t *testing.T, s *Server) (*requests, string) {
+	t.Helper()
+	sum := sha256.Sum256([]byte("key"))
+	cfg := &configurer.Config{
+		Tiers: []configurer.Tier{{Name: "fast"}, {Name: "bulk", Order: 1}},
+		Workspaces: []configurer.Workspace{{Name: "w", Callers: []configurer.Caller{
+			{Name: "c", KeySHA256: hex.EncodeToString(sum[:]), Tiers: []string{"fast", "bulk"}},
+		}}},
+		Pools:    []configurer.Pool{{Name: "chat", Kind: configurer.KindModel, Models: []string{"m"}}, {Name: "s", Kind: configurer.KindService}},
+		Services: []configurer.Service{{Name: "s", Pool: "s", Routes: []configurer.Route{{Method: "POST", Path: "/a/*"}}}},
+	}
+	r := &requests{arrived: make(chan struct{}, 64)}
+	s.ListenAddr, s.Requests = "127.0.0.1:0", r
+	s.Config = func() (uint64, *configurer.Config, bool) { return 1, cfg, true }
+	s.Ready = func() string { return "" }
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Close(ctx)
+		<-ended
+	})
+	return r, "http://" + s.Addr()
+}
+
+func post(ctx context.Context, url, tier string, body io.Reader, header map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set(HeaderTier, tier)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+func chat(size int) string {
+	body := `{"model":"m","messages":[{"role":"user","content":""}]}`
+	return strings.Replace(body, `""`, `"`+strings.Repeat("x", max(0, size-len(body)))+`"`, 1)
+}
+
+// Guards against a full memory for bodies that refuses requests, that stops other tiers, or that is not given back.
+func TestBodyMemory(t *testing.T) {
+	const size = 1 << 20
+	before := bodyBytes.Value()
+	s := &Server{MaxBodyBytes: size, BodyMemoryBytes: 4 * size}
+	r, url := start(t, s)
+	var wg sync.WaitGroup
+	send := func(tier string) {
+		wg.Go(func() {
+			resp, err := post(t.Context(), url+"/v1/chat/completions", tier, strings.NewReader(chat(size)), nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("tier %s: %v %v", tier, resp, err)
+				return
+			}
+			resp.Body.Close()
+		})
+	}
+	// Two bodies fit into the shared half, one into the reserve of each tier.
+	for range 5 {
+		send("bulk")
+	}
+	for range 3 {
+		<-r.arrived
+	}
+	send("fast")
+	<-r.arrived
+	if n := r.count(); n != 4 {
+		t.Errorf("%d bodies were read, want 4", n)
+	}
+	for done := 0; done < 6; done++ {
+		if done >= 4 {
+			<-r.arrived
+		}
+		req, a := r.at(done)
+		req.Release()
+		a.Finish(answerer.End{Outcome: answerer.Done})
+	}
+	wg.Wait()
+	if n := bodyBytes.Value() - before; n != 0 {
+		t.Errorf("%d bytes are still reserved", n)
+	}
+}
+
+// Guards against bodies of unknown length that are not bounded, and against headers that are lost or leak the key.
+func TestServiceCall(t *testing.T) {
+	r, url := start(t, &Server{MaxBodyBytes: 1 << 16})
+	chunked := func(n int) io.Reader { return io.MultiReader(bytes.NewReader(make([]byte, n)), strings.NewReader("!")) }
+	resp, err := post(t.Context(), url+"/v1/services/s/a/b", "fast", chunked(1<<17), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge || resp.Header.Get(HeaderOutcome) != "not_run" {
+		t.Fatalf("%v %v", resp, err)
+	}
+	resp.Body.Close()
+	go r.finish(0, answerer.End{Outcome: answerer.Done, Response: &connector.Response{
+		Status: 418, Header: map[string]string{"X-Own": "1", "Content-Type": "text/x"}, Body: []byte("tea"),
+	}})
+	resp, err = post(t.Context(), url+"/v1/services/s/a/b%2Fc?q=1&r=%20", "fast", chunked(10), map[string]string{"X-Other": "2", HeaderIdempotencyKey: "k"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != 418 || string(body) != "tea" || resp.Header.Get("X-Own") != "1" || resp.Header.Get("Content-Type") != "text/x" || resp.Header.Get(HeaderRequestID) != "r0" {
+		t.Errorf("%v %q", resp, body)
+	}
+	got, _ := r.at(0)
+	if len(got.Call.Body) != 11 || got.Call.Path != "/a/b%2Fc?q=1&r=%20" || got.Call.Method != "POST" || got.Key != "k" || got.Idempotent {
+		t.Errorf("%+v", got)
+	}
+	delete(got.Call.Header, "User-Agent")
+	if diff := cmp.Diff(map[string]string{"X-Other": "2", HeaderIdempotencyKey: "k"}, got.Call.Header); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a header that fills the memory before the key is checked.
+func TestHeaderSize(t *testing.T) {
+	_, url := start(t, &Server{MaxHeaderBytes: 8 << 10})
+	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader("{}"), map[string]string{"X-Big": strings.Repeat("x", 32<<10)})
+	if err == nil {
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+}
+
+// Guards against a stream that hides a failure which comes after its first chunk, and against one that cannot be resumed.
+func TestStreamEvents(t *testing.T) {
+	r, url := start(t, &Server{})
+	go func() {
+		<-r.arrived
+		_, a := r.at(0)
+		_ = a.Append(0, "one ")
+		_ = a.Append(1, "two")
+		a.Finish(answerer.End{Outcome: answerer.Unknown, Reason: "endpoint_lost", Message: "lost"})
+	}()
+	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader(`{"model":"m","stream":true,"messages":[{"content":"x"}]}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	const head = `"id":"r0","object":"chat.completion.chunk","created":1,"model":"m",`
+	want := []string{
+		"id:0", `data:{` + head + `"choices":[{"index":0,"delta":{"role":"assistant","content":"one "},"finish_reason":null}]}`, "",
+		"id:1", `data:{` + head + `"choices":[{"index":0,"delta":{"content":"two"},"finish_reason":null}]}`, "",
+		"event:outcome", `data:{` + head + `"choices":[],"outcome":"unknown","error":{"outcome":"unknown","reason":"endpoint_lost","message":"lost","request_id":"r0"}}`, "",
+		"data:[DONE]", "", "",
+	}
+	got := strings.ReplaceAll(string(body), ": ", ":")
+	if diff := cmp.Diff(strings.Join(want, "\n"), got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against answers without outcome, retry time or a hint not to repeat a request that may have run.
+func TestFailures(t *testing.T) {
+	r, url := start(t, &Server{})
+	for i, test := range []struct {
+		end                     answerer.End
+		status                  int
+		retryAfter, shouldRetry string
+	}{
+		{answerer.End{Outcome: answerer.Refused, Reason: "overload", RetryAfter: 1500 * time.Millisecond}, 503, "2", ""},
+		{answerer.End{Outcome: answerer.Refused, Reason: "limit", RetryAfter: time.Second}, 429, "1", ""},
+		{answerer.End{Outcome: answerer.Refused, Reason: "unserved"}, 404, "", ""},
+		{answerer.End{Outcome: answerer.NotRun, Reason: "deadline"}, 504, "", ""},
+		{answerer.End{Outcome: answerer.Unknown, Reason: "endpoint_lost"}, 502, "", "false"},
+		{answerer.End{Outcome: answerer.Unknown, Reason: "endpoint_rejected", Response: &connector.Response{Status: 400}}, 400, "", "false"},
+		{answerer.End{Outcome: answerer.Unknown, Reason: "endpoint_rejected", Response: &connector.Response{Status: 500}}, 502, "", "false"},
+	} {
+		go r.finish(i, test.end)
+		resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader(chat(0)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		got := []string{fmt.Sprint(resp.StatusCode), resp.Header.Get("Retry-After"), resp.Header.Get("X-Should-Retry"), resp.Header.Get(HeaderOutcome), resp.Header.Get(HeaderRequestID)}
+		want := []string{fmt.Sprint(test.status), test.retryAfter, test.shouldRetry, string(test.end.Outcome), fmt.Sprintf("r%d", i)}
+		if diff := cmp.Diff(want, got); diff != "" || !strings.Contains(string(body), fmt.Sprintf(`"reason":%q`, test.end.Reason)) {
+			t.Errorf("%s: %s\n%s", test.end.Reason, diff, body)
+		}
+	}
+}
--- a/node.go
+++ b/node.go
@@ -317,9 +317,13 @@
 		return n.cutOff(cancel)
 	}
 	// The answers have been produced; the listener closes once they have been written.
-	_ = n.server.Close(drain)
+	written := n.server.Close(drain)
 	n.bounded(work, "did not leave the members", n.control.Leave)
-	return n.cutOff(cancel)
+	err := n.cutOff(cancel)
+	if written != nil {
+		err = errors.Join(err, &CutOffError{Requests: []string{"answers that were still being written"}})
+	}
+	return err
 }
 
 // drainContext ends with the drain time and with an abort.
