--- a/cmd/dragonflycroft/serve.go
+++ b/cmd/dragonflycroft/serve.go
@@ -4,14 +4,17 @@
 	"context"
 	"crypto/rand"
 	"flag"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft"
+	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
@@ -83,6 +86,7 @@
 type settings struct {
 	node        *dragonflycroft.Node
 	controllers map[string]string
+	operators   []administrator.Operator
 	trial       *configurer.Config
 }
 
@@ -100,8 +104,12 @@
 			c.address(optional.flag, optional.text)
 		}
 	}
-	c.digests("operator-tokens", c.pairs("operator-tokens", s.OperatorTokens))
 	out := &settings{controllers: c.pairs("control-hosts", s.ControlHosts)}
+	tokens := c.pairs("operator-tokens", s.OperatorTokens)
+	c.digests("operator-tokens", tokens)
+	for _, name := range slices.Sorted(maps.Keys(tokens)) {
+		out.operators = append(out.operators, administrator.Operator{Name: name, TokenSHA256: tokens[name]})
+	}
 	s.checkControl(c, out)
 	if n := c.number("verbosity", s.Verbosity, 0); n > 4 {
 		c.add("verbosity", "is %d; it must be at most 4", n)
@@ -114,8 +122,8 @@
 	if s.TrialConfig != "" {
 		out.trial = c.document("trial-config", s.TrialConfig)
 		s.PeerListen, s.PeerAdvertise, s.SharedKey = "127.0.0.1:0", "", rand.Text()
-		if s.ControlHosts != "" || s.DataDir != "" || s.Bootstrap {
-			c.add("trial-config", "excludes --control-hosts, --data-dir and --bootstrap")
+		if s.ControlHosts != "" || s.DataDir != "" || s.Bootstrap || s.OperatorListen != "" {
+			c.add("trial-config", "excludes --control-hosts, --data-dir, --bootstrap and --operator-listen")
 		}
 		return
 	}
@@ -201,10 +209,14 @@
 			klog.Warningf("node: trial host=%s reason=%q", s.HostID, "configuration, roles and orders are held in memory by this process alone")
 			return localcontroller.New(parsed.trial).Host(s.HostID, t.Addr()), nil
 		}
-		return participant.New(t, participant.Options{
+		p := participant.New(t, participant.Options{
 			HostID: s.HostID, Zone: s.Zone, CallersAddr: s.CallerListen, Controllers: parsed.controllers,
 			DataDir: s.DataDir, Bootstrap: s.Bootstrap,
-		}), nil
+		})
+		if s.OperatorListen != "" {
+			node.Operators = &administrator.Administrator{ListenAddr: s.OperatorListen, Operators: parsed.operators, Control: p.Client()}
+		}
+		return p, nil
 	}
 	return runUntilSignal(node.Run, node.Abort)
 }
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/sequencer"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -36,6 +37,7 @@
 	machine   *controller.Machine
 	sequencer *sequencer.Sequencer
 	service   *controller.Service
+	relay     *distributor.Relay
 }
 
 // New builds the parts of a host over its transport.
@@ -52,6 +54,7 @@
 		}
 		p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, Machine: p.machine}
 	}
+	p.relay = &distributor.Relay{HostID: o.HostID, Network: t, Holder: p.agent}
 	p.SetControllers(o.Controllers)
 	return p
 }
@@ -88,6 +91,7 @@
 // Register adds the methods of all parts to the transport before it runs.
 func (p *Participant) Register() {
 	p.agent.Register()
+	p.relay.Register()
 	if p.service != nil {
 		p.service.Register()
 	}
@@ -97,6 +101,7 @@
 func (p *Participant) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.agent.Run(ctx) })
+	group.Go(func() error { return p.relay.Run(ctx) })
 	if p.sequencer != nil {
 		group.Go(func() error { return p.sequencer.Run(ctx) })
 		group.Go(func() error { return p.service.Run(ctx) })
--- a/node.go
+++ b/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
@@ -76,6 +77,8 @@
 	NewStepper func(pool string, epoch uint64) granter.Stepper
 	// HostList is the platform's list of live and leaving endpoints; it may be nil.
 	HostList lister.Source
+	// Operators is the operators' listener; it may be nil.
+	Operators *administrator.Administrator
 	// Endpoint bounds the exchanges with endpoints.
 	Endpoint connector.Timeouts
 	// PollInterval is the time between two load reports of an endpoint.
@@ -141,6 +144,12 @@
 		return errors.Join(err, n.transport.Close())
 	}
 	n.control = control
+	if n.Operators != nil {
+		n.Operators.Ready = n.ready
+		if err := n.Operators.Listen(); err != nil {
+			return errors.Join(err, n.transport.Close())
+		}
+	}
 	n.server.Config = control.Config
 	return nil
 }
@@ -173,6 +182,13 @@
 	return ""
 }
 
+func (n *Node) ready() error {
+	if reason := n.Unready(); reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
+
 // Accept implements server.Requests.
 func (n *Node) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
 	d := n.requests.Load()
@@ -214,6 +230,9 @@
 	group.Go(func() error { return n.transport.Run(work) })
 	group.Go(func() error { return n.control.Run(work) })
 	group.Go(n.server.Run)
+	if n.Operators != nil {
+		group.Go(func() error { return n.Operators.Run(work) })
+	}
 	group.Go(func() error { return n.join(groupCtx) })
 	stopped := make(chan error, 1)
 	go func() {
