--- a/internal/ejector/outliers.go
+++ b/internal/ejector/outliers.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 )
 
 const (
@@ -15,8 +14,6 @@
 	minPeers = 3
 	// DefaultMaxShare bounds the ejected part of a pool. A third keeps two thirds of the capacity in the worst case.
 	DefaultMaxShare = 1.0 / 3
-	// ReviewInterval is the time between reviews.
-	ReviewInterval = time.Second
 )
 
 // Measure is the progress of one endpoint since the last review. Slowness is a time per unit of work, such as the
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -72,20 +72,12 @@
 	return &Limiter{targets: targets, runs: startRuns, tokens: startTokens, headroomShare: headroom}
 }
 
-// NewFixed returns a bound of a fixed number of runs.
-func NewFixed(runs int, headroom float64) *Limiter {
-	return &Limiter{runs: float64(max(runs, 1)), tokens: maxTokens, fixed: true, headroomShare: headroom}
-}
-
 // SetTargets replaces the targets.
 func (l *Limiter) SetTargets(t Targets) { l.targets = t }
 
-// SetFixed changes the number of runs of a fixed bound. It returns false for a bound that follows measurements.
-func (l *Limiter) SetFixed(runs int) bool {
-	if l.fixed {
-		l.runs = float64(max(runs, 1))
-	}
-	return l.fixed
+// Fix replaces the measured bound by a fixed number of runs.
+func (l *Limiter) Fix(runs int) {
+	l.fixed, l.runs, l.tokens = true, float64(max(runs, 1)), maxTokens
 }
 
 // Take books one run of the given tokens.
--- a/internal/scheduler/check_test.go
+++ b/internal/scheduler/check_test.go
@@ -39,17 +39,18 @@
 			wsRuns[r.d.Workspace]++
 		}
 	}
-	if waits != s.waiting || wanted != s.wanted || longs != s.longs {
-		return fmt.Errorf("totals %d %d %d, requests give %d %d %d", s.waiting, s.wanted, s.longs, waits, wanted, longs)
+	if waits != s.waiting || wanted != s.wanted || longs != s.placer.Longs {
+		return fmt.Errorf("totals %d %d %d, requests give %d %d %d", s.waiting, s.wanted, s.placer.Longs, waits, wanted, longs)
 	}
 	alone := 0
-	for _, e := range s.order {
-		runs, tokens := e.limit.Used()
-		if u := at[e]; u != (sums{runs, tokens, e.pending, e.longs}) || len(e.runs) != runs {
+	for _, t := range s.table.All() {
+		e := s.endpoint(t.Name)
+		runs, tokens := e.Limit.Used()
+		if u := at[e]; u != (sums{runs, tokens, e.Pending, e.Longs}) || len(e.runs) != runs {
 			return fmt.Errorf("endpoint %s books %d runs %d tokens %d pending %d longs, requests give %+v",
-				e.Name, runs, tokens, e.pending, e.longs, u)
+				e.Name, runs, tokens, e.Pending, e.Longs, u)
 		}
-		if e.alone {
+		if e.Alone {
 			alone++
 		}
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -79,17 +79,6 @@
 	waiting map[*request]struct{}
 }
 
-// endpointsOf returns the distinct endpoints that run the fingerprint.
-func (f *fingerprint) endpointsOf() []*endpoint {
-	var found []*endpoint
-	for _, r := range f.active {
-		if r.endpoint != nil && !slices.Contains(found, r.endpoint) {
-			found = append(found, r.endpoint)
-		}
-	}
-	return found
-}
-
 func (f *fingerprint) sortedWaiting() []*request {
 	return sorted(f.waiting)
 }
@@ -184,7 +173,7 @@
 // assign puts a waiting request into the lane that fits it, or refuses it.
 func (s *Scheduler) assign(r *request) bool {
 	c := s.classOf(r.d)
-	if c.members == 0 {
+	if c.Members() == 0 {
 		s.refuse(r, RefuseUnserved, 0)
 		return false
 	}
@@ -292,11 +281,11 @@
 		return
 	}
 	r.endpoint = nil
-	e.limit.Give(r.booked, r.urgent)
+	e.Limit.Give(r.booked, r.urgent)
 	delete(e.runs, r)
 	s.endPrefill(e, r)
 	if r.alone {
-		r.alone, e.alone = false, false
+		r.alone, e.Alone = false, false
 		s.alone--
 	}
 	if r.tier != nil {
@@ -321,12 +310,12 @@
 }
 
 func (s *Scheduler) endPrefill(e *endpoint, r *request) {
-	e.pending -= r.uncached
+	e.Pending -= r.uncached
 	r.uncached = 0
 	if r.long {
 		r.long = false
-		e.longs--
-		s.longs--
+		e.Longs--
+		s.placer.Longs--
 	}
 }
 
@@ -334,9 +323,9 @@
 func (s *Scheduler) occupy(r *request, e *endpoint, uncached int) {
 	r.endpoint, r.booked, r.uncached = e, r.tokens, uncached
 	r.urgent = r.tier != nil && r.tier.urgent
-	e.limit.Take(r.booked, r.urgent)
+	e.Limit.Take(r.booked, r.urgent)
 	e.runs[r] = struct{}{}
-	e.pending += uncached
+	e.Pending += uncached
 	if r.tier != nil {
 		r.tier.active++
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -11,8 +11,6 @@
 	rebookFactor = 1.5
 	// orphanTime is how long runs of a lost host stay counted.
 	orphanTime = 30 * time.Second
-	// recentEnds bounds the remembered ends of runs per endpoint, which allow for the age of load reports.
-	recentEnds = 64
 )
 
 // endedRun is a run that ended without an answer.
@@ -72,9 +70,9 @@
 	s.stop(r.expiry)
 	r.expiry = nil
 	r.state, r.startedAt, r.progressed = running, s.now, s.now
-	r.queued = r.endpoint.pending
+	r.queued = r.endpoint.Pending
 	if len(r.endpoint.runs) == 1 {
-		r.endpoint.progressed = s.now
+		r.endpoint.Progressed = s.now
 	}
 }
 
@@ -138,19 +136,19 @@
 		s.run(r) // The report overtook Started.
 	}
 	e := r.endpoint
-	s.proveAlive(e, r)
+	e.ProveAlive(s.now, r.startedAt)
 	tokens := p.OutputTokens - r.seen
 	if r.seen == 0 && p.OutputTokens > 0 {
 		s.firstToken(e, r)
 	} else if took := s.now - r.progressed; tokens > 0 && took > 0 {
-		e.speed.ObserveGap(tokens, took)
+		e.Speed.ObserveGap(tokens, took)
 		s.gap += poolGain * (took.Seconds()/float64(tokens) - s.gap)
-		e.limit.ObserveGap(s.now, took/time.Duration(tokens))
+		e.Limit.ObserveGap(s.now, took/time.Duration(tokens))
 	}
 	if tokens <= 0 {
 		return
 	}
-	r.seen, r.progressed, e.progressed = p.OutputTokens, s.now, s.now
+	r.seen, r.progressed, e.Progressed = p.OutputTokens, s.now, s.now
 	if r.seen > r.output {
 		s.rebook(r)
 	}
@@ -160,9 +158,8 @@
 func (s *Scheduler) firstToken(e *endpoint, r *request) {
 	took := s.now - r.startedAt
 	r.firstAt = s.now
-	explained := time.Duration(float64(r.queued) / e.speed.Prefill() * float64(time.Second))
-	e.limit.ObserveFirstToken(s.now, took, explained)
-	e.speed.ObserveFirstToken(r.queued, took)
+	e.Limit.ObserveFirstToken(s.now, took, e.Prefill(r.queued))
+	e.Speed.ObserveFirstToken(r.queued, took)
 	if r.tier != nil {
 		r.tier.firstTook += poolGain * (took.Seconds() - r.tier.firstTook)
 	}
@@ -175,18 +172,11 @@
 	if r.d.MaxOutputTokens > 0 {
 		output = max(min(output, r.d.MaxOutputTokens), r.seen)
 	}
-	r.endpoint.limit.Adjust(output - r.output)
+	r.endpoint.Limit.Adjust(output - r.output)
 	r.booked += output - r.output
 	r.output = output
 }
 
-// proveAlive takes back a failure sign when a run that began before it makes progress.
-func (s *Scheduler) proveAlive(e *endpoint, r *request) {
-	if at, failed := e.avail.FailedAt(); failed && r.startedAt < at {
-		e.avail.Alive(s.now)
-	}
-}
-
 // finish records the end of a run.
 func (s *Scheduler) finish(f Finished) {
 	r := s.requests[f.RequestID]
@@ -207,9 +197,7 @@
 			s.ended = append([]endedRun(nil), s.ended[maxEnded/2:]...)
 		}
 	}
-	if e.recentEnded = append(e.recentEnded, s.now); len(e.recentEnded) > recentEnds {
-		e.recentEnded = append([]time.Duration(nil), e.recentEnded[recentEnds/2:]...)
-	}
+	e.Ended(s.now)
 	used := max(f.PromptTokens-f.CachedTokens, 0) + max(f.OutputTokens, r.seen)
 	if s.service() {
 		used = 1
@@ -222,12 +210,8 @@
 	if f.OutputTokens > 0 {
 		s.lengths.Observe(f.OutputTokens, r.lengthKeys()...)
 	}
-	e.progressed = s.now
 	s.quarantine.Finished(s.now, r.d.Fingerprint)
-	s.proveAlive(e, r)
-	if at, failed := e.avail.FailedAt(); !failed || r.startedAt >= at {
-		e.avail.Succeed(s.now)
-	}
+	e.Succeed(s.now, r.startedAt)
 	if p := s.prints[r.d.Fingerprint]; p != nil {
 		for _, w := range p.sortedWaiting() {
 			s.reassign(w)
@@ -321,7 +305,7 @@
 
 // checkWarm ends the start-up phase once all expected hosts have synced.
 func (s *Scheduler) checkWarm() {
-	if !s.warm || len(s.opts.Hosts) == 0 {
+	if !s.table.Warm() || len(s.opts.Hosts) == 0 {
 		return
 	}
 	for _, name := range s.opts.Hosts {
@@ -329,7 +313,7 @@
 			return
 		}
 	}
-	s.endWarmup()
+	s.table.EndWarmup(s.now)
 }
 
 // loseHost forgets the waiting requests of a host; what it may still run stays counted for a time.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
-	"github.com/dragonflycroft/dragonflycroft/internal/ejector"
 	"github.com/dragonflycroft/dragonflycroft/internal/estimator"
 	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/placer"
@@ -13,6 +12,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
 	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
 	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+	"github.com/dragonflycroft/dragonflycroft/internal/tracker"
 )
 
 const (
@@ -30,6 +30,8 @@
 	defaultMaxWaiting = 50_000
 	// sweepInterval is the time between removals of accounts that are no longer in use.
 	sweepInterval = 30 * time.Second
+	// reviewInterval is the time between reviews of the endpoints' progress.
+	reviewInterval = time.Second
 )
 
 // Options configure a Scheduler.
@@ -69,15 +71,13 @@
 	ended    []endedRun
 	prints   map[string]*fingerprint
 
+	table      *tracker.Table
 	endpoints  map[string]*endpoint
-	order      []*endpoint // by name
-	listedAt   time.Duration
-	listed     bool
 	classes    []*class
-	classByKey map[classKey]*class
+	classByKey map[*tracker.Class]*class
 	prefixes   *placer.Prefixes
+	placer     placer.Placer
 	pinned     []*endpoint // with requests that wait for them
-	longs      int         // long prefills in progress
 	alone      int         // endpoints reserved for suspects or running one
 
 	accounts   *queuer.Accounts
@@ -88,7 +88,6 @@
 	gap        float64 // seconds between tokens, over the pool
 	book       *shedder.Book[*request]
 	quarantine *quarantiner.Quarantine
-	outliers   *ejector.Outliers
 	timers     *ranker.Heap[timer]
 
 	closedBelow int
@@ -97,8 +96,6 @@
 	confirmed   int
 	permits     map[int]time.Duration
 	asked       map[int]time.Duration
-	warmUntil   time.Duration
-	warm        bool
 	nextReview  time.Duration
 	nextSweep   time.Duration
 }
@@ -108,7 +105,7 @@
 	if o.GrantTTL <= 0 {
 		o.GrantTTL = defaultGrantTTL
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		opts:       o,
 		rng:        rand.New(rand.NewPCG(o.Seed, o.Epoch)),
 		byTier:     make(map[string]*tier),
@@ -116,7 +113,8 @@
 		requests:   make(map[string]*request),
 		prints:     make(map[string]*fingerprint),
 		endpoints:  make(map[string]*endpoint),
-		classByKey: make(map[classKey]*class),
+		classByKey: make(map[*tracker.Class]*class),
+		table:      tracker.New(),
 		prefixes:   placer.NewPrefixes(),
 		accounts:   queuer.NewAccounts(),
 		shares:     queuer.NewShares(nil, nil),
@@ -125,23 +123,24 @@
 		lengths:    estimator.NewLengths(),
 		book:       shedder.NewBook[*request](),
 		quarantine: quarantiner.New(defaultQuarantine),
-		outliers:   ejector.NewOutliers(),
 		timers:     ranker.New(lessTimer),
 		permits:    make(map[int]time.Duration),
 		asked:      make(map[int]time.Duration),
 	}
+	s.placer = placer.Placer{Table: s.table, Prefixes: s.prefixes}
+	return s
 }
 
 // Step applies one event and returns the actions that follow. Time must not go backwards; an earlier now counts as the
 // latest one.
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	if !s.began {
-		s.began, s.now, s.warm = true, now, true
-		s.warmUntil = now + s.opts.GrantTTL + grantMargin
-		s.at(s.warmUntil, func() { s.endWarmup() })
+		s.began, s.now = true, now
+		s.at(now+s.opts.GrantTTL+grantMargin, func() { s.table.EndWarmup(s.now) })
 	}
 	s.now = max(s.now, now)
 	s.actions = nil
+	s.table.Advance(s.now)
 	s.runTimers()
 	s.apply(ev)
 	s.review()
@@ -173,7 +172,7 @@
 	case EndpointFailed:
 		s.failEndpoint(e)
 	case LoadReported:
-		s.reportLoad(e)
+		s.table.Report(s.now, e.Age, e.Endpoint, e.Running, e.Waiting)
 	case CacheChanged:
 		s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
 	case HostsListed:
@@ -193,16 +192,6 @@
 	})
 }
 
-func (s *Scheduler) endWarmup() {
-	if !s.warm {
-		return
-	}
-	s.warm = false
-	for _, e := range s.order {
-		s.rank(e)
-	}
-}
-
 // timer runs a function at a time. Timers of equal time run in the order of their creation.
 type timer struct {
 	at  time.Duration
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -18,9 +18,6 @@
 	ageWait = 20 * time.Second
 	// defaultGapTarget applies when no tier has one.
 	defaultGapTarget = 46 * time.Millisecond
-	// headroom is the part of each endpoint's bound that only urgent tiers may use.
-	headroom          = 0.15
-	defaultConcurrent = 8
 	// urgentSpan times the strictest first-token target makes a tier urgent. Headroom shared with patient tiers would not
 	// be there when the strictest tier needs it.
 	urgentSpan = 1.5
@@ -59,7 +56,7 @@
 	}
 	s.configureTiers(e.Config.Tiers)
 	s.configureWorkspaces(e.Config.Workspaces)
-	s.configureEndpoints(e.Config.Endpoints)
+	s.configureEndpoints()
 	if ms := s.limits.QuarantineMS; ms > 0 {
 		s.quarantine.SetHold(time.Duration(ms) * time.Millisecond)
 	} else {
--- a/internal/placer/ranking.go
+++ b/internal/tracker/ranking.go
@@ -1,4 +1,4 @@
-package placer
+package tracker
 
 import (
 	"cmp"
@@ -6,8 +6,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
 )
 
-// Ranking orders endpoints by load, so that a decision looks at a few of them only.
-type Ranking struct {
+// ranking orders endpoints by load, so that a decision looks at a few of them only.
+type ranking struct {
 	heap  *ranker.Heap[ranked]
 	nodes map[string]*ranker.Node[ranked]
 }
@@ -17,17 +17,17 @@
 	score float64
 }
 
-// NewRanking returns an empty ranking.
-func NewRanking() *Ranking {
-	return &Ranking{heap: ranker.New(lessRanked), nodes: make(map[string]*ranker.Node[ranked])}
+// newRanking returns an empty ranking.
+func newRanking() *ranking {
+	return &ranking{heap: ranker.New(lessRanked), nodes: make(map[string]*ranker.Node[ranked])}
 }
 
 func lessRanked(a, b ranked) bool {
 	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name)) < 0
 }
 
-// Set adds an endpoint or changes its score.
-func (r *Ranking) Set(name string, score float64) {
+// set adds an endpoint or changes its score.
+func (r *ranking) set(name string, score float64) {
 	if n := r.nodes[name]; n != nil {
 		if n.Value.score != score {
 			n.Value.score = score
@@ -38,19 +38,16 @@
 	r.nodes[name] = r.heap.Push(ranked{name, score})
 }
 
-// Remove takes an endpoint out.
-func (r *Ranking) Remove(name string) {
+// remove takes an endpoint out.
+func (r *ranking) remove(name string) {
 	if n := r.nodes[name]; n != nil {
 		r.heap.Remove(n)
 		delete(r.nodes, name)
 	}
 }
 
-// Len returns the number of endpoints.
-func (r *Ranking) Len() int { return r.heap.Len() }
-
-// Least appends the k endpoints of the lowest scores to dst, the lowest first.
-func (r *Ranking) Least(dst []string, k int) []string {
+// least appends the k endpoints of the lowest scores to dst, the lowest first.
+func (r *ranking) least(dst []string, k int) []string {
 	for _, e := range r.heap.Least(nil, k) {
 		dst = append(dst, e.name)
 	}
