queuer, limiter, tracker, placer and others: test the parts

The test of host lists found that a list made before the last one could not be told from one beyond the age limit: the latter still takes absent endpoints away.

--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,168 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
+	"github.com/dragonflycroft/dragonflycroft/internal/tracker"
+)
+
+// Guards against trusting cache entries after missed events, and against losing what the events confirm.
+func TestPrefixEvents(t *testing.T) {
+	p := NewPrefixes()
+	blocks := []uint64{1, 2, 3, 4}
+	p.Dispatched("e", blocks)
+	if got := p.Match("e", blocks); got != 4 {
+		t.Errorf("without events the dispatch counts: %d blocks", got)
+	}
+	p.Change("e", 1, []uint64{1, 2, 3, 4}, nil)
+	p.Change("e", 2, nil, []uint64{4})
+	if got := p.Match("e", blocks); got != 3 {
+		t.Errorf("after a removal %d blocks match", got)
+	}
+	p.Change("e", 2, []uint64{4}, nil)
+	if got := p.Match("e", blocks); got != 3 {
+		t.Errorf("a repeated event was applied: %d blocks match", got)
+	}
+	p.Change("e", 5, []uint64{9}, nil)
+	if got := p.Match("e", blocks); got >= 3 {
+		t.Errorf("after a gap %d blocks count fully", got)
+	}
+	p.Change("e", 1, []uint64{7}, nil)
+	p.Change("e", 2, []uint64{8}, nil)
+	if got := p.Match("e", []uint64{7, 8}); got != 2 {
+		t.Errorf("after a restart of the numbering %d blocks match", got)
+	}
+	p.Forget("e")
+	if got := p.Holders(nil, blocks, 4); got != nil || len(p.holders) != 0 {
+		t.Errorf("a forgotten endpoint is listed: %v", got)
+	}
+}
+
+// Guards against an index that grows without bound, or that evicts a block before those that extend it.
+func TestPrefixBound(t *testing.T) {
+	p := NewPrefixes()
+	for i := range uint64(3) {
+		var blocks []uint64
+		for b := range uint64(maxBlocksPerEndpoint / 2) {
+			blocks = append(blocks, i<<32+b)
+		}
+		p.Dispatched("e", blocks)
+		if got := p.Match("e", blocks); got != len(blocks) {
+			t.Errorf("prompt %d: %d of %d blocks", i, got, len(blocks))
+		}
+	}
+	if n := p.caches["e"].order.Len(); n > maxBlocksPerEndpoint || len(p.holders) != n {
+		t.Errorf("%d blocks, %d in the index of holders", n, len(p.holders))
+	}
+	for _, e := range []string{"e1", "e2", "e3"} {
+		p.Dispatched(e, []uint64{1, 2})
+	}
+	p.Dispatched("e4", []uint64{1})
+	if diff := cmp.Diff([]string{"e1", "e2", "e3", "e4"}, p.Holders(nil, []uint64{1, 2}, 9)); diff != "" {
+		t.Errorf("holders, the longest prefixes first (-want +got):\n%s", diff)
+	}
+}
+
+func testPlacer() (*Placer, *tracker.Class) {
+	table := tracker.New()
+	var list []configurer.Endpoint
+	for _, n := range []string{"e1", "e2", "e3"} {
+		list = append(list, configurer.Endpoint{Name: n, Pool: "p", Zone: "z" + n, Models: []string{"m"}})
+	}
+	table.Configure(0, configurer.Pool{Name: "p", Kind: configurer.KindModel}, list, limiter.Targets{},
+		func(*tracker.Endpoint) bool { return false })
+	table.EndWarmup(0)
+	c, _ := table.Class(0, "m", "")
+	return &Placer{Table: table, Prefixes: NewPrefixes(), Target: 740 * time.Millisecond}, c
+}
+
+// Guards against the choice of a slow, busy or far endpoint, and against missing a long cached prefix for a little speed.
+func TestChoose(t *testing.T) {
+	blocks := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+	for _, c := range []struct {
+		name    string
+		prepare func(p *Placer)
+		job     Job
+		want    string
+		why     Obstacle
+		busy    string
+	}{
+		{"same zone", func(*Placer) {}, Job{Tokens: 200, Prompt: 100, Output: 100, Zone: "ze2"}, "e2", None, ""},
+		{"faster", func(p *Placer) {
+			for range 9 {
+				p.Table.Get("e3").Speed.ObserveGap(1, 10*time.Millisecond)
+			}
+		}, Job{Tokens: 200, Prompt: 100, Output: 100, Zone: "ze2"}, "e3", None, ""},
+		{"long prefix", func(p *Placer) {
+			p.Prefixes.Dispatched("e1", blocks)
+			for range 9 {
+				p.Table.Get("e3").Speed.ObserveGap(1, 10*time.Millisecond)
+			}
+		}, Job{Tokens: 1100, Prompt: 1000, Output: 100, Blocks: blocks}, "e1", None, ""},
+		{"queued prompts", func(p *Placer) {
+			for _, e := range p.Table.All() {
+				e.Pending = 1500
+			}
+		}, Job{Tokens: 300, Prompt: 200, Output: 100}, "", NoPrefillRoom, ""},
+		{"queued prompts, urgent", func(p *Placer) {
+			for _, e := range p.Table.All() {
+				e.Pending = 1500
+			}
+		}, Job{Tokens: 300, Prompt: 200, Output: 100, Urgent: true}, "e1", None, ""},
+		{"long prefill in progress", func(p *Placer) {
+			for _, e := range p.Table.All() {
+				e.Longs = 1
+			}
+		}, Job{Tokens: 4000, Prompt: 3900, Output: 100}, "", NoPrefillRoom, ""},
+		{"no room", func(p *Placer) {
+			for _, e := range p.Table.All() {
+				for range 8 {
+					e.Limit.Take(100, false)
+				}
+				p.Table.Rank(0, e)
+			}
+		}, Job{Tokens: 200, Prompt: 100, Output: 100}, "", NoRoom, ""},
+		{"busy endpoint with the prefix", func(p *Placer) {
+			p.Prefixes.Dispatched("e1", blocks)
+			for range 8 {
+				p.Table.Get("e1").Limit.Take(100, false)
+			}
+		}, Job{Tokens: 1100, Prompt: 1000, Output: 100, Blocks: blocks}, "e2", None, "e1"},
+	} {
+		p, class := testPlacer()
+		c.prepare(p)
+		got := p.Choose(0, c.job, class)
+		name := func(e *tracker.Endpoint) string {
+			if e == nil {
+				return ""
+			}
+			return e.Name
+		}
+		if name(got.Endpoint) != c.want || got.Obstacle != c.why || name(got.Busy) != c.busy {
+			t.Errorf("%s: %q (obstacle %d, busy %q), want %q (%d, %q)", c.name, name(got.Endpoint), got.Obstacle,
+				name(got.Busy), c.want, c.why, c.busy)
+		}
+	}
+}
+
+// Guards against a request that must stay at its endpoints being sent to a third one.
+func TestOnly(t *testing.T) {
+	p, class := testPlacer()
+	near := []*tracker.Endpoint{p.Table.Get("e2")}
+	got := p.Choose(0, Job{Tokens: 200, Prompt: 100, Output: 100, Near: near, Only: true}, class)
+	if got.Endpoint != near[0] {
+		t.Errorf("chose %+v", got)
+	}
+	for range 8 {
+		near[0].Limit.Take(100, false)
+	}
+	got = p.Choose(0, Job{Tokens: 200, Prompt: 100, Output: 100, Near: near, Only: true}, class)
+	if got.Endpoint != nil || got.Obstacle != NoDistinct {
+		t.Errorf("chose %+v", got)
+	}
+}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -60,19 +60,27 @@
 			Tier: tier, Kind: "chat", Model: "m", Zone: "z", PromptTokens: 256, MaxOutputTokens: 100, PrefixBlocks: blocks,
 		}})
 	}
+	started := 0
+	start := func() {
+		for ; started < len(running); started++ {
+			g := running[started]
+			step(scheduler.Started{Host: "h", RequestID: g.RequestID, Endpoint: g.Endpoint})
+			step(scheduler.Progress{RequestID: g.RequestID, OutputTokens: 1})
+		}
+	}
 	for grants == next || next-grants < waiting {
 		submit()
+		start()
 	}
 	b.ResetTimer()
-	start := grants
+	first := grants
 	for i := range b.N {
 		now += 120 * time.Microsecond
 		submit()
 		g := running[i]
-		step(scheduler.Started{Host: "h", RequestID: g.RequestID, Endpoint: g.Endpoint})
-		step(scheduler.Progress{RequestID: g.RequestID, OutputTokens: 1})
 		step(scheduler.Progress{RequestID: g.RequestID, OutputTokens: 50})
 		step(scheduler.Finished{RequestID: g.RequestID, Outcome: scheduler.OutcomeDone, PromptTokens: 256, OutputTokens: 100})
+		start()
 	}
-	b.ReportMetric(float64(grants-start)/float64(b.N), "grants/op")
+	b.ReportMetric(float64(grants-first)/float64(b.N), "grants/op")
 }
--- /dev/null
+++ b/internal/shedder/shedder_test.go
@@ -0,0 +1,26 @@
+package shedder
+
+import "testing"
+
+// Guards against shedding a small caller while a larger one of the same tier waits, and against a wrong tier.
+func TestVictim(t *testing.T) {
+	b := NewBook[string]()
+	big, small := Owner{2, "w", "big"}, Owner{2, "w", "small"}
+	weighty := Owner{2, "heavy", "c"}
+	b.Add(big, 100, 1, "big1")
+	newest := b.Add(big, 100, 1, "big2")
+	b.Add(small, 150, 1, "small")
+	b.Add(weighty, 300, 4, "weighty")
+	b.Add(Owner{1, "w", "big"}, 1e6, 1, "other tier")
+	if v, ok := b.Victim(2); !ok || v != "big2" {
+		t.Errorf("victim %q, want the newest request of the largest caller", v)
+	}
+	b.Remove(newest)
+	b.Remove(newest)
+	if v, _ := b.Victim(2); v != "small" {
+		t.Errorf("victim %q, want small: the large caller is down to 100", v)
+	}
+	if _, ok := b.Victim(0); ok {
+		t.Error("an empty tier has a victim")
+	}
+}
--- a/internal/tracker/table.go
+++ b/internal/tracker/table.go
@@ -257,11 +257,12 @@
 	}
 }
 
-// List applies the platform's host list and returns the endpoints that it no longer names. A list that is old, or older
-// than the last one, only takes endpoints away.
+// List applies the platform's host list and returns the endpoints that it no longer names. A list beyond the age limit only
+// takes endpoints away, and one made before the last one only tells which are leaving.
 func (t *Table) List(now, age time.Duration, live, leaving []string) (vanished []*Endpoint) {
 	at := now - max(age, 0)
-	fresh := age <= maxListAge && (!t.listed || at >= t.listedAt)
+	newer := !t.listed || at >= t.listedAt
+	fresh := newer && age <= maxListAge
 	isLive, isLeaving := set(live), set(leaving)
 	for _, e := range t.order {
 		present := isLive[e.Name] || isLeaving[e.Name]
@@ -271,7 +272,7 @@
 			e.leaving = false
 		}
 		switch {
-		case !present && e.listed && (fresh || !t.listed):
+		case !present && e.listed && newer:
 			e.listed = false
 			vanished = append(vanished, e)
 		case present && fresh:
@@ -279,7 +280,7 @@
 		}
 		t.Rank(now, e)
 	}
-	if fresh {
+	if newer {
 		t.listed, t.listedAt = true, at
 	}
 	return vanished
