--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -21,6 +21,9 @@
 	running
 )
 
+// finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
+const finishMargin = 1.3
+
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -36,17 +39,24 @@
 	state   state
 	arrived time.Duration
 	output  int // predicted output tokens
-	tokens  int // prompt and predicted output
-	wanted  int // tokens counted as waiting
+	longest int // output tokens that are rarely exceeded
+	// deadline is when the caller gives up; 0 means never.
+	deadline time.Duration
+	tokens   int // prompt and predicted output
+	wanted   int // tokens counted as waiting
 
 	lane   *lane
 	entry  *queuer.Entry[*request]
 	age    *ranker.Node[*request]
 	handle *shedder.Handle
-	held   bool // left out of the lanes until a run of its fingerprint ends
+	held   bool // left out of the lanes until a run of its fingerprint ends or while pinned
+	pinned *endpoint
+	// unpinned requests have waited for an endpoint once.
+	unpinned bool
 
 	endpoint *endpoint
-	booked   int // tokens booked at the endpoint
+	booked   int  // tokens booked at the endpoint
+	urgent   bool // booked as urgent
 	uncached int
 	long     bool // counts as a long prefill at the endpoint
 	queued   int  // prompt tokens queued at the endpoint when it started
@@ -122,7 +132,11 @@
 
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
-	return &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	r := &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	if d.Remaining > 0 {
+		r.deadline = s.now + d.Remaining
+	}
+	return r
 }
 
 // submit admits a new request.
@@ -179,28 +193,56 @@
 		s.refuse(r, RefuseQuarantine, retry)
 		return false
 	}
-	r.lane = c.lanes[shortLane]
+	kind := s.timeliness(r)
 	switch {
 	case verdict == quarantiner.Suspect:
-		r.lane = c.lanes[suspectLane]
-	case r.d.PromptTokens >= longPrompt:
-		r.lane = c.lanes[longLane]
+		kind = suspectLane
+	case kind == shortLane && r.d.PromptTokens >= longPrompt:
+		kind = longLane
 	}
-	deadline := r.arrived + defaultDeadline
-	if r.d.Remaining > 0 {
-		deadline = r.arrived + max(r.d.Waited, 0) + r.d.Remaining
+	r.lane = c.lanes[kind]
+	deadline := r.deadline
+	if deadline == 0 {
+		deadline = r.arrived + defaultDeadline
 	}
 	place := queuer.Place{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.entry = r.lane.queue.Push(place, deadline, r.seq, r)
 	return true
 }
 
+// timeliness returns the lane by what the request can still achieve.
+func (s *Scheduler) timeliness(r *request) laneKind {
+	if s.service() {
+		return shortLane
+	}
+	if r.deadline > 0 {
+		if !s.canFinish(r, r.longest, finishMargin) {
+			return hopelessLane
+		}
+	}
+	if r.tier.FirstTokenTargetMS > 0 {
+		target := float64(r.tier.FirstTokenTargetMS) / 1000
+		// A part of the target always counts as in time, so that slow first tokens do not make all work late.
+		if (s.now - r.arrived).Seconds() > max(onTimePart*target-r.tier.firstTook, minOnTimePart*target) {
+			return lateLane
+		}
+	}
+	return shortLane
+}
+
+// canFinish reports whether an answer of the given length would end before its caller gives up.
+func (s *Scheduler) canFinish(r *request, output int, margin float64) bool {
+	need := r.tier.firstTook + float64(output)*s.gap
+	return r.deadline == 0 || (r.deadline-s.now).Seconds() >= margin*need
+}
+
 // unassign takes a waiting request out of its lane.
 func (s *Scheduler) unassign(r *request) {
 	if r.entry != nil {
 		r.lane.queue.Remove(r.entry)
 		r.entry = nil
 	}
+	s.unpin(r)
 	r.held = false
 }
 
@@ -250,7 +292,7 @@
 		return
 	}
 	r.endpoint = nil
-	e.limit.Give(r.booked)
+	e.limit.Give(r.booked, r.urgent)
 	delete(e.runs, r)
 	s.endPrefill(e, r)
 	if r.alone {
@@ -291,7 +333,8 @@
 // occupy books a request at an endpoint.
 func (s *Scheduler) occupy(r *request, e *endpoint, uncached int) {
 	r.endpoint, r.booked, r.uncached = e, r.tokens, uncached
-	e.limit.Take(r.booked)
+	r.urgent = r.tier != nil && r.tier.urgent
+	e.limit.Take(r.booked, r.urgent)
 	e.runs[r] = struct{}{}
 	e.pending += uncached
 	if r.tier != nil {
