--- a/internal/replayer/endpoint.go
+++ b/internal/replayer/endpoint.go
@@ -102,11 +102,10 @@
 		s.loseZone(c.Zone)
 		return
 	case tracer.ChangeHostDown:
-		for _, h := range s.hosts {
-			if h.name == c.Host {
-				s.loseHosts([]*host{h}, func() {})
-			}
-		}
+		s.loseHosts([]*host{s.hostNamed(c.Host)}, func() {})
+		return
+	case tracer.ChangeHostCut:
+		s.cutOff(s.hostNamed(c.Host), tracer.Micros(c.ForUS))
 		return
 	}
 	e := s.byName[c.Endpoint]
--- a/internal/replayer/host.go
+++ b/internal/replayer/host.go
@@ -14,6 +14,8 @@
 	name   string
 	zone   string
 	up     bool
+	cut    bool // no contact to the other hosts of the system
+	cutAt  time.Duration
 	active map[string]*attempt
 	dirty  []*attempt // runs with output that the holders do not know of
 }
@@ -27,6 +29,12 @@
 		s.callerLost(a)
 		return
 	}
+	if h.cut && s.now-h.cutAt > freshnessTime {
+		// The host cannot confirm its configuration and answers not_run.
+		s.end(a)
+		s.after(delayClient, func() { s.comeBack(a.logical, OutcomeRefused, reconnectWait) })
+		return
+	}
 	if key := a.logical.req.Key; key != "" && s.ledger[key] {
 		s.attach(a)
 		return
--- a/internal/replayer/leader.go
+++ b/internal/replayer/leader.go
@@ -44,7 +44,7 @@
 
 // beat sends the heartbeat of a pool's holder and acts on the answer.
 func (l *leader) beat(p *pool) {
-	if !p.holder.up {
+	if !p.holder.up || p.holder.cut || p.lapsed {
 		return
 	}
 	s, sent, epoch := l.sim, l.sim.now, p.epoch
@@ -72,7 +72,7 @@
 func (l *leader) roles() []permitter.Role {
 	var roles []permitter.Role
 	for _, p := range l.sim.pools {
-		roles = append(roles, permitter.Role{Name: p.name, Epoch: p.epoch, Live: p.holder.up})
+		roles = append(roles, permitter.Role{Name: p.name, Epoch: p.epoch, Live: p.holder.up && !p.lapsed})
 	}
 	return roles
 }
--- a/internal/replayer/pool.go
+++ b/internal/replayer/pool.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"slices"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
@@ -14,6 +13,7 @@
 	name   string
 	policy Policy
 	holder *host
+	lapsed bool // the holder's lease has ended while it was cut off
 	epoch  uint64
 	seed   uint64
 	shed   shedState
@@ -22,6 +22,7 @@
 // install starts the policy of a pool at its holder with the accounts of all hosts.
 func (s *sim) install(p *pool) {
 	p.epoch++
+	p.lapsed = false
 	setup := Setup{Pool: p.name, Epoch: p.epoch, Seed: p.seed}
 	for _, h := range s.hosts {
 		if h.up {
@@ -34,15 +35,23 @@
 	p.shed = shedState{told: s.leader.level(), confirmed: permitter.Open}
 	s.step(p, scheduler.TiersClosed{Below: p.shed.told.ClosedBelow})
 	for _, h := range s.hosts {
-		if h.up {
+		if s.linked(h, p) {
 			s.step(p, s.account(h, p))
 		}
 	}
 }
 
-// toPool sends an event from a host to the holder. What is sent to a dead holder is lost; the host's account to the
-// next holder makes up for it.
+// linked reports whether a host and the holder of a pool can exchange messages.
+func (s *sim) linked(h *host, p *pool) bool {
+	return h.up && p.holder.up && (h == p.holder || !h.cut && !p.holder.cut)
+}
+
+// toPool sends an event from a host to the holder. What is sent without a link is lost; the host's account on the next
+// stream makes up for it.
 func (s *sim) toPool(h *host, p *pool, ev scheduler.Event) {
+	if !s.linked(h, p) {
+		return
+	}
 	wait, epoch := delay(h.zone, p.holder.zone), p.epoch
 	if h == p.holder {
 		wait = delayWithinHost
@@ -55,7 +64,7 @@
 }
 
 func (s *sim) step(p *pool, ev scheduler.Event) {
-	if !p.holder.up {
+	if !p.holder.up || p.lapsed {
 		return
 	}
 	for _, act := range p.policy.Step(s.now, ev) {
@@ -91,7 +100,7 @@
 
 func (s *sim) toHost(p *pool, name string, fn func(h *host)) {
 	for _, h := range s.hosts {
-		if h.name != name {
+		if h.name != name || !s.linked(h, p) {
 			continue
 		}
 		wait := delay(h.zone, p.holder.zone)
@@ -126,52 +135,3 @@
 		_, s.result.writeErr = fmt.Fprintf(s.opts.Decisions, "%.6f pool=%s %s\n", s.now.Seconds(), p.name, line)
 	}
 }
-
-// loseZone silences all hosts and endpoints of a zone.
-func (s *sim) loseZone(zone string) {
-	var lost []*host
-	for _, h := range s.hosts {
-		if h.zone == zone {
-			lost = append(lost, h)
-		}
-	}
-	s.loseHosts(lost, func() {
-		for _, e := range s.endpoints {
-			if e.cfg.Zone == zone {
-				s.crash(e, true)
-			}
-		}
-	})
-}
-
-// loseHosts ends entry hosts, and with them the pools that they hold. Also runs once they no longer act.
-func (s *sim) loseHosts(lost []*host, also func()) {
-	lost = slices.DeleteFunc(lost, func(h *host) bool { return !h.up })
-	for _, h := range lost {
-		h.up = false
-	}
-	also()
-	for _, h := range lost {
-		s.orphan(h)
-	}
-	for _, p := range s.pools {
-		switch {
-		case p.holder.up:
-			s.after(sessionTimeout, func() {
-				for _, h := range lost {
-					s.step(p, scheduler.HostLost{Host: h.name})
-				}
-			})
-		case slices.Contains(lost, p.holder):
-			s.after(failoverTime, func() { s.failOver(p) })
-		}
-	}
-}
-
-// failOver gives a pool to the first host that is up.
-func (s *sim) failOver(p *pool) {
-	if h := s.pickHost(0); h != nil {
-		p.holder = h
-		s.install(p)
-	}
-}
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -51,6 +51,7 @@
 	silentTimeout     = 2 * time.Second // an open stream without a byte
 	sessionTimeout    = time.Second     // an entry host's stream to the holder
 	failoverTime      = 2 * time.Second // from the loss of a holder to the next one
+	freshnessTime     = 3 * time.Second // after which a host that is cut off takes no new requests
 	intendTime        = 2 * time.Millisecond
 	reconnectWait     = time.Second // a caller whose connection broke
 	heartbeatInterval = 250 * time.Millisecond
--- a/internal/tracer/check.go
+++ b/internal/tracer/check.go
@@ -130,10 +130,13 @@
 			return fmt.Errorf("unknown zone %q", k.Zone)
 		}
 		return nil
-	case ChangeHostDown:
+	case ChangeHostDown, ChangeHostCut:
 		if !c.hosts[k.Host] {
 			return fmt.Errorf("unknown host %q", k.Host)
 		}
+		if k.ForUS < 0 || k.ForUS > maxTimeUS || (k.Change == ChangeHostCut) != (k.ForUS > 0) {
+			return fmt.Errorf("for_us %d: a host is cut off for a time", k.ForUS)
+		}
 		return nil
 	case ChangeSpeed:
 		if !(k.Factor > 0.001 && k.Factor < 1000) {
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -112,6 +112,7 @@
 	ChangeStart    = "start"     // the endpoint starts afresh
 	ChangeZoneDown = "zone_down" // all hosts and endpoints of the zone fall silent
 	ChangeHostDown = "host_down" // an entry host dies
+	ChangeHostCut  = "host_cut"  // an entry host loses contact to all other hosts of the system for ForUS
 )
 
 // Change is something that happens to an endpoint, a zone or an entry host.
@@ -123,6 +124,7 @@
 	Zone     string  `json:"zone,omitempty"`
 	Host     string  `json:"host,omitempty"`
 	Factor   float64 `json:"factor,omitempty"`
+	ForUS    int64   `json:"for_us,omitempty"`
 }
 
 // Micros converts a time of the trace.
