scenariorunner: run the failures on real processes; node: publish the version in force

Cause: the scenarios had not run against the serve command. Change: use the operators' interface as it is served, read the version each host acts on from its counters, and send a repeated order with its body.

--- a/internal/scenariorunner/cluster.go
+++ b/internal/scenariorunner/cluster.go
@@ -238,10 +238,10 @@
 	return service.Do(ctx, connector.Call{
 		Method: http.MethodPatch, Path: "/v1/config", Body: body,
 		Header: map[string]string{
-			"Authorization": "Bearer " + operatorToken,
-			"Content-Type":  "application/merge-patch+json",
-			"If-Match":      fmt.Sprintf("%q", fmt.Sprint(base)),
-			"X-Patch-Id":    id,
+			"Authorization":             "Bearer " + operatorToken,
+			"Content-Type":              "application/merge-patch+json",
+			"If-Match":                  fmt.Sprintf("%q", fmt.Sprint(base)),
+			"X-Dragonflycroft-Patch-Id": id,
 		},
 	}, func() {})
 }
@@ -250,14 +250,13 @@
 func (c *cluster) version(ctx context.Context, h *host) (uint64, error) {
 	service := connector.NewService(h.id, h.operator, connector.Timeouts{Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second})
 	response, err := service.Do(ctx, connector.Call{
-		Method: http.MethodGet, Path: "/v1/status",
-		Header: map[string]string{"Authorization": "Bearer " + operatorToken},
+		Method: http.MethodGet, Path: "/debug/vars",
 	}, func() {})
 	if err != nil {
 		return 0, err
 	}
 	var status struct {
-		Version uint64 `json:"config_version"`
+		Version uint64 `json:"node_config_version"`
 	}
 	if err := json.Unmarshal(response.Body, &status); err != nil {
 		return 0, eris.Wrapf(err, "decode status %q", response.Body)
--- a/internal/scenariorunner/steps.go
+++ b/internal/scenariorunner/steps.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	body, _ := json.Marshal(map[string]string{"id": h.id, "addr": h.peerAdvertised, "role": "learner"})
+	body, _ := json.Marshal(map[string]string{"action": "add", "id": h.id, "addr": h.peerAdvertised})
 	if err := r.operator(ctx, via, http.MethodPost, "/v1/members", body); err != nil {
 		return err
 	}
@@ -135,7 +135,7 @@
 			return err
 		}
 	}
-	body, _ = json.Marshal(map[string]string{"id": h.id, "role": "voter"})
+	body, _ = json.Marshal(map[string]string{"action": "promote", "id": h.id})
 	if err := r.operator(ctx, via, http.MethodPost, "/v1/members", body); err != nil {
 		return err
 	}
--- a/internal/scenariorunner/workload.go
+++ b/internal/scenariorunner/workload.go
@@ -1,6 +1,7 @@
 package scenariorunner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -123,7 +124,8 @@
 	call := connector.Call{Method: http.MethodPost, Path: connector.PathChat, Header: header, Body: w.chatBody(i)}
 	if w.order {
 		call.Path = "/v1/services/orders/charges"
-		call.Body = fmt.Appendf(nil, `{"order":"%s-%d"}`, w.name, i)
+		// An order that is sent again under its key has the same body.
+		call.Body = fmt.Appendf(nil, `{"order":"%s-%d"}`, cmp.Or(w.key, w.name), i)
 	}
 	service := connector.NewService(h.id, h.caller, connector.Timeouts{
 		Connect: 5 * time.Second, FirstByte: 3 * time.Minute, Gap: 3 * time.Minute,
--- a/node.go
+++ b/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"strconv"
 	"sync"
@@ -60,6 +61,9 @@
 	return fmt.Sprintf("%d requests were cut off: %v", len(e.Requests), e.Requests)
 }
 
+// versionInForce is the configuration version that this process acts on.
+var versionInForce = expvar.NewInt("node_config_version")
+
 // Node is one entry host. Set the exported fields before Run.
 type Node struct {
 	HostID string
@@ -256,6 +260,7 @@
 	n.resolver = &resolver.Resolver{Timeouts: n.endpointTimeouts()}
 	n.control.Subscribe(func(version uint64, cfg *Config) {
 		n.resolver.Apply(cfg)
+		versionInForce.Set(int64(version))
 		klog.Infof("node: configuration in force host=%s version=%d endpoints=%d", n.HostID, version, len(cfg.Endpoints))
 	})
 	if _, cfg, _ := n.control.Config(); cfg != nil {
