former, notifier: split the first start and observers from the sequencer

The sequencer had outgrown its size. The coordination of the first start has state and messages of its own, and so have observers of leadership.

--- a/internal/sequencer/link.go
+++ b/internal/sequencer/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +16,6 @@
 
 const (
 	methodStep = "sequencer.step"
-	methodForm = "sequencer.form"
 	// maxControl and maxBulk bound the exchanges under way to one peer; further messages are dropped and sent again.
 	maxControl = 16
 	maxBulk    = 32
@@ -97,7 +95,7 @@
 	if in.GetFrom() != peer.HostID {
 		return nil, eris.Errorf("message of host %s came from host %s", in.GetFrom(), peer.HostID)
 	}
-	if s.phase.Load() != phaseRunning {
+	if !s.former.Finished() {
 		return nil, eris.New("the host is starting")
 	}
 	m := decodeMessage(in)
@@ -123,60 +121,3 @@
 		return nil, ErrClosed
 	}
 }
-
-// observers delivers changes of leadership in order without holding up the loop.
-type observers struct {
-	mu    sync.Mutex
-	fns   []func(uint64, bool)
-	queue []func()
-	wake  chan struct{}
-}
-
-func (o *observers) add(fn func(uint64, bool)) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.fns = append(o.fns, fn)
-}
-
-func (o *observers) signal() chan struct{} {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.wake == nil {
-		o.wake = make(chan struct{}, 1)
-	}
-	return o.wake
-}
-
-func (o *observers) tell(term uint64, leader bool) {
-	wake := o.signal()
-	o.mu.Lock()
-	for _, fn := range o.fns {
-		o.queue = append(o.queue, func() { fn(term, leader) })
-	}
-	o.mu.Unlock()
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
-
-func (o *observers) run(ctx context.Context) {
-	wake := o.signal()
-	for {
-		o.mu.Lock()
-		queue := o.queue
-		o.queue = nil
-		o.mu.Unlock()
-		for _, fn := range queue {
-			fn()
-		}
-		if len(queue) > 0 {
-			continue
-		}
-		select {
-		case <-wake:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/sequencer/loop.go
+++ b/internal/sequencer/loop.go
@@ -189,10 +189,10 @@
 		klog.Infof("sequencer: role=%s host=%s term=%d leader=%s", v.status.Role, s.HostID, v.status.Term, v.status.Leader)
 	}
 	if old.leading && (!v.leading || v.status.Term != old.status.Term) {
-		s.observers.tell(old.status.Term, false)
+		s.observers.Tell(old.status.Term, false)
 	}
 	if v.leading && (!old.leading || v.status.Term != old.status.Term) {
-		s.observers.tell(v.status.Term, true)
+		s.observers.Tell(v.status.Term, true)
 	}
 }
 
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -15,6 +15,8 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/former"
+	"github.com/dragonflycroft/dragonflycroft/internal/notifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/persister"
 	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -103,9 +105,8 @@
 	done      chan struct{}
 	started   atomic.Bool
 	view      atomic.Pointer[view]
-	phase     atomic.Int32
-	initial   atomic.Bool // this initial voter saw that all others have a data folder
-	observers observers
+	former    former.Former
+	observers notifier.Notifier
 	wg        sync.WaitGroup
 
 	epoch     time.Time
@@ -186,7 +187,9 @@
 	if err := s.check(); err != nil {
 		return err
 	}
-	s.Transport.Handle(methodForm, s.handleForm)
+	s.former.HostID, s.former.Voters, s.former.Network = s.HostID, s.Voters, s.Transport
+	s.former.Term = func() uint64 { return s.view.Load().status.Term }
+	s.former.Listen()
 	s.Transport.Handle(methodStep, s.handleStep)
 	s.wg.Go(func() {
 		select {
@@ -195,7 +198,7 @@
 		case <-ctx.Done():
 		}
 	})
-	s.wg.Go(func() { s.observers.run(ctx) })
+	s.wg.Go(func() { s.observers.Run(ctx) })
 	err := s.start(ctx)
 	if err == nil && ctx.Err() == nil {
 		err = s.loop(ctx)
@@ -243,8 +246,8 @@
 	if contents.Identity.HostID != s.HostID {
 		return eris.Errorf("sequencer: data folder %s belongs to host %s, not to %s", s.DataDir, contents.Identity.HostID, s.HostID)
 	}
-	if err := s.awaitFormed(ctx, contents); err != nil || ctx.Err() != nil {
-		return err
+	if s.awaitFormed(ctx, contents) != nil {
+		return nil // ctx ended
 	}
 	if contents.Snapshot.Index > 0 {
 		if err := s.Machine.Restore(contents.Snapshot.Data); err != nil {
@@ -275,7 +278,7 @@
 	if status.Members.Voters() == 1 {
 		klog.Warningf("sequencer: one voter only; this is a trial without fault tolerance host=%s", s.HostID)
 	}
-	s.phase.Store(phaseRunning)
+	s.former.Finish()
 	s.publish()
 	return nil
 }
@@ -389,7 +392,7 @@
 // OnLeader registers a callback for the begin and end of this host's leadership. It begins once everything committed
 // before it is applied. Calls are made in order by one goroutine.
 func (s *Sequencer) OnLeader(fn func(term uint64, leader bool)) {
-	s.observers.add(fn)
+	s.observers.Add(fn)
 }
 
 // Members returns the newest membership this host knows.
@@ -446,7 +449,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*s.ElectionTimeout)
 	defer cancel()
 	asked := make(chan error, 1)
-	if s.phase.Load() != phaseRunning || s.post(ctx, func() { asked <- s.core.Transfer(s.now()) }) != nil {
+	if !s.former.Finished() || s.post(ctx, func() { asked <- s.core.Transfer(s.now()) }) != nil {
 		return
 	}
 	select {
