--- a/internal/configurer/decode.go
+++ b/internal/configurer/decode.go
@@ -15,6 +15,9 @@
 // about 2 MB.
 const MaxDocumentBytes = 8 << 20
 
+// MaxPatchBytes bounds a patch, so that its command fits into the replicated log.
+const MaxPatchBytes = 3 << 20
+
 // maxDepth bounds the nesting of a document, so that a hostile patch cannot exhaust the stack.
 const maxDepth = 32
 
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -8,6 +8,9 @@
 
 // CheckPatch reports the problems of a merge patch that do not depend on the document it is applied to.
 func CheckPatch(patch []byte) error {
+	if len(patch) > MaxPatchBytes {
+		return invalid("", "a patch of %d bytes is above the limit of %d", len(patch), MaxPatchBytes)
+	}
 	tree, problems, err := parse(patch)
 	if err != nil {
 		return err
--- a/internal/controller/fabric_test.go
+++ b/internal/controller/fabric_test.go
@@ -48,6 +48,19 @@
 	f.cut[id] = cut
 }
 
+func (f *fabric) setDrop(drop func(from, to, method string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop = drop
+}
+
+// loses reports whether the answer of an exchange is lost.
+func (f *fabric) loses(from, to, method string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drop != nil && f.drop(from, to, method)
+}
+
 func (f *fabric) connected(a, b string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,7 +103,7 @@
 	select {
 	case a := <-answered:
 		time.Sleep(f.delay)
-		if !f.connected(e.id, addr) || (f.drop != nil && f.drop(e.id, addr, method)) {
+		if !f.connected(e.id, addr) || f.loses(e.id, addr, method) {
 			<-ctx.Done()
 			return ctx.Err()
 		}
@@ -221,8 +234,9 @@
 	time.Sleep(2 * l.fabric.delay)
 	l.mu.Lock()
 	if l.leader != r.id || r.seen != l.term || !l.majority(r.id) {
+		deposed := r.seen != l.term
 		l.mu.Unlock()
-		if r.seen != l.term {
+		if deposed {
 			return nil, errNoQuorum
 		}
 		<-ctx.Done()
--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +40,15 @@
 	client  *controller.Client
 	machine *controller.Machine
 	stop    context.CancelFunc
+	mu      sync.Mutex
+	epochs  map[string][]uint64 // the epochs that the agent has reported as held
+}
+
+// valid reports whether the host may act now under any epoch that it ever held.
+func (h *host) valid(role string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.epochs[role], func(epoch uint64) bool { return h.agent.RoleValid(role, epoch) })
 }
 
 // start runs hosts h0, h1, ... of which the first controls hold the log, inside a synctest bubble.
@@ -77,6 +87,14 @@
 		stop()
 	}}
 	h.agent = &controller.Agent{HostID: id, Zone: zone, Addr: id, Control: control, Network: e, Controllers: s.control}
+	h.epochs = map[string][]uint64{}
+	h.agent.OnRole(func(role string, epoch uint64, held bool) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if held {
+			h.epochs[role] = append(h.epochs[role], epoch)
+		}
+	})
 	h.client = &controller.Client{Network: e, Controllers: s.control}
 	h.agent.Register()
 	if control {
@@ -105,16 +123,13 @@
 	s.t.Helper()
 	found := ""
 	for _, id := range s.ids {
-		a := s.hosts[id].agent
-		for epoch := range uint64(64) {
-			if !a.RoleValid(role, epoch) {
-				continue
-			}
-			if found != "" {
-				s.t.Fatalf("%s and %s both hold %s", found, id, role)
-			}
-			found = id
+		if !s.hosts[id].valid(role) {
+			continue
 		}
+		if found != "" {
+			s.t.Fatalf("%s and %s both hold %s", found, id, role)
+		}
+		found = id
 	}
 	return found
 }
@@ -309,7 +324,7 @@
 		s.configure()
 		var mu sync.Mutex
 		lost := 0
-		s.fabric.drop = func(_, _, method string) bool {
+		s.fabric.setDrop(func(_, _, method string) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			if method != "control.submit" || lost >= 2 {
@@ -317,7 +332,7 @@
 			}
 			lost++
 			return true
-		}
+		})
 		p := controller.Patch{ID: "again", Base: 1, Body: []byte(`{"limits":{"max_waiting":9}}`), Author: "op"}
 		got, err := s.hosts["h4"].client.PatchConfig(s.ctx, p)
 		if err != nil || got.Version != 2 || lost != 2 {
@@ -348,13 +363,13 @@
 			s := start(t, 6, 3)
 			s.configure()
 			time.Sleep(time.Second)
-			rng := rand.New(rand.NewPCG(seed, 2))
+			rng, losses := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 4))
 			var mu sync.Mutex
-			s.fabric.drop = func(_, _, method string) bool {
+			s.fabric.setDrop(func(_, _, method string) bool {
 				mu.Lock()
 				defer mu.Unlock()
-				return method == "control.submit" && rng.IntN(3) == 0
-			}
+				return method == "control.submit" && losses.IntN(3) == 0
+			})
 			victim := s.ids[rng.IntN(len(s.ids))]
 			key := recorder.Key{Workspace: "w", Value: "k"}
 			granted := map[string]bool{}
@@ -376,7 +391,7 @@
 			if len(granted) > 1 {
 				t.Errorf("seed %d: %v may all dispatch", seed, granted)
 			}
-			s.fabric.drop = nil
+			s.fabric.setDrop(nil)
 			time.Sleep(15 * time.Second)
 			reader := s.hosts[s.ids[(rng.IntN(5)+1+indexOf(s.ids, victim))%6]]
 			record, ok, err := reader.client.Order(s.ctx, key)
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/applier"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
@@ -182,6 +183,9 @@
 // PatchConfig applies a patch. It returns *applier.StaleVersionError, *applier.PatchIDError or *configurer.InvalidError
 // when the patch is refused.
 func (c *Client) PatchConfig(ctx context.Context, p applier.Patch) (applier.PatchResult, error) {
+	if len(p.Body) > configurer.MaxPatchBytes {
+		return applier.PatchResult{}, configurer.CheckPatch(p.Body)
+	}
 	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_PatchConfig{
 		PatchConfig: &controllerpb.PatchConfig{Id: p.ID, Base: p.Base, Body: p.Body, Author: p.Author},
 	}})
--- a/internal/submitter/order.go
+++ b/internal/submitter/order.go
@@ -30,8 +30,11 @@
 	return record, nil
 }
 
-// Conclude records the outcome of an order. Only its owner may do so.
+// Conclude records the outcome of an order. Only its owner may do so. A body that the ledger would not keep is not sent.
 func (c *Client) Conclude(ctx context.Context, key recorder.Key, owner string, out recorder.Outcome) error {
+	if len(out.Body) > recorder.DefaultMaxBodyBytes {
+		out.Body, out.Header, out.Truncated = nil, nil, true
+	}
 	_, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_ConcludeOrder{
 		ConcludeOrder: &controllerpb.ConcludeOrder{Key: keyProto(key), Owner: owner, Outcome: applier.OutcomeProto(out)},
 	}})
