--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"expvar"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,8 @@
 	Intend(ctx context.Context, o recorder.Intent) (recorder.Record, error)
 	Conclude(ctx context.Context, key recorder.Key, owner string, out recorder.Outcome) error
 	Withdraw(ctx context.Context, key recorder.Key, owner string) error
+	// Order returns an order, and false when the ledger does not hold it.
+	Order(ctx context.Context, key recorder.Key) (recorder.Record, bool, error)
 }
 
 // Hosts gives the peer addresses of entry hosts.
@@ -209,14 +212,20 @@
 	d.closed = true
 	cut := make([]string, 0, len(d.runs))
 	for id, r := range d.runs {
-		cut = append(cut, id+" "+string(r.machine.State()))
+		if r.answer.End() == nil {
+			cut = append(cut, id+" "+string(r.machine.State()))
+		}
 	}
+	slices.Sort(cut)
 	d.mu.Unlock()
 	d.cancel(&cancelError{reason: reasonStopped})
 	d.wg.Wait()
 	return cut
 }
 
+// NewID returns an id for a request that is refused before it is accepted.
+func (d *Dispatcher) NewID(workspace string) string { return d.newID(workspace) }
+
 // newID names the owner and ties the id to a workspace: no other workspace can fetch the answer by guessing an id.
 func (d *Dispatcher) newID(workspace string) string {
 	id := d.Owner() + "." + strconv.FormatUint(d.seq.Add(1), 10)
--- a/internal/ejector/outliers.go
+++ b/internal/ejector/outliers.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 )
 
 const (
@@ -10,13 +9,11 @@
 	// compared apart; within one, load explains a factor of two.
 	slowFactor = 2.5
 	// slowRounds is the number of consecutive reviews that must agree.
-	slowRounds = 3
+	slowRounds = 4
 	// minPeers is the number of measured peers without which nothing is judged.
 	minPeers = 3
 	// DefaultMaxShare bounds the ejected part of a pool. A third keeps two thirds of the capacity in the worst case.
 	DefaultMaxShare = 1.0 / 3
-	// ReviewInterval is the time between reviews.
-	ReviewInterval = time.Second
 )
 
 // Measure is the progress of one endpoint since the last review. Slowness is a time per unit of work, such as the
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -14,8 +14,9 @@
 	DefaultHeartbeatInterval = 80 * time.Millisecond
 	// DefaultMaxBatchBytes keeps an append far below the frame limit of the transport.
 	DefaultMaxBatchBytes = 1 << 20
-	// DefaultWindow is the number of appends under way to one member.
-	DefaultWindow = 4
+	// DefaultWindow is the number of appends under way to one member. More than one brought no gain in measurements,
+	// because everything that arrives during an exchange shares the next one; see docs/measurements-log.md.
+	DefaultWindow = 1
 	// maxPromoteLag is the number of entries a learner may lack when it is promoted; they arrive within one round trip.
 	maxPromoteLag = 64
 	// resendHeartbeats is the number of heartbeat intervals after which unanswered appends are sent again.
@@ -299,6 +300,16 @@
 	return ok && m.Voter && m.Incarnation == c.o.Incarnation
 }
 
+// mayLead reports whether this host may stand for election. A host whose removal is not known to be committed may hold the
+// newest log, and the others then need it as leader to complete the removal.
+func (c *Core) mayLead() bool {
+	if c.isVoter() || c.memberAt <= c.commit {
+		return c.isVoter()
+	}
+	m, ok := c.membersAt(c.memberAt - 1).Find(c.o.ID)
+	return ok && m.Voter && m.Incarnation == c.o.Incarnation
+}
+
 func (c *Core) addrOf(id string) string {
 	m, _ := c.members.Find(id)
 	return m.Addr
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -21,6 +21,9 @@
 	running
 )
 
+// finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
+const finishMargin = 1.3
+
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -36,17 +39,24 @@
 	state   state
 	arrived time.Duration
 	output  int // predicted output tokens
-	tokens  int // prompt and predicted output
-	wanted  int // tokens counted as waiting
+	longest int // output tokens that are rarely exceeded
+	// deadline is when the caller gives up; 0 means never.
+	deadline time.Duration
+	tokens   int // prompt and predicted output
+	wanted   int // tokens counted as waiting
 
 	lane   *lane
 	entry  *queuer.Entry[*request]
 	age    *ranker.Node[*request]
 	handle *shedder.Handle
-	held   bool // left out of the lanes until a run of its fingerprint ends
+	held   bool // left out of the lanes until a run of its fingerprint ends or while pinned
+	pinned *endpoint
+	// unpinned requests have waited for an endpoint once.
+	unpinned bool
 
 	endpoint *endpoint
-	booked   int // tokens booked at the endpoint
+	booked   int  // tokens booked at the endpoint
+	urgent   bool // booked as urgent
 	uncached int
 	long     bool // counts as a long prefill at the endpoint
 	queued   int  // prompt tokens queued at the endpoint when it started
@@ -69,17 +79,6 @@
 	waiting map[*request]struct{}
 }
 
-// endpointsOf returns the distinct endpoints that run the fingerprint.
-func (f *fingerprint) endpointsOf() []*endpoint {
-	var found []*endpoint
-	for _, r := range f.active {
-		if r.endpoint != nil && !slices.Contains(found, r.endpoint) {
-			found = append(found, r.endpoint)
-		}
-	}
-	return found
-}
-
 func (f *fingerprint) sortedWaiting() []*request {
 	return sorted(f.waiting)
 }
@@ -122,7 +121,11 @@
 
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
-	return &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	r := &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
+	if d.Remaining > 0 {
+		r.deadline = s.now + d.Remaining
+	}
+	return r
 }
 
 // submit admits a new request.
@@ -170,7 +173,7 @@
 // assign puts a waiting request into the lane that fits it, or refuses it.
 func (s *Scheduler) assign(r *request) bool {
 	c := s.classOf(r.d)
-	if c.members == 0 {
+	if c.Members() == 0 {
 		s.refuse(r, RefuseUnserved, 0)
 		return false
 	}
@@ -179,28 +182,56 @@
 		s.refuse(r, RefuseQuarantine, retry)
 		return false
 	}
-	r.lane = c.lanes[shortLane]
+	kind := s.timeliness(r)
 	switch {
 	case verdict == quarantiner.Suspect:
-		r.lane = c.lanes[suspectLane]
-	case r.d.PromptTokens >= longPrompt:
-		r.lane = c.lanes[longLane]
+		kind = suspectLane
+	case kind == shortLane && r.d.PromptTokens >= longPrompt:
+		kind = longLane
 	}
-	deadline := r.arrived + defaultDeadline
-	if r.d.Remaining > 0 {
-		deadline = r.arrived + max(r.d.Waited, 0) + r.d.Remaining
+	r.lane = c.lanes[kind]
+	deadline := r.deadline
+	if deadline == 0 {
+		deadline = r.arrived + defaultDeadline
 	}
 	place := queuer.Place{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.entry = r.lane.queue.Push(place, deadline, r.seq, r)
 	return true
 }
 
+// timeliness returns the lane by what the request can still achieve.
+func (s *Scheduler) timeliness(r *request) laneKind {
+	if s.service() {
+		return shortLane
+	}
+	if r.deadline > 0 {
+		if !s.canFinish(r, r.longest, finishMargin) {
+			return hopelessLane
+		}
+	}
+	if r.tier.FirstTokenTargetMS > 0 {
+		target := float64(r.tier.FirstTokenTargetMS) / 1000
+		// A part of the target always counts as in time, so that slow first tokens do not make all work late.
+		if (s.now - r.arrived).Seconds() > max(onTimePart*target-r.tier.firstTook, minOnTimePart*target) {
+			return lateLane
+		}
+	}
+	return shortLane
+}
+
+// canFinish reports whether an answer of the given length would end before its caller gives up.
+func (s *Scheduler) canFinish(r *request, output int, margin float64) bool {
+	need := r.tier.firstTook + float64(output)*s.gap
+	return r.deadline == 0 || (r.deadline-s.now).Seconds() >= margin*need
+}
+
 // unassign takes a waiting request out of its lane.
 func (s *Scheduler) unassign(r *request) {
 	if r.entry != nil {
 		r.lane.queue.Remove(r.entry)
 		r.entry = nil
 	}
+	s.unpin(r)
 	r.held = false
 }
 
@@ -250,11 +281,11 @@
 		return
 	}
 	r.endpoint = nil
-	e.limit.Give(r.booked)
+	e.Limit.Give(r.booked, r.urgent)
 	delete(e.runs, r)
 	s.endPrefill(e, r)
 	if r.alone {
-		r.alone, e.alone = false, false
+		r.alone, e.Alone = false, false
 		s.alone--
 	}
 	if r.tier != nil {
@@ -279,21 +310,22 @@
 }
 
 func (s *Scheduler) endPrefill(e *endpoint, r *request) {
-	e.pending -= r.uncached
+	e.Pending -= r.uncached
 	r.uncached = 0
 	if r.long {
 		r.long = false
-		e.longs--
-		s.longs--
+		e.Longs--
+		s.placer.Longs--
 	}
 }
 
 // occupy books a request at an endpoint.
 func (s *Scheduler) occupy(r *request, e *endpoint, uncached int) {
 	r.endpoint, r.booked, r.uncached = e, r.tokens, uncached
-	e.limit.Take(r.booked)
+	r.urgent = r.tier != nil && r.tier.urgent
+	e.Limit.Take(r.booked, r.urgent)
 	e.runs[r] = struct{}{}
-	e.pending += uncached
+	e.Pending += uncached
 	if r.tier != nil {
 		r.tier.active++
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 	DefaultWriteTimeout    = 30 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
 	maxKeyBytes            = 256
+	exitWait               = 100 * time.Millisecond
 )
 
 var (
@@ -65,6 +67,8 @@
 type Requests interface {
 	Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error)
 	Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error)
+	// NewID returns an id for a request that is refused before it is accepted.
+	NewID(workspace string) string
 }
 
 // Server serves callers. Set the exported fields before Run.
@@ -87,6 +91,8 @@
 	listener net.Listener
 	hertz    *hertzserver.Hertz
 	memory   *memory
+	inflight inflight
+	closing  atomic.Bool
 	index    atomic.Pointer[indexed]
 }
 
@@ -128,7 +134,8 @@
 		hertzserver.WithWriteTimeout(orDefault(s.WriteTimeout, DefaultWriteTimeout)),
 		hertzserver.WithIdleTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
 		hertzserver.WithKeepAliveTimeout(orDefault(s.IdleTimeout, DefaultIdleTimeout)),
-		hertzserver.WithExitWaitTime(time.Second),
+		// Close waits for responses itself; the library would wait for idle connections as well.
+		hertzserver.WithExitWaitTime(exitWait),
 	)
 	s.routes()
 	return nil
@@ -140,13 +147,66 @@
 // Run serves until Close.
 func (s *Server) Run() error { return s.hertz.Run() }
 
-// Close stops listening and closes the connections that are idle; it waits for the others until ctx ends.
+// Close waits until every response in progress has been written or ctx has ended, and closes the listener and all connections.
 func (s *Server) Close(ctx context.Context) error {
-	err := s.hertz.Shutdown(ctx)
+	s.closing.Store(true)
+	err := s.inflight.wait(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitWait)
+	defer cancel()
+	_ = s.hertz.Shutdown(ctx)
 	_ = s.listener.Close()
 	return err
 }
 
+// inflight counts the requests whose responses have not been written yet.
+type inflight struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{}
+}
+
+// begin counts a request until the library has written its response.
+func (f *inflight) begin(c *app.RequestContext) (returned func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n++
+	written := c.Finished()
+	return func() {
+		go func() {
+			<-written
+			f.end()
+		}()
+	}
+}
+
+func (f *inflight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.n--; f.n == 0 && f.idle != nil {
+		close(f.idle)
+		f.idle = nil
+	}
+}
+
+func (f *inflight) wait(ctx context.Context) error {
+	f.mu.Lock()
+	if f.n == 0 {
+		f.mu.Unlock()
+		return nil
+	}
+	if f.idle == nil {
+		f.idle = make(chan struct{})
+	}
+	idle := f.idle
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-idle:
+		return nil
+	}
+}
+
 func (s *Server) routes() {
 	h := s.hertz
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
@@ -185,12 +245,23 @@
 func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		countRequests.Add(kind, 1)
+		defer s.inflight.begin(c)()
+		if s.closing.Load() {
+			c.SetConnectionClose()
+		}
+		refuse := func(f *failure) {
+			// The body stays unread, so that the connection cannot carry another request.
+			if c.Request.Header.ContentLength() != 0 {
+				c.SetConnectionClose()
+			}
+			s.fail(c, f)
+		}
 		index := s.lookup()
 		if reason := s.Ready(); isNew && reason != "" || index == nil {
 			if reason == "" {
 				reason = "no configuration is known"
 			}
-			s.fail(c, &failure{
+			refuse(&failure{
 				status: http.StatusServiceUnavailable, outcome: answerer.NotRun, reason: "unready",
 				message: "this entry host takes no new requests: " + reason, retryAfter: time.Second,
 			})
@@ -198,14 +269,14 @@
 		}
 		key, ok := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 		if !ok {
-			s.fail(c, &failure{
+			refuse(&failure{
 				status: http.StatusUnauthorized, reason: "no_key", message: "an API key is required as a bearer token",
 			})
 			return
 		}
 		identity, ok := index.CallerByKey(key)
 		if !ok {
-			s.fail(c, &failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
+			refuse(&failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
 			return
 		}
 		serve(&call{ctx: ctx, c: c, index: index, identity: identity})
@@ -238,6 +309,7 @@
 			models = append(models, model{ID: m, Object: "model", OwnedBy: "dragonflycroft"})
 		}
 	}
+	k.c.Response.Header.Set(HeaderRequestID, s.Requests.NewID(k.identity.Workspace.Name))
 	k.c.Response.Header.Set(HeaderOutcome, string(answerer.Done))
 	k.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": models})
 }
@@ -277,9 +349,10 @@
 	countRefused.Add(f.reason, 1)
 	h := &c.Response.Header
 	h.Set(HeaderOutcome, string(f.outcome))
-	if f.requestID != "" {
-		h.Set(HeaderRequestID, f.requestID)
+	if f.requestID == "" {
+		f.requestID = s.Requests.NewID("")
 	}
+	h.Set(HeaderRequestID, f.requestID)
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatInt(int64((f.retryAfter+time.Second-1)/time.Second), 10))
 	}
--- a/node.go
+++ b/node.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
@@ -26,7 +29,7 @@
 )
 
 // leaveTimeout bounds the last exchanges of a stop with the control hosts.
-const leaveTimeout = 2 * time.Second
+const leaveTimeout = time.Second
 
 // Control is the part of a node that agrees with the other hosts on configuration, roles, members and orders.
 type Control interface {
@@ -58,6 +61,9 @@
 	return fmt.Sprintf("%d requests were cut off: %v", len(e.Requests), e.Requests)
 }
 
+// versionInForce is the configuration version that this process acts on.
+var versionInForce = expvar.NewInt("node_config_version")
+
 // Node is one entry host. Set the exported fields before Run.
 type Node struct {
 	HostID string
@@ -65,6 +71,8 @@
 	// PeerAddr is where other hosts reach this one, CallerAddr where callers do.
 	PeerAddr   string
 	CallerAddr string
+	// PeerAdvertise is the address that other hosts use; it defaults to PeerAddr.
+	PeerAdvertise string
 	// Key is shared by all hosts.
 	Key []byte
 	// NewControl builds the control part for this node's transport.
@@ -73,6 +81,8 @@
 	NewStepper func(pool string, epoch uint64) granter.Stepper
 	// HostList is the platform's list of live and leaving endpoints; it may be nil.
 	HostList lister.Source
+	// Operators is the operators' listener; it may be nil.
+	Operators *administrator.Administrator
 	// Endpoint bounds the exchanges with endpoints.
 	Endpoint connector.Timeouts
 	// PollInterval is the time between two load reports of an endpoint.
@@ -100,10 +110,12 @@
 	resolver  *resolver.Resolver
 	desk      *granter.Desk
 	sessions  *sessionSet
+	placement *placement
 	requests  atomic.Pointer[dispatcher.Dispatcher]
 	store     *answerer.Store
 	server    *server.Server
 	stopping  atomic.Bool
+	refused   atomic.Uint64
 	aborted   chan struct{}
 	abortOnce sync.Once
 }
@@ -116,7 +128,9 @@
 
 func (n *Node) setup() error {
 	n.aborted = make(chan struct{})
-	n.transport = &transporter.Transport{HostID: n.HostID, Zone: n.Zone, ListenAddr: n.PeerAddr, Key: n.Key}
+	n.transport = &transporter.Transport{
+		HostID: n.HostID, Zone: n.Zone, ListenAddr: n.PeerAddr, AdvertiseAddr: n.PeerAdvertise, Key: n.Key,
+	}
 	if err := n.transport.Listen(); err != nil {
 		return err
 	}
@@ -134,6 +148,12 @@
 		return errors.Join(err, n.transport.Close())
 	}
 	n.control = control
+	if n.Operators != nil {
+		n.Operators.Ready = n.ready
+		if err := n.Operators.Listen(); err != nil {
+			return errors.Join(err, n.transport.Close())
+		}
+	}
 	n.server.Config = control.Config
 	return nil
 }
@@ -166,6 +186,13 @@
 	return ""
 }
 
+func (n *Node) ready() error {
+	if reason := n.Unready(); reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
+
 // Accept implements server.Requests.
 func (n *Node) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
 	d := n.requests.Load()
@@ -184,6 +211,15 @@
 	return d.Fetch(workspace, id, from)
 }
 
+// NewID implements server.Requests.
+func (n *Node) NewID(workspace string) string {
+	if d := n.requests.Load(); d != nil {
+		return d.NewID(workspace)
+	}
+	// Incarnation 0 names no process: nothing with this id can run.
+	return dispatcher.OwnerOf(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
+}
+
 // Run serves until ctx ends, and then stops as planned: it becomes unready, waits for the balancer, hands its roles over and
 // lets each accepted request finish. After Abort it returns a *CutOffError if requests were in progress.
 func (n *Node) Run(ctx context.Context) error {
@@ -198,6 +234,9 @@
 	group.Go(func() error { return n.transport.Run(work) })
 	group.Go(func() error { return n.control.Run(work) })
 	group.Go(n.server.Run)
+	if n.Operators != nil {
+		group.Go(func() error { return n.Operators.Run(work) })
+	}
 	group.Go(func() error { return n.join(groupCtx) })
 	stopped := make(chan error, 1)
 	go func() {
@@ -221,6 +260,7 @@
 	n.resolver = &resolver.Resolver{Timeouts: n.endpointTimeouts()}
 	n.control.Subscribe(func(version uint64, cfg *Config) {
 		n.resolver.Apply(cfg)
+		versionInForce.Set(int64(version))
 		klog.Infof("node: configuration in force host=%s version=%d endpoints=%d", n.HostID, version, len(cfg.Endpoints))
 	})
 	if _, cfg, _ := n.control.Config(); cfg != nil {
@@ -235,6 +275,8 @@
 	}
 	n.desk.Start(ctx)
 	n.control.OnShed(n.desk.Shed)
+	n.placement = &placement{node: n, ctx: ctx}
+	n.control.OnRole(n.placement.onRole)
 	n.control.Register()
 }
 
@@ -299,9 +341,13 @@
 		return n.cutOff(cancel)
 	}
 	// The answers have been produced; the listener closes once they have been written.
-	_ = n.server.Close(drain)
+	written := n.server.Close(drain)
 	n.bounded(work, "did not leave the members", n.control.Leave)
-	return n.cutOff(cancel)
+	err := n.cutOff(cancel)
+	if written != nil {
+		err = errors.Join(err, &CutOffError{Requests: []string{"answers that were still being written"}})
+	}
+	return err
 }
 
 // drainContext ends with the drain time and with an abort.
@@ -354,6 +400,7 @@
 	_ = n.server.Close(now)
 	err := n.transport.Close()
 	n.desk.Wait()
+	n.placement.wait()
 	if n.sessions != nil {
 		n.sessions.wait()
 	}
