--- a/internal/controller/e2e_test.go
+++ b/internal/controller/e2e_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/sequencer"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -27,7 +28,7 @@
 }
 
 // startReal starts a control host on its address and data folder.
-func startReal(t *testing.T, id, addr, dir string, voters map[string]string) *realHost {
+func startReal(t testing.TB, id, addr, dir string, voters map[string]string) *realHost {
 	t.Helper()
 	var controllers []string
 	for _, a := range voters {
@@ -48,10 +49,12 @@
 		HostID: id, Zone: "z-" + id, Addr: addr, Control: true, Network: h.transport, Controllers: controllers,
 	}
 	h.agent.Register()
+	relay := &distributor.Relay{HostID: id, Network: h.transport, Holder: h.agent}
+	relay.Register()
 	h.client = &controller.Client{Network: h.transport, Controllers: controllers}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	for _, fn := range []func(context.Context) error{h.log.Run, h.transport.Run, h.service.Run, h.agent.Run} {
+	for _, fn := range []func(context.Context) error{h.log.Run, h.transport.Run, h.service.Run, h.agent.Run, relay.Run} {
 		h.wg.Go(func() {
 			if err := fn(ctx); err != nil && ctx.Err() == nil {
 				t.Errorf("%s: %v", id, err)
@@ -69,7 +72,7 @@
 }
 
 // eventually waits for a condition in real time; the limit only ends a run that hangs.
-func eventually(t *testing.T, what string, ok func() bool) time.Duration {
+func eventually(t testing.TB, what string, ok func() bool) time.Duration {
 	t.Helper()
 	began := time.Now()
 	for !ok() {
