--- a/harness_test.go
+++ b/harness_test.go
@@ -30,7 +30,7 @@
 
 // system is a whole system in one process: entry hosts and stand-in endpoints on loopback.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	cfg      *configurer.Config
 	control  *localcontroller.Controller
 	records  *standin.Records
@@ -63,7 +63,7 @@
 }
 
 // newSystem starts engines, one plain service and entry hosts.
-func newSystem(t *testing.T, nodes, engines int, speed emulator.Options) *system {
+func newSystem(t testing.TB, nodes, engines int, speed emulator.Options) *system {
 	t.Helper()
 	s := &system{t: t, records: &standin.Records{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	s.cfg = &configurer.Config{
@@ -107,7 +107,7 @@
 }
 
 // newReplicatedSystem starts the replicated control part on all entry hosts.
-func newReplicatedSystem(t *testing.T, nodes, engines int, speed emulator.Options) *system {
+func newReplicatedSystem(t testing.TB, nodes, engines int, speed emulator.Options) *system {
 	t.Helper()
 	s := newSystem(t, 0, engines, speed)
 	s.voters = make(map[string]string)
@@ -142,7 +142,7 @@
 	return s
 }
 
-func must(t *testing.T, err error) {
+func must(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/answerer/answer.go
+++ b/internal/answerer/answer.go
@@ -45,6 +45,9 @@
 	Created                           time.Time
 }
 
+// chunkOverheadBytes is counted for each chunk, so that many short ones are bounded as well.
+const chunkOverheadBytes = 16
+
 // IndexError reports a chunk that does not continue the answer: a gap or a repeated chunk.
 type IndexError struct {
 	RequestID string
@@ -112,7 +115,7 @@
 		return &IndexError{RequestID: a.meta.RequestID, Got: index, Want: len(a.chunks)}
 	}
 	a.chunks = append(a.chunks, text)
-	a.bytes += len(text)
+	a.bytes += len(text) + chunkOverheadBytes
 	a.settled = true
 	a.notify()
 	return nil
--- a/internal/answerer/answerer_test.go
+++ b/internal/answerer/answerer_test.go
@@ -78,7 +78,7 @@
 		running := add("running")
 		for i := range 100 {
 			a := add(fmt.Sprint(i))
-			_ = a.Append(0, strings.Repeat("x", 488))
+			_ = a.Append(0, strings.Repeat("x", 472))
 			a.Finish(End{Outcome: Done})
 			s.Ended(fmt.Sprint(i), a, RetainByKey)
 		}
--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -165,7 +165,7 @@
 }
 func (e *fakeEndpoint) ExportKV(context.Context, string) ([]byte, error) { return nil, nil }
 func (e *fakeEndpoint) ImportKV(context.Context, string, []byte) error   { return nil }
-func (e *fakeEndpoint) Engine(name string) (connector.Engine, bool) { return e, name != "new" }
+func (e *fakeEndpoint) Engine(name string) (connector.Engine, bool)      { return e, name != "new" }
 
 func (e *fakeEndpoint) Service(name string) (connector.Service, bool) { return e, name != "new" }
 func (e *fakeEndpoint) Engines() []string                             { return []string{"e1"} }
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -318,8 +318,10 @@
 		for _, r := range part.GetRunning() {
 			synced.Running = append(synced.Running, decodeRun(r))
 		}
+		if part != hello {
+			hello.Kept = append(hello.Kept, part.GetKept()...)
+		}
 		if !part.GetMore() {
-			hello.Kept = part.GetKept()
 			return synced, nil
 		}
 		m := &granterpb.EntryMessage{}
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -25,8 +25,8 @@
 	DefaultSilenceLimit = time.Second
 	minReconnectDelay   = 10 * time.Millisecond
 	maxReconnectDelay   = 200 * time.Millisecond
-	// helloPartDescriptors bounds one part of a Hello well below the frame limit of the transport.
-	helloPartDescriptors = 512
+	// helloPartEntries bounds one part of a Hello well below the frame limit of the transport.
+	helloPartEntries = 512
 	// heartbeatsKept covers the send times of all heartbeats that a valid grant can name.
 	heartbeatsKept = 64
 )
@@ -334,12 +334,19 @@
 	}
 	part := newPart()
 	parts := []*granterpb.Hello{part}
-	for _, t := range s.requests {
-		if len(part.GetWaiting())+len(part.GetRunning()) >= helloPartDescriptors {
+	room := func() {
+		if len(part.GetWaiting())+len(part.GetRunning())+len(part.GetKept()) >= helloPartEntries {
 			part.More = true
 			part = newPart()
 			parts = append(parts, part)
 		}
+	}
+	for _, c := range kept {
+		room()
+		part.Kept = append(part.Kept, c)
+	}
+	for _, t := range s.requests {
+		room()
 		d := t.descriptor
 		d.Waited = now.Sub(t.submitted)
 		if t.phase == phaseRunning {
@@ -350,7 +357,6 @@
 		}
 		part.Waiting = append(part.Waiting, encodeDescriptor(d))
 	}
-	part.Kept = kept
 	hello := make([]proto.Message, 0, len(parts))
 	for _, p := range parts {
 		hello = append(hello, &granterpb.EntryMessage{Body: &granterpb.EntryMessage_Hello{Hello: p}})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -77,8 +77,11 @@
 	Requests   Requests
 	// Config returns the configuration that this host acts on.
 	Config func() (version uint64, cfg *configurer.Config, fresh bool)
-	// Ready returns an empty text, or why new requests are not accepted.
+	// Ready returns an empty text, or why the balancer should send no more requests; /readyz shows it.
 	Ready func() string
+	// Accepting returns an empty text, or why new requests are refused. A host that stops as planned accepts them for a while
+	// after it is no longer ready, since the balancer learns that with a delay.
+	Accepting func() string
 	// Live reports whether the process works; /healthz shows it.
 	Live            func() bool
 	MaxBodyBytes    int
@@ -257,7 +260,7 @@
 			s.fail(c, f)
 		}
 		index := s.lookup()
-		if reason := s.Ready(); isNew && reason != "" || index == nil {
+		if reason := s.Accepting(); isNew && reason != "" || index == nil {
 			if reason == "" {
 				reason = "no configuration is known"
 			}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -79,6 +79,7 @@
 	s.ListenAddr, s.Requests = "127.0.0.1:0", r
 	s.Config = func() (uint64, *configurer.Config, bool) { return 1, cfg, true }
 	s.Ready = func() string { return "" }
+	s.Accepting = s.Ready
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/node.go
+++ b/node.go
@@ -94,7 +94,7 @@
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
-	// BalancerDelay is how long a stopping node still serves while the balancer notices that it is not ready.
+	// BalancerDelay is how long a stopping node still accepts requests while the balancer learns that it is not ready.
 	BalancerDelay time.Duration
 	// DrainTimeout bounds the wait for requests in progress; 0 means no bound.
 	DrainTimeout time.Duration
@@ -110,6 +110,7 @@
 	requests  atomic.Pointer[dispatcher.Dispatcher]
 	store     *answerer.Store
 	server    *server.Server
+	leaving   atomic.Bool
 	stopping  atomic.Bool
 	refused   atomic.Uint64
 	aborted   chan struct{}
@@ -132,7 +133,7 @@
 	}
 	n.store = &answerer.Store{MaxBytes: n.KeptBytes, Retention: n.KeptFor}
 	n.server = &server.Server{
-		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready,
+		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready, Accepting: n.refusing,
 		MaxBodyBytes: n.MaxBodyBytes, MaxHeaderBytes: n.MaxHeaderBytes, BodyMemoryBytes: n.BodyMemoryBytes,
 		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout,
 	}
@@ -160,8 +161,16 @@
 // CallerAddress returns the bound address for callers.
 func (n *Node) CallerAddress() string { return n.server.Addr() }
 
-// Unready returns an empty text, or why this node takes no new requests.
+// Unready returns an empty text, or why the balancer should send this node no more requests.
 func (n *Node) Unready() string {
+	if n.leaving.Load() {
+		return "it is stopping"
+	}
+	return n.refusing()
+}
+
+// refusing returns an empty text, or why this node refuses new requests.
+func (n *Node) refusing() string {
 	if n.stopping.Load() {
 		return "it is stopping"
 	}
@@ -324,11 +333,12 @@
 
 // stop ends the node as planned.
 func (n *Node) stop(work context.Context, cancel context.CancelFunc) error {
-	n.stopping.Store(true)
+	n.leaving.Store(true)
 	klog.Infof("node: stopping host=%s active=%d", n.HostID, n.store.Active())
 	if !n.wait(n.BalancerDelay) {
 		return n.cutOff(cancel)
 	}
+	n.stopping.Store(true)
 	n.bounded(work, "roles not handed over", n.control.HandOver)
 	drain, undrain := n.drainContext(work)
 	defer undrain()
--- a/node_test.go
+++ b/node_test.go
@@ -251,6 +251,7 @@
 // Guards against requests that are cut off by a planned stop, and against a stopping host that takes new ones.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	s := newSystem(t, 3, 2, slow())
+	s.nodes[0].BalancerDelay = 2 * time.Second
 	bodies := make([][]byte, 30)
 	replies := make([]*reply, len(bodies))
 	var wg sync.WaitGroup
@@ -271,7 +272,16 @@
 	for s.nodes[0].store.Active() < len(bodies) {
 		time.Sleep(time.Millisecond)
 	}
-	s.nodes[0].stop()
+	stopping := s.nodes[0]
+	stopping.stop()
+	for stopping.Unready() == "" {
+		time.Sleep(time.Millisecond)
+	}
+	// The balancer has not noticed yet.
+	late, err := s.do("POST", stopping.url+chatPath, "key-k", chatBody("late", 5, false), nil)
+	if err != nil || late.outcome != "done" {
+		t.Errorf("while the balancer learns of the stop: %+v %v", late, err)
+	}
 	if err := <-s.nodes[0].ended; err != nil {
 		t.Errorf("the planned stop ended with %v", err)
 	}
