--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/attacher"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -47,8 +48,8 @@
 	Finished(f scheduler.Finished)
 	Cancelled(id string)
 	EndpointFailed(endpoint string, cause scheduler.FailureCause, ids ...string)
-	Claim(ctx context.Context, c granter.Claim) (granter.Location, error)
-	Locate(ctx context.Context, id string) (granter.Location, error)
+	Claim(ctx context.Context, c indexer.Claim) (indexer.Location, error)
+	Locate(ctx context.Context, id string) (indexer.Location, error)
 }
 
 // Endpoints reaches the endpoints of the configuration by name.
--- a/internal/dispatcher/follow.go
+++ b/internal/dispatcher/follow.go
@@ -11,7 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/attacher"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
-	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
 
@@ -29,7 +29,7 @@
 		// The ledger decides on orders; an index in memory must not stand before it.
 		return false
 	}
-	c := granter.Claim{Workspace: r.req.Workspace, Key: r.req.Key, Digest: r.req.Digest, RequestID: r.id}
+	c := indexer.Claim{Workspace: r.req.Workspace, Key: r.req.Key, Digest: r.req.Digest, RequestID: r.id}
 	for attempt := 0; ; attempt++ {
 		l, err := r.session.Claim(r.ctx, c)
 		if err == nil {
@@ -66,13 +66,13 @@
 
 // attachClaim attaches to the request that holds the key. It returns again when the claim should be repeated because the
 // other request is known not to have been dispatched and its host is lost.
-func (r *run) attachClaim(l granter.Location) (ended, again bool) {
+func (r *run) attachClaim(l indexer.Location) (ended, again bool) {
 	if l.Digest != "" && l.Digest != r.req.Digest {
 		r.answer.Settle()
 		r.finish(triggerRefuse, keyReusedEnd(l.RequestID))
 		return true, false
 	}
-	if l.HostLost && l.State == granter.StateWaiting {
+	if l.HostLost && l.State == indexer.StateWaiting {
 		return false, true
 	}
 	host, owner, err := parseID(l.RequestID, r.req.Workspace)
--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
@@ -41,7 +42,7 @@
 	mu        sync.Mutex
 	calls     []string
 	callbacks granter.Callbacks
-	holder    granter.Location
+	holder    indexer.Location
 }
 
 func (s *fakeSession) record(format string, args ...any) {
@@ -65,15 +66,15 @@
 	s.record("failed:%s:%s", endpoint, cause)
 }
 
-func (s *fakeSession) Claim(_ context.Context, c granter.Claim) (granter.Location, error) {
+func (s *fakeSession) Claim(_ context.Context, c indexer.Claim) (indexer.Location, error) {
 	if s.holder.RequestID != "" {
 		return s.holder, nil
 	}
-	return granter.Location{RequestID: c.RequestID, Digest: c.Digest}, nil
+	return indexer.Location{RequestID: c.RequestID, Digest: c.Digest}, nil
 }
 
-func (s *fakeSession) Locate(context.Context, string) (granter.Location, error) {
-	return granter.Location{}, errors.New("not reachable")
+func (s *fakeSession) Locate(context.Context, string) (indexer.Location, error) {
+	return indexer.Location{}, errors.New("not reachable")
 }
 
 // fakeEndpoint plays one behaviour for each exchange.
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -1,3 +1,4 @@
+// Package granter is an entry host's side of the stream to the holder of a pool.
 package granter
 
 import (
@@ -13,7 +14,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -83,7 +86,7 @@
 	Transport *transporter.Transport
 	Locator   Locator
 	// Kept lists finished requests with a key; it may be nil.
-	Kept              func() []Claim
+	Kept              func() []indexer.Claim
 	HeartbeatInterval time.Duration
 	SilenceLimit      time.Duration
 
@@ -101,11 +104,6 @@
 	sent time.Time
 }
 
-// Claim ties an idempotency key to one request.
-type Claim struct {
-	Workspace, Key, Digest, RequestID string
-}
-
 // RoleOf returns the role name of a pool's scheduler.
 func RoleOf(pool string) string { return "pool/" + pool }
 
@@ -131,7 +129,7 @@
 		s.requests = make(map[string]*tracked)
 	}
 	s.requests[d.RequestID] = &tracked{descriptor: d, callbacks: cb, submitted: time.Now().Add(-d.Waited)}
-	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Submit{Submit: encodeDescriptor(d)}})
+	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Submit{Submit: translator.EncodeDescriptor(d)}})
 }
 
 // Started reports that a granted request has been dispatched.
@@ -289,7 +287,7 @@
 func (s *Session) connect(ctx context.Context, addr string, epoch uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := s.Transport.Open(ctx, addr, methodSession)
+	stream, err := s.Transport.Open(ctx, addr, MethodSession)
 	if err != nil {
 		return err
 	}
@@ -319,7 +317,7 @@
 	var kept []*granterpb.Claim
 	if s.Kept != nil {
 		for _, c := range s.Kept() {
-			kept = append(kept, encodeClaim(c))
+			kept = append(kept, translator.EncodeClaim(c))
 		}
 	}
 	s.mu.Lock()
@@ -350,12 +348,12 @@
 		d := t.descriptor
 		d.Waited = now.Sub(t.submitted)
 		if t.phase == phaseRunning {
-			part.Running = append(part.Running, encodeRun(scheduler.Run{
+			part.Running = append(part.Running, translator.EncodeRun(scheduler.Run{
 				Descriptor: d, Endpoint: t.endpoint, OutputTokens: t.output, RunningFor: now.Sub(t.started),
 			}))
 			continue
 		}
-		part.Waiting = append(part.Waiting, encodeDescriptor(d))
+		part.Waiting = append(part.Waiting, translator.EncodeDescriptor(d))
 	}
 	hello := make([]proto.Message, 0, len(parts))
 	for _, p := range parts {
--- a/internal/granter/desk.go
+++ b/internal/holder/desk.go
@@ -1,4 +1,4 @@
-package granter
+package holder
 
 import (
 	"context"
@@ -11,14 +11,16 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
 // Roles tells a host which roles it holds.
 type Roles interface {
-	Locator
+	granter.Locator
 	OnRole(fn func(role string, epoch uint64, held bool))
 	RoleValid(role string, epoch uint64) bool
 }
@@ -55,9 +57,9 @@
 func (d *Desk) Start(ctx context.Context) {
 	d.ctx = ctx
 	d.holders = make(map[string]*held)
-	d.Transport.HandleStream(methodSession, d.serveSession)
-	d.Transport.Handle(methodClaim, d.serveClaim)
-	d.Transport.Handle(methodLocate, d.serveLocate)
+	d.Transport.HandleStream(granter.MethodSession, d.serveSession)
+	d.Transport.Handle(granter.MethodClaim, d.serveClaim)
+	d.Transport.Handle(granter.MethodLocate, d.serveLocate)
 	d.Roles.OnRole(d.onRole)
 	d.Configuration.Subscribe(func(version uint64, cfg *configurer.Config) {
 		d.mu.Lock()
@@ -106,7 +108,7 @@
 }
 
 func (d *Desk) onRole(role string, epoch uint64, isHeld bool) {
-	pool, ok := strings.CutPrefix(role, RoleOf(""))
+	pool, ok := strings.CutPrefix(role, granter.RoleOf(""))
 	if !ok {
 		return
 	}
@@ -127,7 +129,7 @@
 
 func (d *Desk) startLocked(pool string, epoch uint64) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	role := RoleOf(pool)
+	role := granter.RoleOf(pool)
 	h := &Holder{
 		Pool:    pool,
 		Epoch:   epoch,
@@ -178,13 +180,13 @@
 	defer d.mu.Unlock()
 	h := d.holders[pool]
 	if h == nil || epoch != 0 && h.Epoch != epoch {
-		return nil, &StoppedError{Pool: pool}
+		return nil, &granter.StoppedError{Pool: pool}
 	}
 	return h.Holder, nil
 }
 
 func (d *Desk) serveSession(ctx context.Context, _ transporter.Peer, stream *transporter.Stream) error {
-	stream.SetRecvTimeout(DefaultSilenceLimit)
+	stream.SetRecvTimeout(granter.DefaultSilenceLimit)
 	m := &granterpb.EntryMessage{}
 	if err := stream.Recv(m); err != nil {
 		return err
@@ -209,11 +211,11 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := h.Claim(ctx, req.GetHost(), decodeClaim(req.GetClaim()))
+	l, err := h.Claim(ctx, req.GetHost(), translator.DecodeClaim(req.GetClaim()))
 	if err != nil {
 		return nil, err
 	}
-	return proto.Marshal(encodeLocation(l))
+	return proto.Marshal(translator.EncodeLocation(l))
 }
 
 func (d *Desk) serveLocate(ctx context.Context, peer transporter.Peer, payload []byte) ([]byte, error) {
@@ -229,36 +231,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return proto.Marshal(encodeLocation(l))
-}
-
-// Claim asks the holder of the session's pool which request holds a key.
-func (s *Session) Claim(ctx context.Context, c Claim) (Location, error) {
-	_, addr, epoch, ok := s.Locator.Holder(RoleOf(s.Pool))
-	if !ok {
-		return Location{}, &StoppedError{Pool: s.Pool}
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.silenceLimit())
-	defer cancel()
-	req := &granterpb.ClaimRequest{Pool: s.Pool, Epoch: epoch, Host: s.Host, Claim: encodeClaim(c)}
-	resp := &granterpb.Located{}
-	if err := s.Transport.Call(ctx, addr, methodClaim, req, resp); err != nil {
-		return Location{}, err
-	}
-	return decodeLocation(resp), nil
-}
-
-// Locate asks the holder of the session's pool where a request is. An unknown request has an empty State.
-func (s *Session) Locate(ctx context.Context, id string) (Location, error) {
-	_, addr, _, ok := s.Locator.Holder(RoleOf(s.Pool))
-	if !ok {
-		return Location{}, &StoppedError{Pool: s.Pool}
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.silenceLimit())
-	defer cancel()
-	resp := &granterpb.Located{}
-	if err := s.Transport.Call(ctx, addr, methodLocate, &granterpb.LocateRequest{Pool: s.Pool, RequestId: id}, resp); err != nil {
-		return Location{}, err
-	}
-	return decodeLocation(resp), nil
+	return proto.Marshal(translator.EncodeLocation(l))
 }
--- a/internal/granter/holder.go
+++ b/internal/holder/holder.go
@@ -1,11 +1,10 @@
-// Package granter connects entry hosts with the scheduler of a pool: Session is the entry's side, Holder runs the scheduler
-// while its host holds the lease, and Desk starts and stops the holders of a host.
-package granter
+// Package holder runs the scheduler of a pool while its host holds the lease: Holder is the shell of one scheduler, and Desk
+// starts and stops the holders of a host.
+package holder
 
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"sync"
 	"time"
 
@@ -14,16 +13,15 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
 const (
-	methodSession = "granter.session"
-	methodClaim   = "granter.claim"
-	methodLocate  = "granter.locate"
-
 	// tickInterval is well below the 46 ms between tokens that the snappy tier is promised.
 	tickInterval = 20 * time.Millisecond
 	eventBuffer  = 4096
@@ -53,15 +51,6 @@
 	ShedLevel() (closedBelow int)
 }
 
-// StoppedError reports that a holder no longer acts.
-type StoppedError struct{ Pool string }
-
-// Error implements error.
-func (e *StoppedError) Error() string { return fmt.Sprintf("pool %s has no holder here", e.Pool) }
-
-// ErrorCode implements transporter.Coder.
-func (e *StoppedError) ErrorCode() string { return "no_holder" }
-
 // Holder runs the scheduler of one pool under one epoch. Set the exported fields before Run.
 type Holder struct {
 	Pool  string
@@ -75,7 +64,7 @@
 	done   chan struct{}
 	once   sync.Once
 	peers  map[string]*peer
-	index  *index
+	index  *indexer.Index
 	start  time.Time
 }
 
@@ -117,7 +106,7 @@
 		h.events = make(chan input, eventBuffer)
 		h.done = make(chan struct{})
 		h.peers = make(map[string]*peer)
-		h.index = newIndex()
+		h.index = indexer.New()
 		h.start = time.Now()
 	})
 }
@@ -138,7 +127,7 @@
 			in.event = scheduler.Tick{}
 		}
 		if !h.Valid() {
-			return &StoppedError{Pool: h.Pool}
+			return &granter.StoppedError{Pool: h.Pool}
 		}
 		now := time.Since(h.start)
 		if in.run != nil {
@@ -151,7 +140,7 @@
 
 func (h *Holder) step(now time.Duration, ev scheduler.Event) {
 	holderEvents.Add(1)
-	h.index.observe(now, ev)
+	h.index.Observe(now, ev)
 	actions := h.Step.Step(now, ev)
 	// The lease is checked again after the step: actions decided on a lease that ended meanwhile are dropped.
 	if len(actions) == 0 || !h.Valid() {
@@ -170,23 +159,23 @@
 		return
 	case scheduler.AskShedPermit:
 		if h.Shedder != nil {
-			h.Shedder.AskShedPermit(RoleOf(h.Pool), a.Tier)
+			h.Shedder.AskShedPermit(granter.RoleOf(h.Pool), a.Tier)
 		}
 		return
 	case scheduler.ConfirmClosed:
 		if h.Shedder != nil {
-			h.Shedder.ConfirmClosed(RoleOf(h.Pool), a.Below)
+			h.Shedder.ConfirmClosed(granter.RoleOf(h.Pool), a.Below)
 		}
 		return
 	case scheduler.Grant:
 		holderGrants.Add(1)
 	case scheduler.Refuse:
 		holderRefusals.Add(string(a.Reason), 1)
-		h.index.remove(a.RequestID)
+		h.index.Remove(a.RequestID)
 	case scheduler.CancelRun:
 		holderCancels.Add(1)
 	}
-	host, m := encodeAction(a, h.heartbeatOf)
+	host, m := translator.EncodeAction(a, h.heartbeatOf)
 	if p := h.peers[host]; p != nil && m != nil {
 		p.send(m)
 	}
@@ -224,13 +213,13 @@
 		close(ran)
 	}})
 	if !ok {
-		return &StoppedError{Pool: h.Pool}
+		return &granter.StoppedError{Pool: h.Pool}
 	}
 	select {
 	case <-ran:
 		return nil
 	case <-h.done:
-		return &StoppedError{Pool: h.Pool}
+		return &granter.StoppedError{Pool: h.Pool}
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -242,17 +231,17 @@
 }
 
 // Claim ties a key to a request and returns the request that holds the key.
-func (h *Holder) Claim(ctx context.Context, host string, c Claim) (Location, error) {
+func (h *Holder) Claim(ctx context.Context, host string, c indexer.Claim) (indexer.Location, error) {
 	holderClaims.Add(1)
-	var out Location
-	err := h.call(ctx, func(now time.Duration) { out = h.index.claim(now, host, c) })
+	var out indexer.Location
+	err := h.call(ctx, func(now time.Duration) { out = h.index.Claim(now, host, c) })
 	return out, err
 }
 
 // Locate finds a request by id.
-func (h *Holder) Locate(ctx context.Context, id string) (Location, error) {
-	var out Location
-	err := h.call(ctx, func(time.Duration) { out, _ = h.index.locate(id) })
+func (h *Holder) Locate(ctx context.Context, id string) (indexer.Location, error) {
+	var out indexer.Location
+	err := h.call(ctx, func(time.Duration) { out, _ = h.index.Locate(id) })
 	return out, err
 }
 
@@ -283,7 +272,7 @@
 			return err
 		}
 		if !h.post(ctx, h.inputOf(p, m)) {
-			return &StoppedError{Pool: h.Pool}
+			return &granter.StoppedError{Pool: h.Pool}
 		}
 	}
 }
@@ -299,7 +288,7 @@
 			p.send(ack(hb.GetSeq()))
 			return
 		}
-		if ev := decodeEvent(p.host, m); ev != nil {
+		if ev := translator.DecodeEvent(p.host, m); ev != nil {
 			h.step(now, ev)
 		}
 	}}
@@ -313,10 +302,10 @@
 	synced := scheduler.HostSynced{Host: hello.GetHost(), Zone: hello.GetZone()}
 	for part := hello; ; {
 		for _, d := range part.GetWaiting() {
-			synced.Waiting = append(synced.Waiting, decodeDescriptor(d))
+			synced.Waiting = append(synced.Waiting, translator.DecodeDescriptor(d))
 		}
 		for _, r := range part.GetRunning() {
-			synced.Running = append(synced.Running, decodeRun(r))
+			synced.Running = append(synced.Running, translator.DecodeRun(r))
 		}
 		if part != hello {
 			hello.Kept = append(hello.Kept, part.GetKept()...)
@@ -343,12 +332,7 @@
 	klog.Infof("granter: host synced pool=%s epoch=%d host=%s waiting=%d running=%d", h.Pool, h.Epoch, p.host, len(synced.Waiting), len(synced.Running))
 	p.send(ack(p.heartbeat))
 	for _, k := range hello.GetKept() {
-		c := decodeClaim(k)
-		if l := h.index.claim(now, p.host, c); l.RequestID == c.RequestID {
-			e := h.index.byID[c.RequestID]
-			e.State = StateFinished
-			e.end(now)
-		}
+		h.index.Finished(now, p.host, translator.DecodeClaim(k))
 	}
 	h.step(now, synced)
 }
--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,196 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+// firstCome grants each request at once to one endpoint while the pool has room.
+type firstCome struct {
+	mu      sync.Mutex
+	room    int
+	waiting []scheduler.Submit
+	events  []string
+	ttl     time.Duration
+}
+
+func (f *firstCome) Step(_ time.Duration, ev scheduler.Event) (actions []scheduler.Action) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch ev := ev.(type) {
+	case scheduler.Tick:
+		return nil
+	case scheduler.Submit:
+		f.waiting = append(f.waiting, ev)
+	case scheduler.HostSynced:
+		for _, d := range ev.Waiting {
+			f.waiting = append(f.waiting, scheduler.Submit{Host: ev.Host, Descriptor: d})
+		}
+		f.events = append(f.events, fmt.Sprintf("synced %s waiting=%d running=%d", ev.Host, len(ev.Waiting), len(ev.Running)))
+	case scheduler.Finished:
+		f.room++
+		f.events = append(f.events, "finished "+ev.RequestID)
+	default:
+		f.events = append(f.events, fmt.Sprintf("%T", ev))
+	}
+	for f.room > 0 && len(f.waiting) > 0 {
+		f.room--
+		s := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		actions = append(actions, scheduler.Grant{Host: s.Host, RequestID: s.Descriptor.RequestID, Endpoint: "e", TTL: f.ttl})
+	}
+	return actions
+}
+
+func (f *firstCome) seen(event string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.events {
+		if e == event {
+			return true
+		}
+	}
+	return false
+}
+
+// roles are held by one host until they are moved.
+type roles struct {
+	mu    sync.Mutex
+	addr  string
+	epoch uint64
+	valid bool
+	fns   []func(role string, epoch uint64, held bool)
+}
+
+func (r *roles) Holder(string) (string, string, uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return "h", r.addr, r.epoch, r.epoch > 0
+}
+
+func (r *roles) OnRole(fn func(role string, epoch uint64, held bool)) { r.fns = append(r.fns, fn) }
+
+func (r *roles) RoleValid(_ string, epoch uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.valid && r.epoch == epoch
+}
+
+func (r *roles) grant(epoch uint64) {
+	r.mu.Lock()
+	r.epoch, r.valid = epoch, true
+	r.mu.Unlock()
+	for _, fn := range r.fns {
+		fn("pool/p", epoch, true)
+	}
+}
+
+func (r *roles) Config() (uint64, *configurer.Config, bool)             { return 1, &configurer.Config{}, true }
+func (r *roles) Subscribe(func(version uint64, cfg *configurer.Config)) {}
+
+type rig struct {
+	t       *testing.T
+	roles   *roles
+	policy  *firstCome
+	session *granter.Session
+}
+
+// newRig connects a session with a desk over loopback.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, roles: &roles{}, policy: &firstCome{room: 1, ttl: time.Minute}}
+	tr := &transporter.Transport{HostID: "h", Zone: "z", ListenAddr: "127.0.0.1:0", Key: []byte("key")}
+	if err := tr.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	r.roles.addr = tr.Addr()
+	ctx, cancel := context.WithCancel(context.Background())
+	desk := &Desk{
+		Transport: tr, Roles: r.roles, Configuration: r.roles,
+		NewStepper: func(string, uint64) Stepper { return r.policy },
+	}
+	desk.Start(ctx)
+	r.session = &granter.Session{Pool: "p", Host: "h.1", Zone: "z", Transport: tr, Locator: r.roles}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = tr.Run(ctx) })
+	wg.Go(func() { _ = r.session.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = tr.Close()
+		desk.Wait()
+		wg.Wait()
+	})
+	return r
+}
+
+func (r *rig) until(ok func() bool) {
+	r.t.Helper()
+	for !ok() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (r *rig) submit(id string) <-chan string {
+	granted := make(chan string, 8)
+	r.session.Submit(scheduler.Descriptor{RequestID: id, Workspace: "w"}, granter.Callbacks{
+		Grant: func(endpoint string, deadline time.Time) {
+			if deadline.After(time.Now()) {
+				granted <- endpoint
+			}
+		},
+		Refuse:    func(scheduler.RefuseReason, time.Duration) {},
+		CancelRun: func(string) {},
+	})
+	return granted
+}
+
+// Guards against requests that are lost while there is no holder, or when the holder changes.
+func TestSessionFollowsTheHolder(t *testing.T) {
+	r := newRig(t)
+	first := r.submit("one")
+	r.roles.grant(1)
+	if got := <-first; got != "e" {
+		t.Fatalf("granted %q", got)
+	}
+	r.session.Started("one", "e")
+	second := r.submit("two")
+	r.until(func() bool {
+		r.policy.mu.Lock()
+		defer r.policy.mu.Unlock()
+		return len(r.policy.waiting) == 1
+	})
+	r.policy.mu.Lock()
+	r.policy.waiting = nil
+	r.policy.mu.Unlock()
+	r.roles.grant(2)
+	r.until(func() bool { return r.policy.seen("synced h.1 waiting=1 running=1") })
+	r.session.Finished(scheduler.Finished{RequestID: "one", Outcome: scheduler.OutcomeDone})
+	if got := <-second; got != "e" {
+		t.Fatalf("granted %q", got)
+	}
+}
+
+// Guards against a holder that acts after its lease has ended.
+func TestHolderStopsWithItsLease(t *testing.T) {
+	r := newRig(t)
+	r.roles.grant(1)
+	granted := r.submit("one")
+	<-granted
+	r.roles.mu.Lock()
+	r.roles.valid = false
+	r.roles.mu.Unlock()
+	r.session.Finished(scheduler.Finished{RequestID: "one"})
+	r.submit("two")
+	r.until(func() bool { return !r.session.Connected() })
+	if r.policy.seen("finished one") {
+		t.Error("the holder acted on an event without a lease")
+	}
+}
--- a/internal/granter/index.go
+++ b/internal/indexer/indexer.go
@@ -1,9 +1,9 @@
-package granter
+// Package indexer finds the requests of a pool by id and by idempotency key.
+package indexer
 
 import (
 	"time"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 )
 
@@ -25,6 +25,11 @@
 	lostWaitingRetention = 2 * time.Second
 )
 
+// Claim ties an idempotency key to one request.
+type Claim struct {
+	Workspace, Key, Digest, RequestID string
+}
+
 // Location says where a request is.
 type Location struct {
 	RequestID, Host, Endpoint, State, Digest, Workspace string
@@ -41,20 +46,21 @@
 	ended   bool
 }
 
-// index finds requests of a pool by id and by idempotency key. It is rebuilt from the sessions of the entry hosts.
-type index struct {
+// Index is rebuilt from the sessions of the entry hosts. It is pure and not safe for concurrent use.
+type Index struct {
 	byID  map[string]*indexed
 	byKey map[claimKey]*indexed
 	// order holds ids by arrival, so that the oldest ended ones are evicted first.
 	order []string
 }
 
-func newIndex() *index {
-	return &index{byID: make(map[string]*indexed), byKey: make(map[claimKey]*indexed)}
+// New returns an empty index.
+func New() *Index {
+	return &Index{byID: make(map[string]*indexed), byKey: make(map[claimKey]*indexed)}
 }
 
-// claim ties a key to a request unless another request holds it, and returns the request that holds it.
-func (x *index) claim(now time.Duration, host string, c Claim) Location {
+// Claim ties a key to a request unless another request holds it, and returns the request that holds it.
+func (x *Index) Claim(now time.Duration, host string, c Claim) Location {
 	k := claimKey{c.Workspace, c.Key}
 	if e := x.byKey[k]; e != nil && !e.expired(now) {
 		return e.Location
@@ -65,7 +71,7 @@
 	return e.Location
 }
 
-func (x *index) put(now time.Duration, host, id, workspace string) *indexed {
+func (x *Index) put(now time.Duration, host, id, workspace string) *indexed {
 	if e := x.byID[id]; e != nil {
 		e.Host, e.HostLost = host, false
 		if e.ended && e.State != StateFinished {
@@ -80,7 +86,7 @@
 	return e
 }
 
-func (x *index) add(now time.Duration, host string, d scheduler.Descriptor) *indexed {
+func (x *Index) add(now time.Duration, host string, d scheduler.Descriptor) *indexed {
 	e := x.put(now, host, d.RequestID, d.Workspace)
 	if d.IdempotencyKey != "" {
 		e.key = claimKey{d.Workspace, d.IdempotencyKey}
@@ -92,8 +98,8 @@
 	return e
 }
 
-// observe follows the events that the scheduler sees.
-func (x *index) observe(now time.Duration, ev scheduler.Event) {
+// Observe follows the events that the scheduler sees.
+func (x *Index) Observe(now time.Duration, ev scheduler.Event) {
 	switch ev := ev.(type) {
 	case scheduler.Submit:
 		x.add(now, ev.Host, ev.Descriptor)
@@ -122,14 +128,23 @@
 			e.end(now)
 		}
 	case scheduler.Cancelled:
-		x.remove(ev.RequestID)
+		x.Remove(ev.RequestID)
 	case scheduler.Declined:
 		if ev.Reason == scheduler.DeclineGone {
-			x.remove(ev.RequestID)
+			x.Remove(ev.RequestID)
 		}
 	}
 }
 
+// Finished records a request with a key that ended before its host was synced.
+func (x *Index) Finished(now time.Duration, host string, c Claim) {
+	if l := x.Claim(now, host, c); l.RequestID == c.RequestID {
+		e := x.byID[c.RequestID]
+		e.State = StateFinished
+		e.end(now)
+	}
+}
+
 func (e *indexed) end(now time.Duration) {
 	if !e.ended {
 		e.ended, e.endedAt = true, now
@@ -146,7 +161,8 @@
 	return now-e.endedAt > indexRetention
 }
 
-func (x *index) remove(id string) {
+// Remove forgets a request that cannot run.
+func (x *Index) Remove(id string) {
 	e := x.byID[id]
 	if e == nil {
 		return
@@ -159,7 +175,7 @@
 
 // evict drops expired entries at the old end, and the oldest ended ones when the index is full. An entry that is still in
 // progress moves to the new end when it stands in the way of others.
-func (x *index) evict(now time.Duration) {
+func (x *Index) evict(now time.Duration) {
 	for moved := 0; len(x.order) > 0 && moved < maxMoved; {
 		id := x.order[0]
 		e := x.byID[id]
@@ -168,7 +184,7 @@
 		switch {
 		case e == nil:
 		case e.expired(now), full && e.ended:
-			x.remove(id)
+			x.Remove(id)
 		case crowded:
 			x.order = append(x.order, id)
 			moved++
@@ -179,32 +195,11 @@
 	}
 }
 
-func (x *index) locate(id string) (Location, bool) {
+// Locate returns where a request is.
+func (x *Index) Locate(id string) (Location, bool) {
 	e := x.byID[id]
 	if e == nil {
 		return Location{}, false
 	}
 	return e.Location, true
 }
-
-func encodeClaim(c Claim) *granterpb.Claim {
-	return &granterpb.Claim{Workspace: c.Workspace, Key: c.Key, Digest: c.Digest, RequestId: c.RequestID}
-}
-
-func decodeClaim(m *granterpb.Claim) Claim {
-	return Claim{Workspace: m.GetWorkspace(), Key: m.GetKey(), Digest: m.GetDigest(), RequestID: m.GetRequestId()}
-}
-
-func encodeLocation(l Location) *granterpb.Located {
-	return &granterpb.Located{
-		RequestId: l.RequestID, Host: l.Host, Endpoint: l.Endpoint, State: l.State,
-		Digest: l.Digest, Workspace: l.Workspace, HostLost: l.HostLost,
-	}
-}
-
-func decodeLocation(m *granterpb.Located) Location {
-	return Location{
-		RequestID: m.GetRequestId(), Host: m.GetHost(), Endpoint: m.GetEndpoint(), State: m.GetState(),
-		Digest: m.GetDigest(), Workspace: m.GetWorkspace(), HostLost: m.GetHostLost(),
-	}
-}
--- a/internal/granter/wire.go
+++ b/internal/translator/translator.go
@@ -1,13 +1,16 @@
-package granter
+// Package translator converts between the events and actions of a scheduler and the messages of the granter.
+package translator
 
 import (
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/granter/granterpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 )
 
-func encodeDescriptor(d scheduler.Descriptor) *granterpb.Descriptor {
+// EncodeDescriptor returns the message form of a descriptor.
+func EncodeDescriptor(d scheduler.Descriptor) *granterpb.Descriptor {
 	return &granterpb.Descriptor{
 		RequestId:       d.RequestID,
 		Workspace:       d.Workspace,
@@ -28,7 +31,8 @@
 	}
 }
 
-func decodeDescriptor(m *granterpb.Descriptor) scheduler.Descriptor {
+// DecodeDescriptor reads the message form of a descriptor.
+func DecodeDescriptor(m *granterpb.Descriptor) scheduler.Descriptor {
 	return scheduler.Descriptor{
 		RequestID:       m.GetRequestId(),
 		Workspace:       m.GetWorkspace(),
@@ -49,29 +53,31 @@
 	}
 }
 
-func encodeRun(r scheduler.Run) *granterpb.Run {
+// EncodeRun returns the message form of a run.
+func EncodeRun(r scheduler.Run) *granterpb.Run {
 	return &granterpb.Run{
-		Descriptor_:  encodeDescriptor(r.Descriptor),
+		Descriptor_:  EncodeDescriptor(r.Descriptor),
 		Endpoint:     r.Endpoint,
 		OutputTokens: int64(r.OutputTokens),
 		RunningForNs: int64(r.RunningFor),
 	}
 }
 
-func decodeRun(m *granterpb.Run) scheduler.Run {
+// DecodeRun reads the message form of a run.
+func DecodeRun(m *granterpb.Run) scheduler.Run {
 	return scheduler.Run{
-		Descriptor:   decodeDescriptor(m.GetDescriptor_()),
+		Descriptor:   DecodeDescriptor(m.GetDescriptor_()),
 		Endpoint:     m.GetEndpoint(),
 		OutputTokens: int(m.GetOutputTokens()),
 		RunningFor:   time.Duration(m.GetRunningForNs()),
 	}
 }
 
-// decodeEvent returns the scheduler's event for a message of an entry host, or nil when it has none.
-func decodeEvent(host string, m *granterpb.EntryMessage) scheduler.Event {
+// DecodeEvent returns the scheduler's event for a message of an entry host, or nil when it has none.
+func DecodeEvent(host string, m *granterpb.EntryMessage) scheduler.Event {
 	switch b := m.GetBody().(type) {
 	case *granterpb.EntryMessage_Submit:
-		return scheduler.Submit{Host: host, Descriptor: decodeDescriptor(b.Submit)}
+		return scheduler.Submit{Host: host, Descriptor: DecodeDescriptor(b.Submit)}
 	case *granterpb.EntryMessage_Started:
 		return scheduler.Started{Host: host, RequestID: b.Started.GetRequestId(), Endpoint: b.Started.GetEndpoint()}
 	case *granterpb.EntryMessage_Declined:
@@ -104,8 +110,8 @@
 	return nil
 }
 
-// encodeAction returns the message and the entry host that an action goes to, or nil when it goes to no entry host.
-func encodeAction(a scheduler.Action, heartbeat func(host string) uint64) (string, *granterpb.HolderMessage) {
+// EncodeAction returns the message and the entry host that an action goes to, or nil when it goes to no entry host.
+func EncodeAction(a scheduler.Action, heartbeat func(host string) uint64) (string, *granterpb.HolderMessage) {
 	switch a := a.(type) {
 	case scheduler.Grant:
 		return a.Host, &granterpb.HolderMessage{Body: &granterpb.HolderMessage_Grant{Grant: &granterpb.Grant{
@@ -122,3 +128,29 @@
 	}
 	return "", nil
 }
+
+// EncodeClaim returns the message form of a claim.
+func EncodeClaim(c indexer.Claim) *granterpb.Claim {
+	return &granterpb.Claim{Workspace: c.Workspace, Key: c.Key, Digest: c.Digest, RequestId: c.RequestID}
+}
+
+// DecodeClaim reads the message form of a claim.
+func DecodeClaim(m *granterpb.Claim) indexer.Claim {
+	return indexer.Claim{Workspace: m.GetWorkspace(), Key: m.GetKey(), Digest: m.GetDigest(), RequestID: m.GetRequestId()}
+}
+
+// EncodeLocation returns the message form of a location.
+func EncodeLocation(l indexer.Location) *granterpb.Located {
+	return &granterpb.Located{
+		RequestId: l.RequestID, Host: l.Host, Endpoint: l.Endpoint, State: l.State,
+		Digest: l.Digest, Workspace: l.Workspace, HostLost: l.HostLost,
+	}
+}
+
+// DecodeLocation reads the message form of a location.
+func DecodeLocation(m *granterpb.Located) indexer.Location {
+	return indexer.Location{
+		RequestID: m.GetRequestId(), Host: m.GetHost(), Endpoint: m.GetEndpoint(), State: m.GetState(),
+		Digest: m.GetDigest(), Workspace: m.GetWorkspace(), HostLost: m.GetHostLost(),
+	}
+}
--- a/node.go
+++ b/node.go
@@ -18,7 +18,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
-	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/holder"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
@@ -32,9 +32,9 @@
 
 // Control is the part of a node that agrees with the other hosts on configuration, roles, members and orders.
 type Control interface {
-	granter.Roles
-	granter.Configuration
-	granter.Shedder
+	holder.Roles
+	holder.Configuration
+	holder.Shedder
 	dispatcher.Ledger
 	dispatcher.Hosts
 	OnShed(fn func(closedBelow, permitTier int, permitFor time.Duration))
@@ -74,7 +74,7 @@
 	// NewControl builds the control part for this node's transport.
 	NewControl func(t *transporter.Transport) (Control, error)
 	// NewStepper builds the decision core of a pool for an epoch; nil means the scheduler.
-	NewStepper func(pool string, epoch uint64) granter.Stepper
+	NewStepper func(pool string, epoch uint64) holder.Stepper
 	// HostList is the platform's list of live and leaving endpoints; it may be nil.
 	HostList lister.Source
 	// Operators is the operators' listener; it may be nil.
@@ -104,7 +104,7 @@
 	transport *transporter.Transport
 	control   Control
 	resolver  *resolver.Resolver
-	desk      *granter.Desk
+	desk      *holder.Desk
 	sessions  *sessionSet
 	placement *placement
 	requests  atomic.Pointer[dispatcher.Dispatcher]
@@ -273,7 +273,7 @@
 	if n.NewStepper == nil {
 		n.NewStepper = n.newScheduler
 	}
-	n.desk = &granter.Desk{
+	n.desk = &holder.Desk{
 		Transport: n.transport, Roles: n.control, Configuration: n.control, Shedder: n.control,
 		NewStepper: n.NewStepper, Watch: n.watch,
 	}
@@ -299,11 +299,11 @@
 	return t
 }
 
-func (n *Node) newScheduler(pool string, epoch uint64) granter.Stepper {
+func (n *Node) newScheduler(pool string, epoch uint64) holder.Stepper {
 	return scheduler.New(scheduler.Options{Pool: pool, Epoch: epoch, Seed: epoch, Hosts: n.control.Owners()})
 }
 
-func (n *Node) watch(ctx context.Context, h *granter.Holder) {
+func (n *Node) watch(ctx context.Context, h *holder.Holder) {
 	w := &watcher.Watcher{Pool: h.Pool, Engines: n.resolver, Interval: n.PollInterval, List: n.HostList, Post: h.Post}
 	w.Run(ctx)
 }
--- a/sessions.go
+++ b/sessions.go
@@ -8,6 +8,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 )
 
 // Config is one version of the configuration of the whole system.
@@ -42,18 +43,18 @@
 		pool := p.Name
 		session := &granter.Session{
 			Pool: pool, Host: s.owner, Zone: s.node.Zone, Transport: s.node.transport, Locator: s.node.control,
-			Kept: func() []granter.Claim { return s.kept(pool) },
+			Kept: func() []indexer.Claim { return s.kept(pool) },
 		}
 		s.current[pool] = session
 		s.wg.Go(func() { _ = session.Run(s.ctx) })
 	}
 }
 
-func (s *sessionSet) kept(pool string) []granter.Claim {
+func (s *sessionSet) kept(pool string) []indexer.Claim {
 	metas := s.node.store.Keyed(pool)
-	claims := make([]granter.Claim, 0, len(metas))
+	claims := make([]indexer.Claim, 0, len(metas))
 	for _, m := range metas {
-		claims = append(claims, granter.Claim{Workspace: m.Workspace, Key: m.Key, Digest: m.Digest, RequestID: m.RequestID})
+		claims = append(claims, indexer.Claim{Workspace: m.Workspace, Key: m.Key, Digest: m.Digest, RequestID: m.RequestID})
 	}
 	return claims
 }
