--- a/cmd/dragonflycroft/serve.go
+++ b/cmd/dragonflycroft/serve.go
@@ -17,10 +17,11 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/resumer"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -165,11 +166,11 @@
 			Gap:       c.duration("gap-timeout", s.GapTimeout, least),
 		},
 		PollInterval: c.duration("poll-interval", s.PollInterval, least),
-		Times: dispatcher.Times{
-			Total:          c.duration("run-timeout", s.RunTimeout, least),
-			Linger:         c.duration("linger", s.Linger, least),
-			Ledger:         c.duration("ledger-timeout", s.LedgerTimeout, least),
-			ResumeAttempts: c.number("resume-attempts", s.ResumeAttempts, 1),
+		Times: runner.Times{
+			Total:  c.duration("run-timeout", s.RunTimeout, least),
+			Linger: c.duration("linger", s.Linger, least),
+			Ledger: c.duration("ledger-timeout", s.LedgerTimeout, least),
+			Resume: resumer.Limits{Attempts: c.number("resume-attempts", s.ResumeAttempts, 1)},
 		},
 		KeptBytes:       int(c.size("kept-memory", s.KeptMemory, 1<<20)),
 		KeptFor:         c.duration("kept-for", s.KeptFor, least),
--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -17,10 +17,12 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -262,8 +264,8 @@
 	s.ledger = &fakeLedger{Host: host, faults: make(map[string][]string)}
 	s.d = &Dispatcher{
 		HostID: "entry", Incarnation: 1, Transport: &transporter.Transport{},
-		Session:   func(string) (Session, bool) { return s.session, true },
-		Pools:     func() []string { return []string{"p"} },
+		Session:   func(string) (runner.Session, bool) { return s.session, true },
+		Sessions:  func() []runner.Session { return []runner.Session{s.session} },
 		Endpoints: s.endpoint, Ledger: s.ledger, Hosts: host, Store: &answerer.Store{},
 	}
 	s.d.Start(context.Background())
@@ -282,7 +284,7 @@
 }
 
 func (s *script) request(o map[string]string) {
-	req := Request{
+	req := describer.Request{
 		Kind: answerer.KindChat, Pool: "p", Workspace: "w", Tier: "t", Key: o["key"], Digest: "w:" + o["body"], Idempotent: o["idempotent"] != "no",
 	}
 	if o["kind"] != "" {
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 )
 
 // memory is the memory set aside for bodies. Half of it is open to all tiers, the other half is split into a reserve for each
@@ -119,7 +119,7 @@
 }
 
 // common reads the headers that chat requests and service calls share.
-func (k *call) common(req *dispatcher.Request) *failure {
+func (k *call) common(req *describer.Request) *failure {
 	req.Workspace, req.Caller = k.identity.Workspace.Name, k.identity.Caller.Name
 	tiers := k.identity.Caller.Tiers
 	req.Tier = string(k.c.GetHeader(HeaderTier))
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -16,7 +16,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/chatdecoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 )
 
 const (
@@ -28,7 +28,7 @@
 )
 
 func (s *Server) serveChat(k *call) {
-	req := dispatcher.Request{Kind: answerer.KindChat, Idempotent: true}
+	req := describer.Request{Kind: answerer.KindChat, Idempotent: true}
 	if f := k.common(&req); f != nil {
 		k.c.SetConnectionClose()
 		s.fail(k.c, f)
@@ -57,7 +57,7 @@
 }
 
 // chatRequest decodes a body and finds the pool of its model. It reports whether the caller asked for a stream.
-func (k *call) chatRequest(req *dispatcher.Request, body []byte) (stream bool, f *failure) {
+func (k *call) chatRequest(req *describer.Request, body []byte) (stream bool, f *failure) {
 	decoded, err := chatdecoder.Decode(body)
 	if err != nil {
 		return false, &failure{status: http.StatusBadRequest, reason: "invalid_body", message: err.Error()}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 )
 
@@ -65,7 +66,7 @@
 
 // Requests takes requests over and finds their answers; *dispatcher.Dispatcher implements it.
 type Requests interface {
-	Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error)
+	Accept(req describer.Request) (*answerer.Answer, *answerer.Reader, error)
 	Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error)
 	// NewID returns an id for a request that is refused before it is accepted.
 	NewID(workspace string) string
@@ -371,7 +372,12 @@
 func failureOf(err error) *failure {
 	var reused *dispatcher.KeyReusedError
 	var missing *dispatcher.NotFoundError
+	var pool *dispatcher.UnknownPoolError
 	switch {
+	case errors.As(err, &pool):
+		return &failure{
+			status: http.StatusServiceUnavailable, reason: "unready", message: err.Error(), retryAfter: time.Second,
+		}
 	case errors.As(err, &reused):
 		return &failure{
 			status: http.StatusUnprocessableEntity, outcome: answerer.Refused, reason: "key_reused",
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -18,18 +18,19 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 )
 
 // requests accepts everything and lets the test answer.
 type requests struct {
 	mu       sync.Mutex
-	accepted []dispatcher.Request
+	accepted []describer.Request
 	answers  []*answerer.Answer
 	arrived  chan struct{}
 }
 
-func (r *requests) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
+func (r *requests) Accept(req describer.Request) (*answerer.Answer, *answerer.Reader, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := answerer.New(answerer.Meta{RequestID: fmt.Sprintf("r%d", len(r.answers)), Kind: req.Kind, Model: req.Model, Created: time.Unix(1, 0)}, nil)
@@ -45,7 +46,7 @@
 func (r *requests) NewID(string) string { return "refused" }
 
 // at returns request number i and its answer.
-func (r *requests) at(i int) (dispatcher.Request, *answerer.Answer) {
+func (r *requests) at(i int) (describer.Request, *answerer.Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.accepted[i], r.answers[i]
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -6,7 +6,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 )
 
 // serveService routes a call of a plain service; the answer is passed on with its status.
@@ -35,7 +35,7 @@
 }
 
 // serviceRequest finds the route of a call. A call without a route is refused before its body is read.
-func (k *call) serviceRequest() (*dispatcher.Request, *failure) {
+func (k *call) serviceRequest() (*describer.Request, *failure) {
 	name, path, method := k.c.Param("service"), "/"+k.c.Param("path"), string(k.c.Method())
 	service := k.index.Service(name)
 	if service == nil {
@@ -50,7 +50,7 @@
 			message: fmt.Sprintf("the service %q has no route for %s %s; the call did not run", name, method, path),
 		}
 	}
-	req := &dispatcher.Request{Kind: answerer.KindService, Pool: service.Pool, Idempotent: route.Idempotent, PromptTokens: 1}
+	req := &describer.Request{Kind: answerer.KindService, Pool: service.Pool, Idempotent: route.Idempotent, PromptTokens: 1}
 	if f := k.common(req); f != nil {
 		return nil, f
 	}
--- a/node.go
+++ b/node.go
@@ -16,11 +16,16 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/booker"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/follower"
 	"github.com/dragonflycroft/dragonflycroft/internal/holder"
+	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/server"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -35,8 +40,8 @@
 	holder.Roles
 	holder.Configuration
 	holder.Shedder
-	dispatcher.Ledger
-	dispatcher.Hosts
+	booker.Ledger
+	follower.Hosts
 	OnShed(fn func(closedBelow, permitTier int, permitFor time.Duration))
 	// Register adds methods to the transport before it runs.
 	Register()
@@ -83,7 +88,7 @@
 	Endpoint connector.Timeouts
 	// PollInterval is the time between two load reports of an endpoint.
 	PollInterval time.Duration
-	Times        dispatcher.Times
+	Times        runner.Times
 	// KeptBytes and KeptFor bound the answers kept for fetches and repeated keys.
 	KeptBytes int
 	KeptFor   time.Duration
@@ -199,7 +204,7 @@
 }
 
 // Accept implements server.Requests.
-func (n *Node) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
+func (n *Node) Accept(req describer.Request) (*answerer.Answer, *answerer.Reader, error) {
 	d := n.requests.Load()
 	if d == nil {
 		return nil, nil, eris.New("this entry host has not joined yet")
@@ -222,7 +227,7 @@
 		return d.NewID(workspace)
 	}
 	// Incarnation 0 names no process: nothing with this id can run.
-	return dispatcher.OwnerOf(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
+	return identifier.Owner(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
 }
 
 // Run serves until ctx ends, and then stops as planned: it becomes unready, waits for the balancer, hands its roles over and
@@ -320,7 +325,7 @@
 		Endpoints: n.resolver, Ledger: n.control, Hosts: n.control, Store: n.store, Times: n.Times,
 	}
 	n.sessions = newSessionSet(ctx, n, d.Owner())
-	d.Session, d.Pools = n.sessions.get, n.sessions.pools
+	d.Session, d.Sessions = n.sessions.get, n.sessions.all
 	d.Start(context.WithoutCancel(ctx))
 	n.control.Subscribe(func(_ uint64, cfg *Config) { n.sessions.match(cfg) })
 	if _, cfg, _ := n.control.Config(); cfg != nil {
--- a/sessions.go
+++ b/sessions.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 )
 
 // Config is one version of the configuration of the whole system.
@@ -59,22 +60,22 @@
 	return claims
 }
 
-func (s *sessionSet) get(pool string) (dispatcher.Session, bool) {
+func (s *sessionSet) get(pool string) (runner.Session, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	session, ok := s.current[pool]
 	return session, ok
 }
 
-func (s *sessionSet) pools() []string {
+// all returns the sessions in the order of their pools.
+func (s *sessionSet) all() []runner.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pools := make([]string, 0, len(s.current))
-	for p := range s.current {
-		pools = append(pools, p)
+	sessions := make([]runner.Session, 0, len(s.current))
+	for _, pool := range slices.Sorted(maps.Keys(s.current)) {
+		sessions = append(sessions, s.current[pool])
 	}
-	slices.Sort(pools)
-	return pools
+	return sessions
 }
 
 func (s *sessionSet) wait() { s.wg.Wait() }
