--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,51 +9,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 )
 
-// memory is the memory set aside for bodies. Half of it is open to all tiers, the other half is split into a reserve for each
-// tier, so that the waiting bodies of a flood of one tier do not keep the bodies of another tier from being read.
-type memory struct {
-	shared  *semaphore.Weighted
-	mu      sync.Mutex
-	reserve map[string]*semaphore.Weighted
-	each    func(tiers int) int64
-}
-
-func newMemory(total, maxBody int64) *memory {
-	half := max(total/2, maxBody)
-	return &memory{
-		shared:  semaphore.NewWeighted(half),
-		reserve: make(map[string]*semaphore.Weighted),
-		each:    func(tiers int) int64 { return max(half/int64(max(1, tiers)), maxBody) },
-	}
-}
-
-// acquire waits for n bytes and returns how to give some of them back.
-func (m *memory) acquire(ctx context.Context, tier string, tiers int, n int64) (func(n int64), error) {
-	if m.shared.TryAcquire(n) {
-		return m.shared.Release, nil
-	}
-	m.mu.Lock()
-	r := m.reserve[tier]
-	if r == nil {
-		r = semaphore.NewWeighted(m.each(tiers))
-		m.reserve[tier] = r
-	}
-	m.mu.Unlock()
-	if !r.TryAcquire(n) {
-		bodyWaits.Add(1)
-		if err := r.Acquire(ctx, n); err != nil {
-			return nil, err
-		}
-	}
-	return r.Release, nil
-}
-
 // readBody reads the request body within the size limit. It reserves the memory first: when the memory set aside for bodies is
 // used up, it waits, and the caller's data stays in the network. Release gives the memory back.
 func (s *Server) readBody(k *call, tier string) (body []byte, release func(), f *failure) {
@@ -69,7 +27,7 @@
 		// The length of a chunked body is known only once it has been read.
 		reserved = int64(limit)
 	}
-	back, err := s.memory.acquire(k.ctx, tier, len(k.index.Config().Tiers), reserved)
+	back, err := s.memory.Acquire(k.ctx, tier, len(k.index.Config().Tiers), reserved)
 	if err != nil {
 		return nil, nil, &failure{status: http.StatusServiceUnavailable, reason: "caller_gone", message: "the caller left before its body was read"}
 	}
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/chatdecoder"
+	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 )
@@ -122,65 +122,10 @@
 	}
 	k.c.Response.Header.Set(HeaderRequestID, m.RequestID)
 	k.c.Response.Header.Set(HeaderOutcome, string(end.Outcome))
-	data, _ := json.Marshal(completion{
-		ID: m.RequestID, Object: "chat.completion", Created: m.Created.Unix(), Model: m.Model,
-		Choices: []choice{{Message: &message{Role: "assistant", Content: text}, FinishReason: finished()}},
-		Usage:   usageOf(end.Usage),
-	})
+	data := chatencoder.Whole(m, text, &end)
 	k.c.Data(http.StatusOK, "application/json; charset=utf-8", data)
 }
 
-type message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
-}
-
-type choice struct {
-	Index        int      `json:"index"`
-	Message      *message `json:"message,omitempty"`
-	Delta        *message `json:"delta,omitempty"`
-	FinishReason *string  `json:"finish_reason"`
-}
-
-type usageDetail struct {
-	CachedTokens int `json:"cached_tokens"`
-}
-
-type usage struct {
-	PromptTokens     int         `json:"prompt_tokens"`
-	CompletionTokens int         `json:"completion_tokens"`
-	TotalTokens      int         `json:"total_tokens"`
-	Details          usageDetail `json:"prompt_tokens_details"`
-}
-
-// completion is an OpenAI chat completion, or a chunk of one.
-type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-	// Outcome and Error are set in the final event of a stream.
-	Outcome answerer.Outcome `json:"outcome,omitempty"`
-	Error   *errorDetail     `json:"error,omitempty"`
-}
-
-func finished() *string {
-	stop := "stop"
-	return &stop
-}
-
-func usageOf(u *connector.Usage) *usage {
-	if u == nil {
-		return nil
-	}
-	return &usage{
-		PromptTokens: u.PromptTokens, CompletionTokens: u.OutputTokens, TotalTokens: u.PromptTokens + u.OutputTokens,
-		Details: usageDetail{CachedTokens: u.CachedTokens},
-	}
-}
-
 // respondStream writes the chunks as server-sent events whose id is the chunk index, then the outcome.
 func (s *Server) respondStream(k *call, a *answerer.Answer, r *answerer.Reader) {
 	m := a.Meta()
@@ -188,23 +133,16 @@
 	k.c.Response.Header.Set(HeaderOutcome, outcomeStreaming)
 	k.c.Response.Header.Set("X-Accel-Buffering", "no")
 	w := sse.NewWriter(k.c)
-	part := completion{ID: m.RequestID, Object: "chat.completion.chunk", Created: m.Created.Unix(), Model: m.Model}
 	for {
 		chunk, end, err := s.nextPart(k.ctx, r, w)
 		if err != nil {
 			return
 		}
 		if end != nil {
-			writeEnd(w, part, end)
+			writeEnd(w, m, end)
 			return
 		}
-		delta := &message{Content: chunk.Text}
-		if chunk.Index == 0 {
-			delta.Role = "assistant"
-		}
-		part.Choices = []choice{{Delta: delta}}
-		data, _ := json.Marshal(part)
-		if w.WriteEvent(strconv.Itoa(chunk.Index), "", data) != nil {
+		if w.WriteEvent(strconv.Itoa(chunk.Index), "", chatencoder.Chunk(m, chunk)) != nil {
 			return
 		}
 	}
@@ -226,24 +164,11 @@
 }
 
 // writeEnd writes the finish reason, the outcome as an event of its own that clients of chunks can read as well, and the end.
-func writeEnd(w *sse.Writer, part completion, end *answerer.End) {
-	if isDone(*end) {
-		part.Choices = []choice{{Delta: &message{}, FinishReason: finished()}}
-		data, _ := json.Marshal(part)
-		if w.WriteEvent("", "", data) != nil {
-			return
-		}
-	}
-	part.Choices = []choice{}
-	part.Usage = usageOf(end.Usage)
-	part.Outcome = end.Outcome
-	if !isDone(*end) {
-		part.Error = &errorDetail{
-			Outcome: end.Outcome, Reason: end.Reason, Message: end.Message, RequestID: part.ID, RetryAfterMS: end.RetryAfter.Milliseconds(),
-		}
+func writeEnd(w *sse.Writer, m answerer.Meta, end *answerer.End) {
+	if isDone(*end) && w.WriteEvent("", "", chatencoder.Finish(m)) != nil {
+		return
 	}
-	data, _ := json.Marshal(part)
-	if w.WriteEvent("", eventOutcome, data) != nil {
+	if w.WriteEvent("", eventOutcome, chatencoder.Outcome(m, end)) != nil {
 		return
 	}
 	_ = w.WriteEvent("", "", []byte(streamEnd))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,9 +20,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/drainer"
+	"github.com/dragonflycroft/dragonflycroft/internal/reserver"
 )
 
 func init() {
@@ -61,7 +63,6 @@
 	countRequests = expvar.NewMap("server_requests")
 	countRefused  = expvar.NewMap("server_refused")
 	bodyBytes     = expvar.NewInt("server_body_bytes")
-	bodyWaits     = expvar.NewInt("server_body_waits")
 )
 
 // Requests takes requests over and finds their answers; *dispatcher.Dispatcher implements it.
@@ -94,8 +95,8 @@
 
 	listener net.Listener
 	hertz    *hertzserver.Hertz
-	memory   *memory
-	inflight inflight
+	memory   *reserver.Memory
+	inflight drainer.Drainer
 	closing  atomic.Bool
 	index    atomic.Pointer[indexed]
 }
@@ -121,7 +122,7 @@
 		return eris.Wrapf(err, "listen for callers on %s", s.ListenAddr)
 	}
 	s.listener = l
-	s.memory = newMemory(orDefault(s.BodyMemoryBytes, DefaultBodyMemoryBytes), int64(s.maxBody()))
+	s.memory = reserver.New(orDefault(s.BodyMemoryBytes, DefaultBodyMemoryBytes), int64(s.maxBody()))
 	s.hertz = hertzserver.New(
 		hertzserver.WithListener(l),
 		hertzserver.WithStreamBody(true),
@@ -154,7 +155,7 @@
 // Close waits until every response in progress has been written or ctx has ended, and closes the listener and all connections.
 func (s *Server) Close(ctx context.Context) error {
 	s.closing.Store(true)
-	err := s.inflight.wait(ctx)
+	err := s.inflight.Wait(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitWait)
 	defer cancel()
 	_ = s.hertz.Shutdown(ctx)
@@ -162,55 +163,6 @@
 	return err
 }
 
-// inflight counts the requests whose responses have not been written yet.
-type inflight struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{}
-}
-
-// begin counts a request until the library has written its response.
-func (f *inflight) begin(c *app.RequestContext) (returned func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.n++
-	written := c.Finished()
-	return func() {
-		go func() {
-			<-written
-			f.end()
-		}()
-	}
-}
-
-func (f *inflight) end() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.n--; f.n == 0 && f.idle != nil {
-		close(f.idle)
-		f.idle = nil
-	}
-}
-
-func (f *inflight) wait(ctx context.Context) error {
-	f.mu.Lock()
-	if f.n == 0 {
-		f.mu.Unlock()
-		return nil
-	}
-	if f.idle == nil {
-		f.idle = make(chan struct{})
-	}
-	idle := f.idle
-	f.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-idle:
-		return nil
-	}
-}
-
 func (s *Server) routes() {
 	h := s.hertz
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
@@ -249,7 +201,7 @@
 func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		countRequests.Add(kind, 1)
-		defer s.inflight.begin(c)()
+		defer s.inflight.Begin(c)()
 		if s.closing.Load() {
 			c.SetConnectionClose()
 		}
@@ -328,20 +280,8 @@
 	retryAfter time.Duration
 }
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Outcome      answerer.Outcome `json:"outcome"`
-	Reason       string           `json:"reason"`
-	Message      string           `json:"message"`
-	RequestID    string           `json:"request_id,omitempty"`
-	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
-}
-
-func (f *failure) body() errorBody {
-	return errorBody{Error: errorDetail{
+func (f *failure) body() chatencoder.ErrorBody {
+	return chatencoder.ErrorBody{Error: chatencoder.ErrorDetail{
 		Outcome: f.outcome, Reason: f.reason, Message: f.message, RequestID: f.requestID, RetryAfterMS: f.retryAfter.Milliseconds(),
 	}}
 }
