--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -17,9 +17,12 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -41,7 +44,7 @@
 	mu        sync.Mutex
 	calls     []string
 	callbacks granter.Callbacks
-	holder    granter.Location
+	holder    indexer.Location
 }
 
 func (s *fakeSession) record(format string, args ...any) {
@@ -65,15 +68,15 @@
 	s.record("failed:%s:%s", endpoint, cause)
 }
 
-func (s *fakeSession) Claim(_ context.Context, c granter.Claim) (granter.Location, error) {
+func (s *fakeSession) Claim(_ context.Context, c indexer.Claim) (indexer.Location, error) {
 	if s.holder.RequestID != "" {
 		return s.holder, nil
 	}
-	return granter.Location{RequestID: c.RequestID, Digest: c.Digest}, nil
+	return indexer.Location{RequestID: c.RequestID, Digest: c.Digest}, nil
 }
 
-func (s *fakeSession) Locate(context.Context, string) (granter.Location, error) {
-	return granter.Location{}, errors.New("not reachable")
+func (s *fakeSession) Locate(context.Context, string) (indexer.Location, error) {
+	return indexer.Location{}, errors.New("not reachable")
 }
 
 // fakeEndpoint plays one behaviour for each exchange.
@@ -165,7 +168,7 @@
 }
 func (e *fakeEndpoint) ExportKV(context.Context, string) ([]byte, error) { return nil, nil }
 func (e *fakeEndpoint) ImportKV(context.Context, string, []byte) error   { return nil }
-func (e *fakeEndpoint) Engine(name string) (connector.Engine, bool) { return e, name != "new" }
+func (e *fakeEndpoint) Engine(name string) (connector.Engine, bool)      { return e, name != "new" }
 
 func (e *fakeEndpoint) Service(name string) (connector.Service, bool) { return e, name != "new" }
 func (e *fakeEndpoint) Engines() []string                             { return []string{"e1"} }
@@ -261,8 +264,8 @@
 	s.ledger = &fakeLedger{Host: host, faults: make(map[string][]string)}
 	s.d = &Dispatcher{
 		HostID: "entry", Incarnation: 1, Transport: &transporter.Transport{},
-		Session:   func(string) (Session, bool) { return s.session, true },
-		Pools:     func() []string { return []string{"p"} },
+		Session:   func(string) (runner.Session, bool) { return s.session, true },
+		Sessions:  func() []runner.Session { return []runner.Session{s.session} },
 		Endpoints: s.endpoint, Ledger: s.ledger, Hosts: host, Store: &answerer.Store{},
 	}
 	s.d.Start(context.Background())
@@ -281,7 +284,7 @@
 }
 
 func (s *script) request(o map[string]string) {
-	req := Request{
+	req := describer.Request{
 		Kind: answerer.KindChat, Pool: "p", Workspace: "w", Tier: "t", Key: o["key"], Digest: "w:" + o["body"], Idempotent: o["idempotent"] != "no",
 	}
 	if o["kind"] != "" {
