scheduler: share suspects with the hosts, never hold a request without a cause

A new holder knew no suspects, so that each change of holder allowed two more endpoints to be lost to one request. The new action ShareSuspect and the field HostSynced.Suspects carry them. Random schedules now end with a phase in which all work must be served; it found a suspect that waited for its only endpoint to be proven by others. Equal requests that wait for each other are freed a few at a time.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -96,19 +96,47 @@
 	}
 }
 
-// Finished clears a fingerprint, since a run of it ended without a crash. One that is refused stays refused.
-func (q *Quarantine) Finished(now time.Duration, fingerprint string) {
+// Finished clears a fingerprint, since a run of it ended without a crash. One that is refused stays refused. It tells
+// whether the verdict has changed, and whether the fingerprint was suspect.
+func (q *Quarantine) Finished(now time.Duration, fingerprint string) (changed, cleared bool) {
 	if fingerprint == "" {
-		return
+		return false, false
 	}
 	key := xxhash.Sum64String(fingerprint)
 	if c := q.crashes.get(key); c != nil {
 		if c.count >= maxCrashes && now < c.refusedUntil {
-			return
+			return false, false
 		}
 		q.crashes.remove(key)
+		cleared = true
 	}
+	changed = cleared || q.proven.get(key) == nil
 	q.proven.put(key)
+	return changed, cleared
+}
+
+// Crashes returns the endpoints that a fingerprint has cost, and how long it is still refused.
+func (q *Quarantine) Crashes(now time.Duration, fingerprint string) (count int, refused time.Duration) {
+	if c := q.crashes.get(xxhash.Sum64String(fingerprint)); c != nil {
+		return c.count, max(c.refusedUntil-now, 0)
+	}
+	return 0, 0
+}
+
+// Restore takes over what another holder knew of a fingerprint. What is known here already is never reduced.
+func (q *Quarantine) Restore(now time.Duration, fingerprint string, count int, refused time.Duration) {
+	if fingerprint == "" || count <= 0 {
+		return
+	}
+	key := xxhash.Sum64String(fingerprint)
+	c := q.crashes.get(key)
+	if c == nil {
+		c = q.crashes.put(key)
+		c.lastAt = now - sameCrash
+	}
+	c.count = max(c.count, count)
+	c.refusedUntil = max(c.refusedUntil, now+refused)
+	q.proven.remove(key)
 }
 
 // Len returns the number of fingerprints with a crash.
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -48,6 +48,10 @@
 // ConfirmClosed states that no request of a tier with an order above Below waits or runs here.
 type ConfirmClosed struct{ Below int }
 
+// ShareSuspect asks all entry hosts to remember a suspect for RefusedFor or ten minutes, whichever is longer, and to report
+// it in HostSynced, so that a new holder keeps the bound on endpoints lost to one request.
+type ShareSuspect struct{ Suspect }
+
 // Decision explains one routing decision for the log.
 type Decision struct {
 	Verb      string
@@ -63,4 +67,5 @@
 func (CancelRun) action()     {}
 func (AskShedPermit) action() {}
 func (ConfirmClosed) action() {}
+func (ShareSuspect) action()  {}
 func (Decision) action()      {}
--- a/internal/scheduler/check_test.go
+++ b/internal/scheduler/check_test.go
@@ -42,6 +42,11 @@
 	if waits != s.waiting || wanted != s.wanted || longs != s.placer.Longs {
 		return fmt.Errorf("totals %d %d %d, requests give %d %d %d", s.waiting, s.wanted, s.placer.Longs, waits, wanted, longs)
 	}
+	for fp, p := range s.prints {
+		if len(p.held) > 0 && len(p.active) == 0 {
+			return fmt.Errorf("%d requests with fingerprint %s are held, and none runs", len(p.held), fp)
+		}
+	}
 	alone := 0
 	for _, t := range s.table.All() {
 		e := s.endpoint(t.Name)
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -139,8 +139,7 @@
 			s.grant(r, e)
 			return true
 		case placer.NoDistinct:
-			s.unassign(r)
-			r.held = true
+			s.holdTwin(r)
 		case placer.NoProbe:
 			if unproven == nil {
 				unproven = make(map[*lane]int)
@@ -203,8 +202,12 @@
 // job describes a request to placement.
 func (s *Scheduler) job(r *request) placer.Job {
 	near := s.freshEndpoints(r)
+	prompt := r.d.PromptTokens
+	if s.service() {
+		prompt = 0
+	}
 	return placer.Job{
-		Tokens: r.tokens, Prompt: r.d.PromptTokens, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
+		Tokens: r.tokens, Prompt: prompt, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
 		Urgent: r.tier.urgent, Plain: s.service(), Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
 	}
 }
@@ -346,8 +349,7 @@
 	}
 	r := entry.Value
 	if p := s.prints[r.d.Fingerprint]; p != nil && len(p.active) > 0 {
-		s.unassign(r)
-		r.held = true
+		s.holdTwin(r)
 		return true
 	}
 	e := s.reservedFor(l.class)
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -138,10 +138,21 @@
 		}
 		s.quarantine.Crashed(s.now, fp, e.Name)
 		s.emit(Decision{Verb: "quarantine", Endpoint: e.Name, Reason: "ran at a failed endpoint: " + fp})
-		if p := s.prints[fp]; p != nil {
-			for _, r := range p.sortedWaiting() {
-				s.reassign(r)
-			}
+		s.shareSuspect(fp)
+		s.reassignPrint(fp)
+	}
+}
+
+func (s *Scheduler) shareSuspect(fp string) {
+	count, refused := s.quarantine.Crashes(s.now, fp)
+	s.emit(ShareSuspect{Suspect{Fingerprint: fp, Crashes: count, RefusedFor: refused}})
+}
+
+// reassignPrint applies a change of what is known of a fingerprint to its waiting requests.
+func (s *Scheduler) reassignPrint(fp string) {
+	if p := s.prints[fp]; p != nil {
+		for _, r := range p.sortedWaiting() {
+			s.reassign(r)
 		}
 	}
 }
@@ -161,14 +172,16 @@
 	}
 }
 
-// reserve stops new work at the endpoint of a class with the fewest runs.
+// reserve stops new work at the endpoint of a class with the fewest runs. One that has still to prove itself is the last
+// choice: it may be the only one of the class, with no other request to prove it.
 func (s *Scheduler) reserve(c *class) *endpoint {
 	var best *tracker.Endpoint
 	for _, e := range s.table.All() {
-		if !e.Eligible() || e.Alone || !e.Avail.Open(s.now) || !e.Serves(c.Class) {
+		if !s.takesSuspects(e) || e.Alone || !e.Serves(c.Class) {
 			continue
 		}
-		if best == nil || e.Runs() < best.Runs() {
+		if best == nil || e.Avail.Open(s.now) && !best.Avail.Open(s.now) ||
+			e.Avail.Open(s.now) == best.Avail.Open(s.now) && e.Runs() < best.Runs() {
 			best = e
 		}
 	}
@@ -193,9 +206,14 @@
 	s.rank(e)
 }
 
+func (s *Scheduler) takesSuspects(e *tracker.Endpoint) bool {
+	part, _ := e.Avail.Part(s.now)
+	return part > 0 && e.Eligible()
+}
+
 // reservedFor returns the endpoint that is being emptied for the suspects of a class.
 func (s *Scheduler) reservedFor(c *class) *endpoint {
-	if c.reserved != nil && (c.reserved.reserved != c || !c.reserved.Eligible() || !c.reserved.Avail.Open(s.now)) {
+	if c.reserved != nil && (c.reserved.reserved != c || !s.takesSuspects(c.reserved.Endpoint)) {
 		s.unreserve(c)
 	}
 	return c.reserved
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -50,12 +50,22 @@
 	Config  *configurer.Config
 }
 
+// Suspect is a fingerprint that ran at endpoints when they crashed. Crashes is 0 when it has been cleared.
+type Suspect struct {
+	Fingerprint string
+	Crashes     int
+	// RefusedFor is how long requests with the fingerprint are still refused.
+	RefusedFor time.Duration
+}
+
 // HostSynced replaces all that is known of an entry host by its own account.
 type HostSynced struct {
 	Host    string
 	Zone    string
 	Waiting []Descriptor
 	Running []Run
+	// Suspects are those that the host remembers from ShareSuspect actions of earlier holders.
+	Suspects []Suspect
 }
 
 // HostLost reports that an entry host's session has ended.
--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -69,9 +69,46 @@
 			w.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			w.event()
 		}
+		w.drain()
 	})
 }
 
+// drain lets everything end well and checks that no request waits forever.
+func (w *world) drain() {
+	for i := range w.cfg.Endpoints {
+		w.cfg.Endpoints[i].Drain = false
+		w.drained[w.cfg.Endpoints[i].Name] = false
+	}
+	w.version++
+	w.step(scheduler.Configure{Version: w.version + 1, Config: &w.cfg})
+	clear(w.gone)
+	w.step(scheduler.HostsListed{Live: []string{"e1", "e2", "e3"}})
+	w.step(scheduler.TiersClosed{Below: 2})
+	for range 200 {
+		w.now += 500 * time.Millisecond
+		w.step(scheduler.Tick{})
+		for _, id := range w.ids {
+			v := w.requests[id]
+			if v.state == "granted" && w.now < v.expires {
+				v.state, v.started = "running", w.now
+				w.step(scheduler.Started{Host: v.host, RequestID: id, Endpoint: v.endpoint})
+			}
+			if v.state == "running" {
+				v.state = "ended"
+				delete(w.suspects, v.d.Fingerprint)
+				w.disprove(v)
+				w.step(scheduler.Finished{RequestID: id, Outcome: scheduler.OutcomeDone, OutputTokens: 1})
+			}
+		}
+	}
+	for _, id := range w.ids {
+		v := w.requests[id]
+		if v.state == "waiting" && v.d.Remaining == 0 {
+			w.t.Fatalf("%s still waits: %+v", id, v.d)
+		}
+	}
+}
+
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, requests: make(map[string]*view), drained: make(map[string]bool), gone: make(map[string]bool),
@@ -157,6 +194,7 @@
 		Fingerprint:     rapid.SampledFrom([]string{"", "p", "q", "r"}).Draw(w.t, "print"),
 		PromptTokens:    rapid.IntRange(0, 6000).Draw(w.t, "prompt"),
 		MaxOutputTokens: rapid.IntRange(0, 400).Draw(w.t, "output"),
+		Remaining:       time.Duration(rapid.SampledFrom([]int{0, 0, 3000}).Draw(w.t, "remaining")) * time.Millisecond,
 	}
 	w.requests[d.RequestID] = &view{d: d, host: "h", state: "waiting"}
 	w.ids = append(w.ids, d.RequestID)
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -24,6 +24,9 @@
 // finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
 const finishMargin = 1.3
 
+// freedPerRun is the number of held requests that may take the place of an ended run.
+const freedPerRun = 4
+
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -77,6 +80,7 @@
 type fingerprint struct {
 	active  []*request // granted or running
 	waiting map[*request]struct{}
+	held    []*request // wait until a run of the fingerprint ends, the first held first
 }
 
 func (f *fingerprint) sortedWaiting() []*request {
@@ -232,9 +236,22 @@
 		r.entry = nil
 	}
 	s.unpin(r)
+	if p := s.prints[r.d.Fingerprint]; r.held && p != nil {
+		if i := slices.Index(p.held, r); i >= 0 {
+			p.held = slices.Delete(p.held, i, i+1)
+		}
+	}
 	r.held = false
 }
 
+// holdTwin leaves a request out of the lanes until a run of its fingerprint ends.
+func (s *Scheduler) holdTwin(r *request) {
+	s.unassign(r)
+	r.held = true
+	p := s.print(r.d.Fingerprint)
+	p.held = append(p.held, r)
+}
+
 // dequeue ends the waiting of a request.
 func (s *Scheduler) dequeue(r *request) {
 	s.unassign(r)
@@ -300,12 +317,15 @@
 	s.rank(e)
 }
 
-// freeHeld lets requests that waited for a run of their fingerprint be chosen again.
+// freeHeld lets requests that waited for a run of their fingerprint be chosen again: a few after each run, so that a flood
+// of equal requests is not sorted anew each time, and all of them once nothing runs.
 func (s *Scheduler) freeHeld(p *fingerprint) {
-	for _, r := range p.sortedWaiting() {
-		if r.held {
-			s.reassign(r)
-		}
+	n := len(p.held)
+	if len(p.active) > 0 {
+		n = min(n, freedPerRun)
+	}
+	for _, r := range slices.Clone(p.held[:n]) {
+		s.reassign(r)
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -210,12 +210,13 @@
 	if f.OutputTokens > 0 {
 		s.lengths.Observe(f.OutputTokens, r.lengthKeys()...)
 	}
-	s.quarantine.Finished(s.now, r.d.Fingerprint)
+	changed, cleared := s.quarantine.Finished(s.now, r.d.Fingerprint)
+	if cleared {
+		s.shareSuspect(r.d.Fingerprint)
+	}
 	e.Succeed(s.now, r.startedAt)
-	if p := s.prints[r.d.Fingerprint]; p != nil {
-		for _, w := range p.sortedWaiting() {
-			s.reassign(w)
-		}
+	if changed {
+		s.reassignPrint(r.d.Fingerprint)
 	}
 }
 
@@ -241,6 +242,10 @@
 func (s *Scheduler) syncHost(e HostSynced) {
 	h := s.host(e.Host)
 	h.zone, h.synced = e.Zone, true
+	for _, p := range e.Suspects {
+		s.quarantine.Restore(s.now, p.Fingerprint, p.Crashes, p.RefusedFor)
+		s.reassignPrint(p.Fingerprint)
+	}
 	listed := make(map[string]bool, len(e.Waiting)+len(e.Running))
 	for _, run := range e.Running {
 		listed[run.Descriptor.RequestID] = true
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -174,7 +174,9 @@
 	case LoadReported:
 		s.table.Report(s.now, e.Age, e.Endpoint, e.Running, e.Waiting)
 	case CacheChanged:
-		s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
+		if s.table.Get(e.Endpoint) != nil {
+			s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
+		}
 	case HostsListed:
 		s.listHosts(e)
 	case TiersClosed:
--- a/internal/scheduler/script_test.go
+++ b/internal/scheduler/script_test.go
@@ -87,6 +87,8 @@
 		return fmt.Sprintf("cancel %s", a.RequestID)
 	case scheduler.AskShedPermit:
 		return fmt.Sprintf("ask %d", a.Tier)
+	case scheduler.ShareSuspect:
+		return fmt.Sprintf("suspect %s %d %s", a.Fingerprint, a.Crashes, a.RefusedFor)
 	case scheduler.ConfirmClosed:
 		return fmt.Sprintf("confirm %d", a.Below)
 	}
@@ -122,6 +124,10 @@
 	case "synced":
 		ev := scheduler.HostSynced{Host: f[1], Zone: "z1"}
 		for _, a := range f[2:] {
+			if fp, ok := strings.CutPrefix(a, "suspect="); ok {
+				ev.Suspects = append(ev.Suspects, scheduler.Suspect{Fingerprint: fp, Crashes: 1})
+				continue
+			}
 			id, at, run := strings.Cut(a, "@")
 			d := descriptor(t, []string{id})
 			if run {
