scheduler: take back a suspicion when the endpoint turns out to be alive

A single connection that went silent made its request suspect, and a second one refused it, although the endpoint worked. Progress disproves a failure only a second after the sign, since reports from before it may be under way. Non-idempotent calls avoid endpoints that have yet to prove themselves, and endpoints without configured hardware are compared with more tolerance.

--- a/internal/ejector/availability.go
+++ b/internal/ejector/availability.go
@@ -19,6 +19,9 @@
 	// ejectTime is the first ejection; repeated ones double up to maxEjectTime.
 	ejectTime    = 10 * time.Second
 	maxEjectTime = 5 * time.Minute
+	// aliveDelay after a failure sign must pass until progress disproves it. Reports of progress from before the failure
+	// may still be under way.
+	aliveDelay = time.Second
 	// calmTime without trouble forgets earlier failures.
 	calmTime = time.Minute
 )
@@ -142,10 +145,12 @@
 	}
 }
 
-// Alive returns the endpoint to use at once, since a run that began before the failure sign has progressed after it.
-func (a *Availability) Alive(now time.Duration) {
-	if a.ejected || a.refusing || (a.phase != out && a.phase != probing) {
-		return
+// Alive returns the endpoint to use, since a run that began before the failure sign has progressed after it. It returns
+// false when that proves nothing: too early, or after a refused connect.
+func (a *Availability) Alive(now time.Duration) bool {
+	if a.ejected || a.refusing || (a.phase != out && a.phase != probing) || now-a.failed < aliveDelay {
+		return false
 	}
 	a.phase, a.part, a.until = returning, returnPart*2, now
+	return true
 }
--- a/internal/ejector/outliers.go
+++ b/internal/ejector/outliers.go
@@ -8,6 +8,8 @@
 	// slowFactor is how many times slower than the median of its peers an endpoint must be. Hardware generations are
 	// compared apart; within one, load explains a factor of two.
 	slowFactor = 2.5
+	// unnamedFactor widens slowFactor where the hardware is not configured, since generations may be mixed.
+	unnamedFactor = 2.5
 	// slowRounds is the number of consecutive reviews that must agree.
 	slowRounds = 4
 	// minPeers is the number of measured peers without which nothing is judged.
@@ -56,7 +58,11 @@
 				ratio = max(ratio, v/median)
 			}
 		}
-		if ratio < slowFactor {
+		limit := slowFactor
+		if m.Group == "" {
+			limit *= unnamedFactor
+		}
+		if ratio < limit {
 			continue
 		}
 		rounds[m.Endpoint] = o.rounds[m.Endpoint] + 1
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,7 +14,7 @@
 	patientQueue, urgentQueue = 0.3, 0.6
 	// leastLoaded and prefixHolders bound the endpoints that one decision examines.
 	leastLoaded, prefixHolders = 8, 4
-	// probeTokens bounds the request that proves an endpoint, and probePenalty keeps urgent work away from it.
+	// probeTokens bounds the request that proves an endpoint, and probePenalty keeps urgent and careful work away from it.
 	probeTokens  = 2048
 	probePenalty = 5.0
 	// probePatience is how long an endpoint waits for a small request before any request may prove it.
@@ -55,6 +55,8 @@
 	Urgent                 bool
 	// Plain is true for a call of a plain service.
 	Plain bool
+	// Careful jobs may not be repeated, so that an endpoint that has failed is the last choice.
+	Careful bool
 	// Near are endpoints to examine in any case. With Only, no other is allowed.
 	Near []*tracker.Endpoint
 	Only bool
@@ -191,7 +193,7 @@
 	case probe && j.Tokens > probeTokens && e.Avail.Proving(now) < probePatience:
 		return o, NoProbe
 	}
-	if probe && j.Urgent {
+	if probe && (j.Urgent || j.Careful) {
 		o.cost = probePenalty
 	}
 	if j.Plain {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// Absolve takes back the crash of an endpoint that turned out to be alive.
+func (q *Quarantine) Absolve(fingerprint, endpoint string) {
+	key := xxhash.Sum64String(fingerprint)
+	c := q.crashes.get(key)
+	if c == nil || c.lastEndpoint != endpoint {
+		return
+	}
+	c.lastEndpoint, c.refusedUntil = "", 0
+	if c.count--; c.count <= 0 {
+		q.crashes.remove(key)
+	}
+}
+
 // Finished clears a fingerprint, since a run of it ended without a crash. One that is refused stays refused. It tells
 // whether the verdict has changed, and whether the fingerprint was suspect.
 func (q *Quarantine) Finished(now time.Duration, fingerprint string) (changed, cleared bool) {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -208,7 +208,7 @@
 	}
 	return placer.Job{
 		Tokens: r.tokens, Prompt: prompt, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
-		Urgent: r.tier.urgent, Plain: s.service(), Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
+		Urgent: r.tier.urgent, Plain: s.service(), Careful: s.service() && !r.d.Idempotent, Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
 	}
 }
 
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -13,6 +13,7 @@
 	runs     map[*request]struct{}
 	pins     []*request // wait for this endpoint
 	reserved *class     // whose suspects the endpoint is being emptied for
+	struck   []string   // fingerprints made suspect by its latest failure
 }
 
 // class is a model and adapter with its waiting requests.
@@ -102,6 +103,7 @@
 	e := s.endpoint(f.Endpoint)
 	if e.Avail.Fail(s.now, f.Cause == FailureRefused, s.rng) {
 		s.emit(Decision{Verb: "eject", Endpoint: e.Name, Reason: "failed: " + string(f.Cause)})
+		e.struck = nil
 	}
 	if f.Cause != FailureRefused {
 		s.suspectRuns(e, f)
@@ -137,12 +139,27 @@
 			continue
 		}
 		s.quarantine.Crashed(s.now, fp, e.Name)
+		e.struck = append(e.struck, fp)
 		s.emit(Decision{Verb: "quarantine", Endpoint: e.Name, Reason: "ran at a failed endpoint: " + fp})
 		s.shareSuspect(fp)
 		s.reassignPrint(fp)
 	}
 }
 
+// proveAlive takes back a sign of failure, with the suspects that it made, when a run that began before it progresses.
+// Single connections may go silent while the endpoint works.
+func (s *Scheduler) proveAlive(e *endpoint, r *request) {
+	if !e.ProveAlive(s.now, r.startedAt) {
+		return
+	}
+	for _, fp := range e.struck {
+		s.quarantine.Absolve(fp, e.Name)
+		s.shareSuspect(fp)
+		s.reassignPrint(fp)
+	}
+	e.struck = nil
+}
+
 func (s *Scheduler) shareSuspect(fp string) {
 	count, refused := s.quarantine.Crashes(s.now, fp)
 	s.emit(ShareSuspect{Suspect{Fingerprint: fp, Crashes: count, RefusedFor: refused}})
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -136,7 +136,7 @@
 		s.run(r) // The report overtook Started.
 	}
 	e := r.endpoint
-	e.ProveAlive(s.now, r.startedAt)
+	s.proveAlive(e, r)
 	tokens := p.OutputTokens - r.seen
 	if r.seen == 0 && p.OutputTokens > 0 {
 		s.firstToken(e, r)
@@ -214,6 +214,7 @@
 	if cleared {
 		s.shareSuspect(r.d.Fingerprint)
 	}
+	s.proveAlive(e, r)
 	e.Succeed(s.now, r.startedAt)
 	if changed {
 		s.reassignPrint(r.d.Fingerprint)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,7 @@
 	closedBelow int
 	closed      bool
 	closedAt    time.Duration
+	nextCancel  time.Duration
 	confirmed   int
 	permits     map[int]time.Duration
 	asked       map[int]time.Duration
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -13,6 +13,8 @@
 	// drainTime lets runs of a closed tier end by themselves before they are cancelled, since their prefill would be
 	// wasted.
 	drainTime = 3 * time.Second
+	// cancelInterval is the time between searches for runs to cancel.
+	cancelInterval = 100 * time.Millisecond
 	// minRetry and maxRetry bound the advice of when to try again.
 	minRetry, maxRetry = time.Second, time.Minute
 )
@@ -80,7 +82,8 @@
 	for t.waiting > 0 {
 		s.refuse(t.ages.Min().Value, RefuseOverload, s.retryAfter())
 	}
-	if t.active > 0 && s.now >= s.closedAt+drainTime {
+	if t.active > 0 && s.now >= max(s.closedAt+drainTime, s.nextCancel) {
+		s.nextCancel = s.now + cancelInterval
 		for _, r := range s.sortedRequests(func(r *request) bool { return r.tier == t && r.state == running && !r.cancel }) {
 			r.cancel = true
 			s.emit(CancelRun{Host: r.host, RequestID: r.id, Reason: "tier closed"})
--- a/internal/tracker/endpoint.go
+++ b/internal/tracker/endpoint.go
@@ -82,17 +82,15 @@
 	}
 }
 
-// ProveAlive takes back a sign of failure when a run that began before it makes progress.
-func (e *Endpoint) ProveAlive(now, started time.Duration) {
-	if at, failed := e.Avail.FailedAt(); failed && started < at {
-		e.Avail.Alive(now)
-	}
+// ProveAlive takes back a sign of failure when a run that began before it makes progress. It returns whether it did.
+func (e *Endpoint) ProveAlive(now, started time.Duration) bool {
+	at, failed := e.Avail.FailedAt()
+	return failed && started < at && e.Avail.Alive(now)
 }
 
-// Succeed records the good end of a run; one that began before the last failure proves nothing about the time since.
+// Succeed records the good end of a run. One that began before the last failure proves nothing about the time since.
 func (e *Endpoint) Succeed(now, started time.Duration) {
 	e.Progressed = now
-	e.ProveAlive(now, started)
 	if at, failed := e.Avail.FailedAt(); !failed || started >= at {
 		e.Avail.Succeed(now)
 	}
