--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -120,8 +120,13 @@
 		return true
 	}
 	share := part * (1 - l.headroomShare*(1-headroom))
+	room := l.runs * share
+	if l.fixed {
+		// A small fixed number of calls is not worth dividing.
+		room = part * (l.runs - (1-headroom)*math.Floor(l.runs*l.headroomShare))
+	}
 	booked := float64(l.usedTokens) + float64(extraRuns*l.meanTokens())
-	if float64(runs+1) <= l.runs*share && booked+min(float64(tokens), l.tokens/smallestShare) <= l.tokens*share {
+	if float64(runs+1) <= room && booked+min(float64(tokens), l.tokens/smallestShare) <= l.tokens*share {
 		return true
 	}
 	return headroom == 1 && part == 1 && l.overrun(extraRuns)
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against a plain service of few calls of which patient work may use one only.
+func TestFixedHeadroom(t *testing.T) {
+	for runs, want := range map[int]int{1: 1, 2: 2, 6: 6, 8: 7, 20: 17} {
+		l := New(Targets{}, 0.15)
+		l.Fix(runs)
+		got := 0
+		for ; l.Fits(1, 0, 1, 0); got++ {
+			l.Take(1, false)
+		}
+		if got != want {
+			t.Errorf("patient work may use %d of %d calls, want %d", got, runs, want)
+		}
+	}
+}
+
 // Guards against runs that queue inside an engine whose batch is smaller than the gap alone would allow.
 func TestBatchSizeIsLearned(t *testing.T) {
 	l := New(Targets{FirstToken: 740 * time.Millisecond, Gap: gapTarget}, 0)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,10 +69,12 @@
 	}
 }
 
-func testPlacer() (*Placer, *tracker.Class) {
+func testPlacer() (*Placer, *tracker.Class) { return placerOf("e1", "e2", "e3") }
+
+func placerOf(names ...string) (*Placer, *tracker.Class) {
 	table := tracker.New()
 	var list []configurer.Endpoint
-	for _, n := range []string{"e1", "e2", "e3"} {
+	for _, n := range names {
 		list = append(list, configurer.Endpoint{Name: n, Pool: "p", Zone: "z" + n, Models: []string{"m"}})
 	}
 	table.Configure(0, configurer.Pool{Name: "p", Kind: configurer.KindModel}, list, limiter.Targets{},
@@ -166,3 +169,19 @@
 		t.Errorf("chose %+v", got)
 	}
 }
+
+// Guards against a decision whose cost grows with the number of endpoints.
+func TestCandidatesAreBounded(t *testing.T) {
+	var names []string
+	for i := range 2500 {
+		names = append(names, fmt.Sprintf("e%04d", i))
+	}
+	p, class := placerOf(names...)
+	blocks := []uint64{1, 2, 3}
+	for _, n := range names {
+		p.Prefixes.Dispatched(n, blocks)
+	}
+	if n := len(p.candidates(Job{Prompt: 300, Blocks: blocks}, class)); n == 0 || n > leastLoaded+prefixHolders {
+		t.Errorf("%d endpoints are examined", n)
+	}
+}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -45,9 +45,10 @@
 	queue *queuer.Queue[*request]
 }
 
+// classOf returns the class that serves a request, or nil when the configuration has no endpoint for it.
 func (s *Scheduler) classOf(d Descriptor) *class {
 	key, created := s.table.Class(s.now, d.Model, d.Adapter)
-	if !created {
+	if key == nil || !created {
 		return s.classByKey[key]
 	}
 	c := &class{Class: key}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -177,7 +177,7 @@
 // assign puts a waiting request into the lane that fits it, or refuses it.
 func (s *Scheduler) assign(r *request) bool {
 	c := s.classOf(r.d)
-	if c.Members() == 0 {
+	if c == nil {
 		s.refuse(r, RefuseUnserved, 0)
 		return false
 	}
--- a/internal/tracker/table.go
+++ b/internal/tracker/table.go
@@ -35,9 +35,6 @@
 	ranking        *ranking
 }
 
-// Members returns the number of configured endpoints that serve the class, whatever their state.
-func (c *Class) Members() int { return c.members }
-
 // Least appends the k endpoints with room that are least loaded to dst.
 func (c *Class) Least(dst []string, k int) []string { return c.ranking.least(dst, k) }
 
@@ -145,22 +142,30 @@
 	e.Limit.Fix(n)
 }
 
-// Class returns the class of a model and adapter, and whether it is new. A service pool has one class.
+// Class returns the class of a model and adapter, or nil when no configured endpoint serves it; created is true when it is
+// new. A service pool has one class.
 func (t *Table) Class(now time.Duration, model, adapter string) (c *Class, created bool) {
 	key := classKey{model, adapter}
 	if t.pool.Kind == configurer.KindService {
 		key = classKey{}
 	}
-	if c := t.byClass[key]; c != nil {
-		return c, false
+	c = t.byClass[key]
+	if c == nil {
+		c = &Class{Model: key.model, Adapter: key.adapter, ranking: newRanking()}
+		for _, e := range t.order {
+			t.join(now, e, c)
+		}
+		// Classes are kept for served models only, since callers may ask for any name.
+		if c.members > 0 {
+			t.byClass[key] = c
+			t.classes = append(t.classes, c)
+			created = true
+		}
 	}
-	c = &Class{Model: key.model, Adapter: key.adapter, ranking: newRanking()}
-	t.byClass[key] = c
-	t.classes = append(t.classes, c)
-	for _, e := range t.order {
-		t.join(now, e, c)
+	if c.members == 0 {
+		return nil, false
 	}
-	return c, true
+	return c, created
 }
 
 func (t *Table) join(now time.Duration, e *Endpoint, c *Class) {
--- a/internal/tracker/table_test.go
+++ b/internal/tracker/table_test.go
@@ -32,6 +32,9 @@
 
 func least(t *Table, model, adapter string) string {
 	c, _ := t.Class(0, model, adapter)
+	if c == nil {
+		return ""
+	}
 	return strings.Join(c.Least(nil, 9), " ")
 }
 
@@ -77,6 +80,9 @@
 			t.Errorf("%s/%s is served by %q, want %q", c.model, c.adapter, got, c.want)
 		}
 	}
+	if n := len(table.classes); n != 3 {
+		t.Errorf("%d classes are kept, three are served", n)
+	}
 	table.Get("e1").Pending = 1
 	removed := configure(table, configurer.KindModel, "e3")
 	if len(removed) != 1 || removed[0].Name != "e2" || least(table, "m", "") != "e3" || table.Get("e1") == nil {
