--- a/internal/queuer/shares.go
+++ b/internal/queuer/shares.go
@@ -127,7 +127,8 @@
 		}
 		t.credit = min(max(t.credit, -limit), limit)
 	}
-	s.agedDue = min(max(s.agedDue+agedShare*tokens, -limit), limit)
+	// The part for aged work does not add up while there is none; it would come as a burst before urgent work.
+	s.agedDue = min(max(s.agedDue+agedShare*tokens, -limit), max(agedShare*limit, tokens))
 }
 
 // ServedPerSecond returns the tokens of service granted per second.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -64,14 +64,14 @@
 	return s.dispatchHopeless(tried, blocked)
 }
 
-// dispatchOldest grants the oldest request of a tier, whatever its lane.
+// dispatchOldest grants the oldest request of a tier that can still be answered.
 func (s *Scheduler) dispatchOldest(order int) bool {
 	for _, t := range s.tiers {
 		if t.Order != order {
 			continue
 		}
 		for _, r := range t.ages.Least(nil, oldestTried) {
-			if r.held || r.lane.kind == suspectLane {
+			if r.held || r.lane.kind >= hopelessLane {
 				continue
 			}
 			e, wait, why := s.place(r)
@@ -125,7 +125,7 @@
 		if r == nil {
 			return false
 		}
-		if kind := s.timeliness(r); kind > l.kind && kind != l.kind && kind >= lateLane {
+		if kind := s.timeliness(r); kind > l.kind && kind >= lateLane {
 			s.reassign(r)
 			continue
 		}
@@ -208,7 +208,8 @@
 	}
 	return placer.Job{
 		Tokens: r.tokens, Prompt: prompt, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
-		Urgent: r.tier.urgent, Plain: s.service(), Careful: s.service() && !r.d.Idempotent, Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
+		Urgent: r.tier.urgent, Plain: s.service(), Careful: s.service() && !r.d.Idempotent,
+		Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
 	}
 }
 
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -71,7 +71,6 @@
 	cancel   bool // CancelRun was sent
 
 	startedAt  time.Duration
-	firstAt    time.Duration
 	progressed time.Duration
 	seen       int // output tokens so far
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -1,8 +1,6 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// maxEnded bounds the remembered runs that ended badly. A sign of a crash may arrive after the end of its runs.
@@ -16,21 +14,6 @@
 // endedRun is a run that ended without an answer.
 type endedRun struct{ id, endpoint, print string }
 
-// host is one entry host.
-type host struct {
-	zone   string
-	synced bool
-}
-
-func (s *Scheduler) host(name string) *host {
-	h := s.hosts[name]
-	if h == nil {
-		h = &host{}
-		s.hosts[name] = h
-	}
-	return h
-}
-
 // estimate predicts the tokens of a request.
 func (s *Scheduler) estimate(r *request) {
 	if s.service() {
@@ -157,7 +140,6 @@
 
 func (s *Scheduler) firstToken(e *endpoint, r *request) {
 	took := s.now - r.startedAt
-	r.firstAt = s.now
 	e.Limit.ObserveFirstToken(s.now, took, e.Prefill(r.queued))
 	e.Speed.ObserveFirstToken(r.queued, took)
 	if r.tier != nil {
@@ -241,8 +223,7 @@
 
 // syncHost replaces what is known of a host by its own account.
 func (s *Scheduler) syncHost(e HostSynced) {
-	h := s.host(e.Host)
-	h.zone, h.synced = e.Zone, true
+	s.synced[e.Host] = true
 	for _, p := range e.Suspects {
 		s.quarantine.Restore(s.now, p.Fingerprint, p.Crashes, p.RefusedFor)
 		s.reassignPrint(p.Fingerprint)
@@ -315,7 +296,7 @@
 		return
 	}
 	for _, name := range s.opts.Hosts {
-		if h := s.hosts[name]; h == nil || !h.synced {
+		if !s.synced[name] {
 			return
 		}
 	}
@@ -324,7 +305,7 @@
 
 // loseHost forgets the waiting requests of a host; what it may still run stays counted for a time.
 func (s *Scheduler) loseHost(name string) {
-	delete(s.hosts, name)
+	delete(s.synced, name)
 	for _, r := range s.sortedRequests(func(r *request) bool { return r.host == name }) {
 		switch r.state {
 		case waiting, unconfirmed:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 	byTier  map[string]*tier
 	limits  configurer.Limits
 
-	hosts    map[string]*host
+	synced   map[string]bool // entry hosts that have reported
 	requests map[string]*request
 	nextSeq  uint64
 	waiting  int
@@ -110,7 +110,7 @@
 		opts:       o,
 		rng:        rand.New(rand.NewPCG(o.Seed, o.Epoch)),
 		byTier:     make(map[string]*tier),
-		hosts:      make(map[string]*host),
+		synced:     make(map[string]bool),
 		requests:   make(map[string]*request),
 		prints:     make(map[string]*fingerprint),
 		endpoints:  make(map[string]*endpoint),
