--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -316,6 +316,9 @@
 }
 
 func (c *Core) notLeader() error {
+	if c.target != "" {
+		return &NotLeaderError{} // the next leader is about to be elected
+	}
 	return &NotLeaderError{Leader: c.leader, Addr: c.addrOf(c.leader)}
 }
 
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -98,16 +98,17 @@
 	// Tune adjusts the options of the core for measurements.
 	Tune func(*replicator.Options)
 
-	initOnce  sync.Once
-	closeOnce sync.Once
-	events    chan func()
-	stop      chan struct{}
-	done      chan struct{}
-	started   atomic.Bool
-	view      atomic.Pointer[view]
-	former    former.Former
-	observers notifier.Notifier
-	wg        sync.WaitGroup
+	initOnce     sync.Once
+	registerOnce sync.Once
+	closeOnce    sync.Once
+	events       chan func()
+	stop         chan struct{}
+	done         chan struct{}
+	started      atomic.Bool
+	view         atomic.Pointer[view]
+	former       former.Former
+	observers    notifier.Notifier
+	wg           sync.WaitGroup
 
 	epoch     time.Time
 	core      *replicator.Core
@@ -187,10 +188,7 @@
 	if err := s.check(); err != nil {
 		return err
 	}
-	s.former.HostID, s.former.Voters, s.former.Network = s.HostID, s.Voters, s.Transport
-	s.former.Term = func() uint64 { return s.view.Load().status.Term }
-	s.former.Listen()
-	s.Transport.Handle(methodStep, s.handleStep)
+	s.Register()
 	s.wg.Go(func() {
 		select {
 		case <-s.stop:
@@ -210,6 +208,18 @@
 	return err
 }
 
+// Register adds the methods of the sequencer to the transport. Run does so itself; calling it before the transport runs
+// spares other hosts a refusal while this one starts.
+func (s *Sequencer) Register() {
+	s.init()
+	s.registerOnce.Do(func() {
+		s.former.HostID, s.former.Voters, s.former.Network = s.HostID, s.Voters, s.Transport
+		s.former.Term = func() uint64 { return s.view.Load().status.Term }
+		s.former.Listen()
+		s.Transport.Handle(methodStep, s.handleStep)
+	})
+}
+
 func firstError(a, b error) error {
 	if a != nil {
 		return a
