--- a/internal/sequencer/failure_test.go
+++ b/internal/sequencer/failure_test.go
@@ -375,6 +375,31 @@
 	})
 }
 
+// Guards against a host that starts with a damaged log and an error that does not name the place.
+func TestDamagedLogPreventsStart(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, dir, 1, nil)
+		for i := range 5 {
+			c.write(fmt.Sprint("w", i))
+		}
+		c.stopAll()
+		name := filepath.Join(dir, "a", "log")
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data[len(data)/2] ^= 0xff
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var damage *persister.DamageError
+		if err := <-c.start("a", true).ended; !errors.As(err, &damage) || damage.File != name || damage.Offset == 0 {
+			t.Errorf("Run: %v, want a DamageError in %s", err, name)
+		}
+	})
+}
+
 // Guards against hosts started with different initial voters, which could form two clusters.
 func TestDifferentInitialVoters(t *testing.T) {
 	dir := t.TempDir()
