--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -13,6 +13,7 @@
 	runs     map[*request]struct{}
 	pins     []*request // wait for this endpoint
 	reserved *class     // whose suspects the endpoint is being emptied for
+	struck   []string   // fingerprints made suspect by its latest failure
 }
 
 // class is a model and adapter with its waiting requests.
@@ -44,9 +45,10 @@
 	queue *queuer.Queue[*request]
 }
 
+// classOf returns the class that serves a request, or nil when the configuration has no endpoint for it.
 func (s *Scheduler) classOf(d Descriptor) *class {
 	key, created := s.table.Class(s.now, d.Model, d.Adapter)
-	if !created {
+	if key == nil || !created {
 		return s.classByKey[key]
 	}
 	c := &class{Class: key}
@@ -102,6 +104,7 @@
 	e := s.endpoint(f.Endpoint)
 	if e.Avail.Fail(s.now, f.Cause == FailureRefused, s.rng) {
 		s.emit(Decision{Verb: "eject", Endpoint: e.Name, Reason: "failed: " + string(f.Cause)})
+		e.struck = nil
 	}
 	if f.Cause != FailureRefused {
 		s.suspectRuns(e, f)
@@ -137,11 +140,37 @@
 			continue
 		}
 		s.quarantine.Crashed(s.now, fp, e.Name)
+		e.struck = append(e.struck, fp)
 		s.emit(Decision{Verb: "quarantine", Endpoint: e.Name, Reason: "ran at a failed endpoint: " + fp})
-		if p := s.prints[fp]; p != nil {
-			for _, r := range p.sortedWaiting() {
-				s.reassign(r)
-			}
+		s.shareSuspect(fp)
+		s.reassignPrint(fp)
+	}
+}
+
+// proveAlive takes back a sign of failure, with the suspects that it made, when a run that began before it progresses.
+// Single connections may go silent while the endpoint works.
+func (s *Scheduler) proveAlive(e *endpoint, r *request) {
+	if !e.ProveAlive(s.now, r.startedAt) {
+		return
+	}
+	for _, fp := range e.struck {
+		s.quarantine.Absolve(fp, e.Name)
+		s.shareSuspect(fp)
+		s.reassignPrint(fp)
+	}
+	e.struck = nil
+}
+
+func (s *Scheduler) shareSuspect(fp string) {
+	count, refused := s.quarantine.Crashes(s.now, fp)
+	s.emit(ShareSuspect{Suspect{Fingerprint: fp, Crashes: count, RefusedFor: refused}})
+}
+
+// reassignPrint applies a change of what is known of a fingerprint to its waiting requests.
+func (s *Scheduler) reassignPrint(fp string) {
+	if p := s.prints[fp]; p != nil {
+		for _, r := range p.sortedWaiting() {
+			s.reassign(r)
 		}
 	}
 }
@@ -161,14 +190,16 @@
 	}
 }
 
-// reserve stops new work at the endpoint of a class with the fewest runs.
+// reserve stops new work at the endpoint of a class with the fewest runs. One that has still to prove itself is the last
+// choice: it may be the only one of the class, with no other request to prove it.
 func (s *Scheduler) reserve(c *class) *endpoint {
 	var best *tracker.Endpoint
 	for _, e := range s.table.All() {
-		if !e.Eligible() || e.Alone || !e.Avail.Open(s.now) || !e.Serves(c.Class) {
+		if !s.takesSuspects(e) || e.Alone || !e.Serves(c.Class) {
 			continue
 		}
-		if best == nil || e.Runs() < best.Runs() {
+		if best == nil || e.Avail.Open(s.now) && !best.Avail.Open(s.now) ||
+			e.Avail.Open(s.now) == best.Avail.Open(s.now) && e.Runs() < best.Runs() {
 			best = e
 		}
 	}
@@ -193,9 +224,14 @@
 	s.rank(e)
 }
 
+func (s *Scheduler) takesSuspects(e *tracker.Endpoint) bool {
+	part, _ := e.Avail.Part(s.now)
+	return part > 0 && e.Eligible()
+}
+
 // reservedFor returns the endpoint that is being emptied for the suspects of a class.
 func (s *Scheduler) reservedFor(c *class) *endpoint {
-	if c.reserved != nil && (c.reserved.reserved != c || !c.reserved.Eligible() || !c.reserved.Avail.Open(s.now)) {
+	if c.reserved != nil && (c.reserved.reserved != c || !s.takesSuspects(c.reserved.Endpoint)) {
 		s.unreserve(c)
 	}
 	return c.reserved
