controller: send changes of members instead of full lists

A join changed the list for every host, and every heartbeat then carried all members: 640 hosts that start together cost 640 full lists per join. The answer now carries the members that changed after the version the host knows.

--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -46,9 +46,13 @@
 	roles          map[string]Assignment
 	members        map[string]Member
 	membersVersion uint64
-	term           uint64
-	ledger         *recorder.Ledger
-	clockAt        time.Time
+	// memberList is the sorted list of live members of membersVersion, or nil; it is not changed once it is built.
+	memberList []Member
+	// forgottenVersion is the members' version at which a removed member was last forgotten.
+	forgottenVersion uint64
+	term             uint64
+	ledger           *recorder.Ledger
+	clockAt          time.Time
 }
 
 // patchRecord is the first result of a patch id.
@@ -68,6 +72,7 @@
 func (m *Machine) reset() {
 	m.version, m.document, m.config, m.history, m.historyBytes = 0, nil, nil, nil, 0
 	m.accepted, m.refused, m.refusedOrder = map[string]patchRecord{}, map[string]patchRecord{}, nil
+	m.memberList, m.forgottenVersion = nil, 0
 	m.roles, m.members, m.membersVersion, m.term = map[string]Assignment{}, map[string]Member{}, 0, 0
 	m.ledger = recorder.New(recorder.Limits{})
 	m.clockAt = time.Now()
@@ -247,7 +252,7 @@
 		next.Incarnation = max(next.Incarnation, p.GetKnownIncarnation()) + 1
 	}
 	m.membersVersion++
-	next.Version = m.membersVersion
+	next.Version, m.memberList = m.membersVersion, nil
 	m.members[next.Host] = next
 	return next.Incarnation
 }
@@ -259,7 +264,7 @@
 	}
 	m.ledger.OwnerLost(current.Owner())
 	m.membersVersion++
-	current.Removed, current.Version = true, m.membersVersion
+	current.Removed, current.Version, m.memberList = true, m.membersVersion, nil
 	m.members[current.Host] = current
 	m.forgetRemoved()
 }
@@ -276,6 +281,7 @@
 		return
 	}
 	oldest := slices.MinFunc(removed, func(a, b Member) int { return int(a.Version) - int(b.Version) })
+	m.forgottenVersion = m.membersVersion
 	delete(m.members, oldest.Host)
 }
 
@@ -315,18 +321,48 @@
 	return maps.Clone(m.roles)
 }
 
-// Members returns the members that are not removed, sorted by host, and the members' version.
+// Members returns the members that are not removed, sorted by host, and the members' version. The list must not be changed.
 func (m *Machine) Members() ([]Member, uint64) {
+	m.mu.RLock()
+	list, version := m.memberList, m.membersVersion
+	m.mu.RUnlock()
+	if list != nil {
+		return list, version
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.memberList == nil {
+		m.memberList = make([]Member, 0, len(m.members))
+		for _, member := range m.members {
+			if !member.Removed {
+				m.memberList = append(m.memberList, member)
+			}
+		}
+		slices.SortFunc(m.memberList, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
+	}
+	return m.memberList, m.membersVersion
+}
+
+// MembersSince returns the members that changed after a version, with the removed ones. The list is full, and holds live
+// members only, when the version is not known any more. Sending changes alone matters when many hosts start at once: full
+// lists of 640 members to 640 hosts for each join took seconds.
+func (m *Machine) MembersSince(since uint64) (members []Member, version uint64, full bool) {
+	all, version := m.Members()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	out := make([]Member, 0, len(m.members))
+	if since == 0 || since > m.membersVersion || since < m.forgottenVersion {
+		return all, version, true
+	}
+	if since == m.membersVersion {
+		return nil, since, false
+	}
 	for _, member := range m.members {
-		if !member.Removed {
-			out = append(out, member)
+		if member.Version > since {
+			members = append(members, member)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
-	return out, m.membersVersion
+	slices.SortFunc(members, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
+	return members, m.membersVersion, false
 }
 
 // Member returns the last known process of a host, also when it was removed.
--- a/internal/applier/snapshot.go
+++ b/internal/applier/snapshot.go
@@ -19,6 +19,7 @@
 	defer m.mu.RUnlock()
 	s := &controllerpb.Snapshot{
 		ConfigVersion: m.version, Document: m.document, MembersVersion: m.membersVersion, ClockMs: m.ledger.ClockMS(), Term: m.term,
+		ForgottenVersion: m.forgottenVersion,
 	}
 	for _, r := range m.history {
 		s.History = append(s.History, RevisionProto(r))
@@ -80,7 +81,7 @@
 	m.mu.Lock()
 	m.reset()
 	m.version, m.document, m.config, m.membersVersion = s.GetConfigVersion(), s.GetDocument(), cfg, s.GetMembersVersion()
-	m.term = s.GetTerm()
+	m.term, m.forgottenVersion = s.GetTerm(), s.GetForgottenVersion()
 	m.restorePatches(s)
 	for _, r := range s.GetRoles() {
 		m.roles[r.GetName()] = Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -98,7 +98,7 @@
 // answer records a heartbeat and renews what it may renew. The leadership was confirmed after the heartbeat arrived.
 func (s *Service) answer(lead *leadership, hb *controllerpb.Heartbeat, incarnation uint64) (*controllerpb.HeartbeatReply, error) {
 	version, document, cfg := s.Machine.Config()
-	members, membersVersion := s.Machine.Members()
+	changed, membersVersion, full := s.Machine.MembersSince(hb.GetMembersVersion())
 	roles := s.Machine.Roles()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,15 +116,13 @@
 	}
 	reply := &controllerpb.HeartbeatReply{
 		Incarnation: incarnation, Term: lead.term, Leader: s.HostID, ConfigVersion: version, LeaseMs: LeaseTTL.Milliseconds(),
-		MembersVersion: membersVersion,
+		MembersVersion: membersVersion, MembersFull: full,
 	}
 	if hb.GetConfigVersion() < version && !hb.GetRelayed() {
 		reply.Document = document
 	}
-	if hb.GetMembersVersion() != membersVersion {
-		for _, m := range members {
-			reply.Members = append(reply.Members, m.Proto())
-		}
+	for _, m := range changed {
+		reply.Members = append(reply.Members, m.Proto())
 	}
 	wanted := wantedRoles(cfg)
 	s.release(lead, now, hb, incarnation, roles)
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -329,14 +332,24 @@
 }
 
 func (a *Agent) acceptMembers(r *controllerpb.HeartbeatReply) {
-	if r.GetMembersVersion() <= a.membersVersion || len(r.GetMembers()) == 0 {
+	if r.GetMembersVersion() == a.membersVersion {
 		return
 	}
-	a.membersVersion = r.GetMembersVersion()
-	a.members = make([]applier.Member, 0, len(r.GetMembers()))
-	for _, m := range r.GetMembers() {
-		a.members = append(a.members, applier.MemberOf(m))
+	byHost := make(map[string]applier.Member, len(a.members)+len(r.GetMembers()))
+	if !r.GetMembersFull() {
+		for _, m := range a.members {
+			byHost[m.Host] = m
+		}
 	}
+	for _, p := range r.GetMembers() {
+		m := applier.MemberOf(p)
+		byHost[m.Host] = m
+		if m.Removed {
+			delete(byHost, m.Host)
+		}
+	}
+	a.membersVersion = r.GetMembersVersion()
+	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y applier.Member) int { return strings.Compare(x.Host, y.Host) })
 	members := a.members
 	for _, fn := range a.onMembers {
 		a.enqueue(func() { fn(members) })
