--- a/cmd/dragonflycroft/serve.go
+++ b/cmd/dragonflycroft/serve.go
@@ -57,6 +57,7 @@
 	ReadTimeout  string `help:"Limit of a pause while a request is read." default:"30s" group:"Callers"`
 	WriteTimeout string `help:"Limit of a pause while an answer is written." default:"30s" group:"Callers"`
 	IdleTimeout  string `help:"Limit of an idle connection." default:"2m" group:"Callers"`
+	BodyTimeout  string `help:"Limit of reading a whole body." default:"1m" group:"Callers"`
 	KeptMemory   string `help:"Memory for answers kept for fetches and repeated keys." default:"256MiB" group:"Callers"`
 	KeptFor      string `help:"Time for which finished answers are kept." default:"5m" group:"Callers"`
 	Linger       string `help:"Time for which a run without a caller continues." default:"30s" group:"Callers"`
@@ -180,6 +181,7 @@
 		ReadTimeout:     c.duration("read-timeout", s.ReadTimeout, least),
 		WriteTimeout:    c.duration("write-timeout", s.WriteTimeout, least),
 		IdleTimeout:     c.duration("idle-timeout", s.IdleTimeout, least),
+		BodyTimeout:     c.duration("body-timeout", s.BodyTimeout, least),
 		BalancerDelay:   c.duration("balancer-delay", s.BalancerDelay, 0),
 		DrainTimeout:    c.duration("drain-timeout", s.DrainTimeout, 0),
 	}
--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
@@ -299,6 +300,15 @@
 	}
 }
 
+// foreignID is a request of a host that is lost.
+var foreignID = identifier.New("other.1", 5, "w")
+
+func (s *script) fetch() {
+	a, r, err := s.d.Fetch("w", foreignID, 0)
+	must(s.t, err)
+	s.answers, s.readers = append(s.answers, a), append(s.readers, r)
+}
+
 func (s *script) step(verb string, words []string) {
 	o := options(words)
 	switch verb {
@@ -331,6 +341,14 @@
 		s.readers = append(s.readers, s.answers[len(s.answers)-1].Read(0))
 	case "stop":
 		s.d.Close()
+	case "fetch":
+		s.fetch()
+	case "recorded":
+		in := recorder.Intent{Key: recorder.Key{Workspace: "w", Value: foreignID}, RequestID: foreignID, Owner: "other.1"}
+		_, err := s.ledger.Host.Intend(s.t.Context(), in)
+		must(s.t, err)
+		out := recorder.Outcome{Outcome: recorder.OutcomeDone, Status: 200, Body: []byte(words[0])}
+		must(s.t, s.ledger.Host.Conclude(s.t.Context(), in.Key, in.Owner, out))
 	case "expect":
 		s.expect(words)
 	default:
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -11,6 +11,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 )
 
+// endedRetry is the advice after a run was ended; the scheduler gives none, since it cannot know when its tier opens again.
+const endedRetry = 5 * time.Second
+
 var refusals = map[scheduler.RefuseReason]string{
 	scheduler.RefuseOverload:   "the system is out of room for this tier; the request did not run",
 	scheduler.RefusePatience:   "the request waited longer than its tier allows; it did not run",
@@ -52,11 +55,15 @@
 	}
 }
 
-// Ended is a run that this system ended.
-func Ended(reason string) answerer.End {
-	return answerer.End{
+// Ended is a run that this system ended, at the word of the scheduler with the advice to try again.
+func Ended(reason string, byScheduler bool) answerer.End {
+	end := answerer.End{
 		Outcome: answerer.Unknown, Reason: reason, Message: "the run was ended before its answer was complete",
 	}
+	if byScheduler {
+		end.Message, end.RetryAfter = "the run was ended to make room for more urgent work", endedRetry
+	}
+	return end
 }
 
 // Lost is a run whose endpoint was lost.
--- a/internal/holder/desk.go
+++ b/internal/holder/desk.go
@@ -149,7 +149,7 @@
 	go func() {
 		defer d.wg.Done()
 		defer cancel()
-		klog.Infof("granter: holder started pool=%s epoch=%d", pool, epoch)
+		klog.Infof("holder: started pool=%s epoch=%d", pool, epoch)
 		if d.Watch != nil {
 			var watching sync.WaitGroup
 			watching.Add(1)
@@ -161,7 +161,7 @@
 			defer cancel()
 		}
 		err := h.Run(ctx)
-		klog.Infof("granter: holder stopped pool=%s epoch=%d reason=%v", pool, epoch, err)
+		klog.Infof("holder: stopped pool=%s epoch=%d reason=%v", pool, epoch, err)
 		d.forget(pool, h)
 	}()
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -30,13 +30,13 @@
 )
 
 var (
-	holderGrants    = expvar.NewInt("granter_grants")
-	holderRefusals  = expvar.NewMap("granter_refusals")
-	holderCancels   = expvar.NewInt("granter_cancelled_runs")
-	holderEvents    = expvar.NewInt("granter_events")
-	holderSyncs     = expvar.NewInt("granter_host_syncs")
-	holderHostsLost = expvar.NewInt("granter_hosts_lost")
-	holderClaims    = expvar.NewInt("granter_claims")
+	holderGrants    = expvar.NewInt("holder_grants")
+	holderRefusals  = expvar.NewMap("holder_refusals")
+	holderCancels   = expvar.NewInt("holder_cancelled_runs")
+	holderEvents    = expvar.NewInt("holder_events")
+	holderSyncs     = expvar.NewInt("holder_host_syncs")
+	holderHostsLost = expvar.NewInt("holder_hosts_lost")
+	holderClaims    = expvar.NewInt("holder_claims")
 )
 
 // Stepper is the decision core of a pool.
@@ -154,7 +154,7 @@
 func (h *Holder) act(a scheduler.Action) {
 	switch a := a.(type) {
 	case scheduler.Decision:
-		klog.Infof("granter: decision pool=%s epoch=%d verb=%s request=%s tier=%s workspace=%s endpoint=%s reason=%q",
+		klog.Infof("holder: decision pool=%s epoch=%d verb=%s request=%s tier=%s workspace=%s endpoint=%s reason=%q",
 			h.Pool, h.Epoch, a.Verb, a.RequestID, a.Tier, a.Workspace, a.Endpoint, a.Reason)
 		return
 	case scheduler.AskShedPermit:
@@ -329,7 +329,7 @@
 	}
 	h.peers[p.host] = p
 	holderSyncs.Add(1)
-	klog.Infof("granter: host synced pool=%s epoch=%d host=%s waiting=%d running=%d", h.Pool, h.Epoch, p.host, len(synced.Waiting), len(synced.Running))
+	klog.Infof("holder: host synced pool=%s epoch=%d host=%s waiting=%d running=%d", h.Pool, h.Epoch, p.host, len(synced.Waiting), len(synced.Running))
 	p.send(ack(p.heartbeat))
 	for _, k := range hello.GetKept() {
 		h.index.Finished(now, p.host, translator.DecodeClaim(k))
@@ -343,7 +343,7 @@
 	}
 	delete(h.peers, p.host)
 	holderHostsLost.Add(1)
-	klog.Infof("granter: host lost pool=%s epoch=%d host=%s", h.Pool, h.Epoch, p.host)
+	klog.Infof("holder: host lost pool=%s epoch=%d host=%s", h.Pool, h.Epoch, p.host)
 	h.step(now, scheduler.HostLost{Host: p.host})
 }
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -101,6 +103,7 @@
 	roles   *roles
 	policy  *firstCome
 	session *granter.Session
+	kept    atomic.Pointer[[]indexer.Claim]
 }
 
 // newRig connects a session with a desk over loopback.
@@ -118,7 +121,7 @@
 		NewStepper: func(string, uint64) Stepper { return r.policy },
 	}
 	desk.Start(ctx)
-	r.session = &granter.Session{Pool: "p", Host: "h.1", Zone: "z", Transport: tr, Locator: r.roles}
+	r.session = &granter.Session{Pool: "p", Host: "h.1", Zone: "z", Transport: tr, Locator: r.roles, Kept: r.keptClaims}
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = tr.Run(ctx) })
 	wg.Go(func() { _ = r.session.Run(ctx) })
@@ -131,6 +134,13 @@
 	return r
 }
 
+func (r *rig) keptClaims() []indexer.Claim {
+	if k := r.kept.Load(); k != nil {
+		return *k
+	}
+	return nil
+}
+
 func (r *rig) until(ok func() bool) {
 	r.t.Helper()
 	for !ok() {
@@ -178,6 +188,27 @@
 	}
 }
 
+// Guards against a state that is lost or cut when it does not fit one message.
+func TestLongHello(t *testing.T) {
+	r := newRig(t)
+	for i := range 1300 {
+		r.submit(fmt.Sprint(i))
+	}
+	var kept []indexer.Claim
+	for i := range 1100 {
+		kept = append(kept, indexer.Claim{Workspace: "w", Key: fmt.Sprint(i), RequestID: fmt.Sprintf("kept %d", i)})
+	}
+	r.kept.Store(&kept)
+	r.roles.grant(1)
+	r.until(func() bool { return r.policy.seen("synced h.1 waiting=1300 running=0") })
+	for _, i := range []int{0, 600, 1099} {
+		l, err := r.session.Claim(t.Context(), indexer.Claim{Workspace: "w", Key: fmt.Sprint(i), RequestID: "new"})
+		if err != nil || l.RequestID != fmt.Sprintf("kept %d", i) || l.State != indexer.StateFinished {
+			t.Errorf("key %d: %+v %v", i, l, err)
+		}
+	}
+}
+
 // Guards against a holder that acts after its lease has ended.
 func TestHolderStopsWithItsLease(t *testing.T) {
 	r := newRig(t)
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -118,11 +118,11 @@
 		r.finish(transitioner.Fail, explainer.Rejected(res.Err))
 		return scheduler.OutcomeFailed
 	case res.Canceled:
-		reason := res.Reason
-		if reason == "" {
-			reason = r.cancelReason()
+		reason, byScheduler := r.cancelCause()
+		if res.Reason != "" {
+			reason, byScheduler = res.Reason, false
 		}
-		r.finish(transitioner.Fail, explainer.Ended(reason))
+		r.finish(transitioner.Fail, explainer.Ended(reason, byScheduler))
 		if reason != reasonStopped {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), cancelTimeout)
 			_ = engine.Cancel(ctx, id)
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,7 +49,11 @@
 }
 
 // cancelError is the cause of a cancelled run.
-type cancelError struct{ reason string }
+type cancelError struct {
+	reason string
+	// byScheduler is true when the scheduler ended the run.
+	byScheduler bool
+}
 
 // Error implements error.
 func (e *cancelError) Error() string { return "cancelled: " + e.reason }
@@ -172,7 +177,9 @@
 			default:
 			}
 		},
-		CancelRun: r.cancelRun,
+		CancelRun: func(reason string) {
+			r.cancel(&cancelError{reason: strings.ReplaceAll(reason, " ", "_"), byScheduler: true})
+		},
 	})
 	for !r.await() {
 	}
@@ -260,11 +267,16 @@
 func (r *Run) cancelRun(reason string) { r.cancel(&cancelError{reason: reason}) }
 
 func (r *Run) cancelReason() string {
+	reason, _ := r.cancelCause()
+	return reason
+}
+
+func (r *Run) cancelCause() (reason string, byScheduler bool) {
 	var c *cancelError
 	if errors.As(context.Cause(r.ctx), &c) {
-		return c.reason
+		return c.reason, c.byScheduler
 	}
-	return reasonStopped
+	return reasonStopped, false
 }
 
 // readersChanged reacts to the first and the last reader of the answer.
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,8 +37,12 @@
 		bodyBytes.Add(-n)
 		back(n)
 	}
-	body, err = readAll(k.c.RequestBodyStream(), length, limit)
+	source := &timedReader{r: k.c.RequestBodyStream(), until: time.Now().Add(orDefault(s.BodyTimeout, DefaultBodyTimeout))}
+	body, err = readAll(source, length, limit)
+	var slow *slowBodyError
 	switch {
+	case errors.As(err, &slow):
+		f = &failure{status: http.StatusRequestTimeout, reason: "body_too_slow", message: err.Error() + "; the request did not run"}
 	case err != nil:
 		f = &failure{status: http.StatusBadRequest, reason: "body_incomplete", message: "the body could not be read: " + err.Error()}
 	case len(body) > limit:
@@ -56,11 +61,31 @@
 	return body, func() { once.Do(func() { giveBack(reserved) }) }, nil
 }
 
+// slowBodyError reports a body that was not read within the time limit.
+type slowBodyError struct{}
+
+// Error implements error.
+func (*slowBodyError) Error() string { return "the body was not received within the time limit" }
+
+// timedReader ends the reading of a body that arrives too slowly; a single pause is bounded by the listener.
+type timedReader struct {
+	r     io.Reader
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (t *timedReader) Read(p []byte) (int, error) {
+	switch {
+	case t.r == nil:
+		return 0, io.EOF
+	case time.Now().After(t.until):
+		return 0, &slowBodyError{}
+	}
+	return t.r.Read(p)
+}
+
 // readAll reads up to one byte above the limit, so that a longer body is noticed.
 func readAll(r io.Reader, length, limit int) ([]byte, error) {
-	if r == nil {
-		return nil, nil
-	}
 	if length >= 0 {
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	hertzserver "github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
@@ -55,6 +57,7 @@
 	DefaultReadTimeout     = 30 * time.Second
 	DefaultWriteTimeout    = 30 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
+	DefaultBodyTimeout     = time.Minute
 	maxKeyBytes            = 256
 	exitWait               = 100 * time.Millisecond
 )
@@ -92,6 +95,8 @@
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
+	// BodyTimeout bounds the reading of a whole body, whose memory is reserved meanwhile.
+	BodyTimeout time.Duration
 
 	listener net.Listener
 	hertz    *hertzserver.Hertz
@@ -142,10 +147,20 @@
 		// Close waits for responses itself; the library would wait for idle connections as well.
 		hertzserver.WithExitWaitTime(exitWait),
 	)
+	s.hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recovered)))
 	s.routes()
 	return nil
 }
 
+// recovered answers a request whose handler failed by a fault of this program. It may have run.
+func (s *Server) recovered(_ context.Context, c *app.RequestContext, fault any, stack []byte) {
+	klog.Errorf("server: handler failed path=%s fault=%v stack=%q", c.Path(), fault, stack)
+	s.fail(c, &failure{
+		status: http.StatusInternalServerError, outcome: answerer.Unknown, reason: "internal", message: "the entry host failed to handle the request",
+	})
+	c.SetConnectionClose()
+}
+
 // Addr returns the bound address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -80,7 +80,9 @@
 	s.ListenAddr, s.Requests = "127.0.0.1:0", r
 	s.Config = func() (uint64, *configurer.Config, bool) { return 1, cfg, true }
 	s.Ready = func() string { return "" }
-	s.Accepting = s.Ready
+	if s.Accepting == nil {
+		s.Accepting = s.Ready
+	}
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -187,6 +189,48 @@
 	}
 }
 
+// slowReader sends a byte at a time.
+type slowReader struct{ ctx context.Context }
+
+func (s *slowReader) Read(p []byte) (int, error) {
+	select {
+	case <-s.ctx.Done():
+		return 0, io.EOF
+	case <-time.After(5 * time.Millisecond):
+		p[0] = 'x'
+		return 1, nil
+	}
+}
+
+// Guards against a body that holds its reserved memory for as long as its sender likes.
+func TestSlowBody(t *testing.T) {
+	before := bodyBytes.Value()
+	_, url := start(t, &Server{BodyTimeout: 20 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", &slowReader{ctx}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestTimeout || resp.Header.Get(HeaderOutcome) != "not_run" || bodyBytes.Value() != before {
+		t.Errorf("%v, %d bytes are reserved", resp, bodyBytes.Value()-before)
+	}
+}
+
+// Guards against a fault in one request that ends the others.
+func TestPanic(t *testing.T) {
+	_, url := start(t, &Server{Accepting: func() string { panic("fault") }})
+	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader("{}"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusInternalServerError || resp.Header.Get(HeaderOutcome) != "unknown" {
+		t.Errorf("%v", resp)
+	}
+}
+
 // Guards against a header that fills the memory before the key is checked.
 func TestHeaderSize(t *testing.T) {
 	_, url := start(t, &Server{MaxHeaderBytes: 8 << 10})
--- a/node.go
+++ b/node.go
@@ -103,6 +103,7 @@
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
+	BodyTimeout     time.Duration
 	// BalancerDelay is how long a stopping node still accepts requests while the balancer learns that it is not ready.
 	BalancerDelay time.Duration
 	// DrainTimeout bounds the wait for requests in progress; 0 means no bound.
@@ -144,7 +145,7 @@
 	n.server = &server.Server{
 		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready, Accepting: n.refusing,
 		MaxBodyBytes: n.MaxBodyBytes, MaxHeaderBytes: n.MaxHeaderBytes, BodyMemoryBytes: n.BodyMemoryBytes,
-		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout,
+		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout, BodyTimeout: n.BodyTimeout,
 	}
 	if err := n.server.Listen(); err != nil {
 		return errors.Join(err, n.transport.Close())
