--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -64,14 +64,14 @@
 	return s.dispatchHopeless(tried, blocked)
 }
 
-// dispatchOldest grants the oldest request of a tier, whatever its lane.
+// dispatchOldest grants the oldest request of a tier that can still be answered.
 func (s *Scheduler) dispatchOldest(order int) bool {
 	for _, t := range s.tiers {
 		if t.Order != order {
 			continue
 		}
 		for _, r := range t.ages.Least(nil, oldestTried) {
-			if r.held || r.lane.kind == suspectLane {
+			if r.held || r.lane.kind >= hopelessLane {
 				continue
 			}
 			e, wait, why := s.place(r)
@@ -125,7 +125,7 @@
 		if r == nil {
 			return false
 		}
-		if kind := s.timeliness(r); kind > l.kind && kind != l.kind && kind >= lateLane {
+		if kind := s.timeliness(r); kind > l.kind && kind >= lateLane {
 			s.reassign(r)
 			continue
 		}
@@ -139,8 +139,7 @@
 			s.grant(r, e)
 			return true
 		case placer.NoDistinct:
-			s.unassign(r)
-			r.held = true
+			s.holdTwin(r)
 		case placer.NoProbe:
 			if unproven == nil {
 				unproven = make(map[*lane]int)
@@ -203,9 +202,14 @@
 // job describes a request to placement.
 func (s *Scheduler) job(r *request) placer.Job {
 	near := s.freshEndpoints(r)
+	prompt := r.d.PromptTokens
+	if s.service() {
+		prompt = 0
+	}
 	return placer.Job{
-		Tokens: r.tokens, Prompt: r.d.PromptTokens, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
-		Urgent: r.tier.urgent, Plain: s.service(), Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
+		Tokens: r.tokens, Prompt: prompt, Output: r.output, Blocks: r.d.PrefixBlocks, Zone: r.d.Zone,
+		Urgent: r.tier.urgent, Plain: s.service(), Careful: s.service() && !r.d.Idempotent,
+		Near: near, Only: len(near) >= quarantiner.MaxFreshEndpoints,
 	}
 }
 
@@ -346,8 +350,7 @@
 	}
 	r := entry.Value
 	if p := s.prints[r.d.Fingerprint]; p != nil && len(p.active) > 0 {
-		s.unassign(r)
-		r.held = true
+		s.holdTwin(r)
 		return true
 	}
 	e := s.reservedFor(l.class)
