--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -169,7 +169,7 @@
 // reassignPrint applies a change of what is known of a fingerprint to its waiting requests.
 func (s *Scheduler) reassignPrint(fp string) {
 	if p := s.prints[fp]; p != nil {
-		for _, r := range p.sortedWaiting() {
+		for _, r := range p.waiting() {
 			s.reassign(r)
 		}
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -56,6 +56,8 @@
 	pinned *endpoint
 	// unpinned requests have waited for an endpoint once.
 	unpinned bool
+	// older and newer link the waiting requests of one fingerprint.
+	older, newer *request
 
 	endpoint *endpoint
 	booked   int  // tokens booked at the endpoint
@@ -77,13 +79,41 @@
 
 // fingerprint follows the requests with one fingerprint.
 type fingerprint struct {
-	active  []*request // granted or running
-	waiting map[*request]struct{}
-	held    []*request // wait until a run of the fingerprint ends, the first held first
+	active      []*request // granted or running
+	first, last *request   // waiting, linked by newer and older
+	held        []*request // wait until a run of the fingerprint ends, the first held first
 }
 
-func (f *fingerprint) sortedWaiting() []*request {
-	return sorted(f.waiting)
+func (f *fingerprint) push(r *request) {
+	if r.older = f.last; f.last != nil {
+		f.last.newer = r
+	} else {
+		f.first = r
+	}
+	f.last = r
+}
+
+func (f *fingerprint) remove(r *request) {
+	if r.older != nil {
+		r.older.newer = r.newer
+	} else if f.first == r {
+		f.first = r.newer
+	}
+	if r.newer != nil {
+		r.newer.older = r.older
+	} else if f.last == r {
+		f.last = r.older
+	}
+	r.older, r.newer = nil, nil
+}
+
+// waiting returns the waiting requests in the order in which they began to wait.
+func (f *fingerprint) waiting() []*request {
+	var list []*request
+	for r := f.first; r != nil; r = r.newer {
+		list = append(list, r)
+	}
+	return list
 }
 
 func sorted(set map[*request]struct{}) []*request {
@@ -110,14 +140,14 @@
 func (s *Scheduler) print(fp string) *fingerprint {
 	p := s.prints[fp]
 	if p == nil {
-		p = &fingerprint{waiting: make(map[*request]struct{})}
+		p = &fingerprint{}
 		s.prints[fp] = p
 	}
 	return p
 }
 
 func (s *Scheduler) dropPrint(fp string) {
-	if p := s.prints[fp]; p != nil && len(p.active) == 0 && len(p.waiting) == 0 {
+	if p := s.prints[fp]; p != nil && len(p.active) == 0 && p.first == nil {
 		delete(s.prints, fp)
 	}
 }
@@ -168,7 +198,7 @@
 	owner := shedder.Owner{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.handle = s.book.Add(owner, float64(r.tokens), s.weight(r.d.Workspace), r)
 	if r.d.Fingerprint != "" {
-		s.print(r.d.Fingerprint).waiting[r] = struct{}{}
+		s.print(r.d.Fingerprint).push(r)
 	}
 	return s.assign(r)
 }
@@ -267,7 +297,7 @@
 		r.handle = nil
 	}
 	if p := s.prints[r.d.Fingerprint]; p != nil {
-		delete(p.waiting, r)
+		p.remove(r)
 		s.dropPrint(r.d.Fingerprint)
 	}
 }
