--- a/internal/ejector/availability.go
+++ b/internal/ejector/availability.go
@@ -112,8 +112,11 @@
 		a.backoff = 0
 	}
 	a.backoff = min(max(a.backoff*2, firstBackoff), maxBackoff)
-	a.phase, a.failed, a.proofs, a.ejected = out, now, 0, false
-	a.until = now + a.backoff + time.Duration(rng.Int64N(int64(a.backoff/4)))
+	until := now + a.backoff + time.Duration(rng.Int64N(int64(a.backoff/4)))
+	if a.Ejected(now) {
+		until = max(until, a.until)
+	}
+	a.phase, a.failed, a.proofs, a.ejected, a.until = out, now, 0, false, until
 	return true
 }
 
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -46,6 +46,16 @@
 	check(900*time.Millisecond, "0 false")
 }
 
+// Guards against a failure that ends an ejection early.
+func TestFailureWhileEjected(t *testing.T) {
+	var a Availability
+	a.Eject(0)
+	a.Fail(time.Second, true, rng())
+	if p, _ := a.Part(ejectTime - 1); p != 0 {
+		t.Error("in use before the ejection has ended")
+	}
+}
+
 // Guards against an endpoint kept out by one silent connection while its other runs progress, and against one that
 // refuses connects returning because of its old runs.
 func TestProgressDisproves(t *testing.T) {
