--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 	byTier  map[string]*tier
 	limits  configurer.Limits
 
-	hosts    map[string]*host
+	synced   map[string]bool // entry hosts that have reported
 	requests map[string]*request
 	nextSeq  uint64
 	waiting  int
@@ -93,6 +93,7 @@
 	closedBelow int
 	closed      bool
 	closedAt    time.Duration
+	nextCancel  time.Duration
 	confirmed   int
 	permits     map[int]time.Duration
 	asked       map[int]time.Duration
@@ -109,7 +110,7 @@
 		opts:       o,
 		rng:        rand.New(rand.NewPCG(o.Seed, o.Epoch)),
 		byTier:     make(map[string]*tier),
-		hosts:      make(map[string]*host),
+		synced:     make(map[string]bool),
 		requests:   make(map[string]*request),
 		prints:     make(map[string]*fingerprint),
 		endpoints:  make(map[string]*endpoint),
@@ -174,7 +175,9 @@
 	case LoadReported:
 		s.table.Report(s.now, e.Age, e.Endpoint, e.Running, e.Waiting)
 	case CacheChanged:
-		s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
+		if s.table.Get(e.Endpoint) != nil {
+			s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
+		}
 	case HostsListed:
 		s.listHosts(e)
 	case TiersClosed:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,18 +11,23 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	hertzserver "github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/drainer"
+	"github.com/dragonflycroft/dragonflycroft/internal/reserver"
 )
 
 func init() {
@@ -52,6 +57,7 @@
 	DefaultReadTimeout     = 30 * time.Second
 	DefaultWriteTimeout    = 30 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
+	DefaultBodyTimeout     = time.Minute
 	maxKeyBytes            = 256
 	exitWait               = 100 * time.Millisecond
 )
@@ -60,12 +66,11 @@
 	countRequests = expvar.NewMap("server_requests")
 	countRefused  = expvar.NewMap("server_refused")
 	bodyBytes     = expvar.NewInt("server_body_bytes")
-	bodyWaits     = expvar.NewInt("server_body_waits")
 )
 
 // Requests takes requests over and finds their answers; *dispatcher.Dispatcher implements it.
 type Requests interface {
-	Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error)
+	Accept(req describer.Request) (*answerer.Answer, *answerer.Reader, error)
 	Fetch(workspace, id string, from int) (*answerer.Answer, *answerer.Reader, error)
 	// NewID returns an id for a request that is refused before it is accepted.
 	NewID(workspace string) string
@@ -77,8 +82,11 @@
 	Requests   Requests
 	// Config returns the configuration that this host acts on.
 	Config func() (version uint64, cfg *configurer.Config, fresh bool)
-	// Ready returns an empty text, or why new requests are not accepted.
+	// Ready returns an empty text, or why the balancer should send no more requests; /readyz shows it.
 	Ready func() string
+	// Accepting returns an empty text, or why new requests are refused. A host that stops as planned accepts them for a while
+	// after it is no longer ready, since the balancer learns that with a delay.
+	Accepting func() string
 	// Live reports whether the process works; /healthz shows it.
 	Live            func() bool
 	MaxBodyBytes    int
@@ -87,11 +95,13 @@
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
+	// BodyTimeout bounds the reading of a whole body, whose memory is reserved meanwhile.
+	BodyTimeout time.Duration
 
 	listener net.Listener
 	hertz    *hertzserver.Hertz
-	memory   *memory
-	inflight inflight
+	memory   *reserver.Memory
+	inflight drainer.Drainer
 	closing  atomic.Bool
 	index    atomic.Pointer[indexed]
 }
@@ -117,7 +127,7 @@
 		return eris.Wrapf(err, "listen for callers on %s", s.ListenAddr)
 	}
 	s.listener = l
-	s.memory = newMemory(orDefault(s.BodyMemoryBytes, DefaultBodyMemoryBytes), int64(s.maxBody()))
+	s.memory = reserver.New(orDefault(s.BodyMemoryBytes, DefaultBodyMemoryBytes), int64(s.maxBody()))
 	s.hertz = hertzserver.New(
 		hertzserver.WithListener(l),
 		hertzserver.WithStreamBody(true),
@@ -137,10 +147,20 @@
 		// Close waits for responses itself; the library would wait for idle connections as well.
 		hertzserver.WithExitWaitTime(exitWait),
 	)
+	s.hertz.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recovered)))
 	s.routes()
 	return nil
 }
 
+// recovered answers a request whose handler failed by a fault of this program. It may have run.
+func (s *Server) recovered(_ context.Context, c *app.RequestContext, fault any, stack []byte) {
+	klog.Errorf("server: handler failed path=%s fault=%v stack=%q", c.Path(), fault, stack)
+	s.fail(c, &failure{
+		status: http.StatusInternalServerError, outcome: answerer.Unknown, reason: "internal", message: "the entry host failed to handle the request",
+	})
+	c.SetConnectionClose()
+}
+
 // Addr returns the bound address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -150,7 +170,7 @@
 // Close waits until every response in progress has been written or ctx has ended, and closes the listener and all connections.
 func (s *Server) Close(ctx context.Context) error {
 	s.closing.Store(true)
-	err := s.inflight.wait(ctx)
+	err := s.inflight.Wait(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitWait)
 	defer cancel()
 	_ = s.hertz.Shutdown(ctx)
@@ -158,55 +178,6 @@
 	return err
 }
 
-// inflight counts the requests whose responses have not been written yet.
-type inflight struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{}
-}
-
-// begin counts a request until the library has written its response.
-func (f *inflight) begin(c *app.RequestContext) (returned func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.n++
-	written := c.Finished()
-	return func() {
-		go func() {
-			<-written
-			f.end()
-		}()
-	}
-}
-
-func (f *inflight) end() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.n--; f.n == 0 && f.idle != nil {
-		close(f.idle)
-		f.idle = nil
-	}
-}
-
-func (f *inflight) wait(ctx context.Context) error {
-	f.mu.Lock()
-	if f.n == 0 {
-		f.mu.Unlock()
-		return nil
-	}
-	if f.idle == nil {
-		f.idle = make(chan struct{})
-	}
-	idle := f.idle
-	f.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-idle:
-		return nil
-	}
-}
-
 func (s *Server) routes() {
 	h := s.hertz
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
@@ -245,7 +216,7 @@
 func (s *Server) guard(kind string, isNew bool, serve func(*call)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		countRequests.Add(kind, 1)
-		defer s.inflight.begin(c)()
+		defer s.inflight.Begin(c)()
 		if s.closing.Load() {
 			c.SetConnectionClose()
 		}
@@ -257,7 +228,7 @@
 			s.fail(c, f)
 		}
 		index := s.lookup()
-		if reason := s.Ready(); isNew && reason != "" || index == nil {
+		if reason := s.Accepting(); isNew && reason != "" || index == nil {
 			if reason == "" {
 				reason = "no configuration is known"
 			}
@@ -324,20 +295,8 @@
 	retryAfter time.Duration
 }
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Outcome      answerer.Outcome `json:"outcome"`
-	Reason       string           `json:"reason"`
-	Message      string           `json:"message"`
-	RequestID    string           `json:"request_id,omitempty"`
-	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
-}
-
-func (f *failure) body() errorBody {
-	return errorBody{Error: errorDetail{
+func (f *failure) body() chatencoder.ErrorBody {
+	return chatencoder.ErrorBody{Error: chatencoder.ErrorDetail{
 		Outcome: f.outcome, Reason: f.reason, Message: f.message, RequestID: f.requestID, RetryAfterMS: f.retryAfter.Milliseconds(),
 	}}
 }
@@ -368,7 +327,12 @@
 func failureOf(err error) *failure {
 	var reused *dispatcher.KeyReusedError
 	var missing *dispatcher.NotFoundError
+	var pool *dispatcher.UnknownPoolError
 	switch {
+	case errors.As(err, &pool):
+		return &failure{
+			status: http.StatusServiceUnavailable, reason: "unready", message: err.Error(), retryAfter: time.Second,
+		}
 	case errors.As(err, &reused):
 		return &failure{
 			status: http.StatusUnprocessableEntity, outcome: answerer.Refused, reason: "key_reused",
--- a/node.go
+++ b/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"strconv"
 	"sync"
@@ -16,11 +17,16 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+	"github.com/dragonflycroft/dragonflycroft/internal/booker"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
-	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/follower"
+	"github.com/dragonflycroft/dragonflycroft/internal/holder"
+	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/server"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -32,11 +38,11 @@
 
 // Control is the part of a node that agrees with the other hosts on configuration, roles, members and orders.
 type Control interface {
-	granter.Roles
-	granter.Configuration
-	granter.Shedder
-	dispatcher.Ledger
-	dispatcher.Hosts
+	holder.Roles
+	holder.Configuration
+	holder.Shedder
+	booker.Ledger
+	follower.Hosts
 	OnShed(fn func(closedBelow, permitTier int, permitFor time.Duration))
 	// Register adds methods to the transport before it runs.
 	Register()
@@ -60,6 +66,9 @@
 	return fmt.Sprintf("%d requests were cut off: %v", len(e.Requests), e.Requests)
 }
 
+// versionInForce is the configuration version that this process acts on.
+var versionInForce = expvar.NewInt("node_config_version")
+
 // Node is one entry host. Set the exported fields before Run.
 type Node struct {
 	HostID string
@@ -74,7 +83,7 @@
 	// NewControl builds the control part for this node's transport.
 	NewControl func(t *transporter.Transport) (Control, error)
 	// NewStepper builds the decision core of a pool for an epoch; nil means the scheduler.
-	NewStepper func(pool string, epoch uint64) granter.Stepper
+	NewStepper func(pool string, epoch uint64) holder.Stepper
 	// HostList is the platform's list of live and leaving endpoints; it may be nil.
 	HostList lister.Source
 	// Operators is the operators' listener; it may be nil.
@@ -83,7 +92,7 @@
 	Endpoint connector.Timeouts
 	// PollInterval is the time between two load reports of an endpoint.
 	PollInterval time.Duration
-	Times        dispatcher.Times
+	Times        runner.Times
 	// KeptBytes and KeptFor bound the answers kept for fetches and repeated keys.
 	KeptBytes int
 	KeptFor   time.Duration
@@ -94,7 +103,8 @@
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
-	// BalancerDelay is how long a stopping node still serves while the balancer notices that it is not ready.
+	BodyTimeout     time.Duration
+	// BalancerDelay is how long a stopping node still accepts requests while the balancer learns that it is not ready.
 	BalancerDelay time.Duration
 	// DrainTimeout bounds the wait for requests in progress; 0 means no bound.
 	DrainTimeout time.Duration
@@ -104,12 +114,13 @@
 	transport *transporter.Transport
 	control   Control
 	resolver  *resolver.Resolver
-	desk      *granter.Desk
+	desk      *holder.Desk
 	sessions  *sessionSet
 	placement *placement
 	requests  atomic.Pointer[dispatcher.Dispatcher]
 	store     *answerer.Store
 	server    *server.Server
+	leaving   atomic.Bool
 	stopping  atomic.Bool
 	refused   atomic.Uint64
 	aborted   chan struct{}
@@ -132,9 +143,9 @@
 	}
 	n.store = &answerer.Store{MaxBytes: n.KeptBytes, Retention: n.KeptFor}
 	n.server = &server.Server{
-		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready,
+		ListenAddr: n.CallerAddr, Requests: n, Ready: n.Unready, Accepting: n.refusing,
 		MaxBodyBytes: n.MaxBodyBytes, MaxHeaderBytes: n.MaxHeaderBytes, BodyMemoryBytes: n.BodyMemoryBytes,
-		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout,
+		ReadTimeout: n.ReadTimeout, WriteTimeout: n.WriteTimeout, IdleTimeout: n.IdleTimeout, BodyTimeout: n.BodyTimeout,
 	}
 	if err := n.server.Listen(); err != nil {
 		return errors.Join(err, n.transport.Close())
@@ -160,8 +171,16 @@
 // CallerAddress returns the bound address for callers.
 func (n *Node) CallerAddress() string { return n.server.Addr() }
 
-// Unready returns an empty text, or why this node takes no new requests.
+// Unready returns an empty text, or why the balancer should send this node no more requests.
 func (n *Node) Unready() string {
+	if n.leaving.Load() {
+		return "it is stopping"
+	}
+	return n.refusing()
+}
+
+// refusing returns an empty text, or why this node refuses new requests.
+func (n *Node) refusing() string {
 	if n.stopping.Load() {
 		return "it is stopping"
 	}
@@ -190,7 +209,7 @@
 }
 
 // Accept implements server.Requests.
-func (n *Node) Accept(req dispatcher.Request) (*answerer.Answer, *answerer.Reader, error) {
+func (n *Node) Accept(req describer.Request) (*answerer.Answer, *answerer.Reader, error) {
 	d := n.requests.Load()
 	if d == nil {
 		return nil, nil, eris.New("this entry host has not joined yet")
@@ -213,7 +232,7 @@
 		return d.NewID(workspace)
 	}
 	// Incarnation 0 names no process: nothing with this id can run.
-	return dispatcher.OwnerOf(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
+	return identifier.Owner(n.HostID, 0) + "." + strconv.FormatUint(n.refused.Add(1), 10)
 }
 
 // Run serves until ctx ends, and then stops as planned: it becomes unready, waits for the balancer, hands its roles over and
@@ -256,6 +275,7 @@
 	n.resolver = &resolver.Resolver{Timeouts: n.endpointTimeouts()}
 	n.control.Subscribe(func(version uint64, cfg *Config) {
 		n.resolver.Apply(cfg)
+		versionInForce.Set(int64(version))
 		klog.Infof("node: configuration in force host=%s version=%d endpoints=%d", n.HostID, version, len(cfg.Endpoints))
 	})
 	if _, cfg, _ := n.control.Config(); cfg != nil {
@@ -264,7 +284,7 @@
 	if n.NewStepper == nil {
 		n.NewStepper = n.newScheduler
 	}
-	n.desk = &granter.Desk{
+	n.desk = &holder.Desk{
 		Transport: n.transport, Roles: n.control, Configuration: n.control, Shedder: n.control,
 		NewStepper: n.NewStepper, Watch: n.watch,
 	}
@@ -290,11 +310,11 @@
 	return t
 }
 
-func (n *Node) newScheduler(pool string, epoch uint64) granter.Stepper {
+func (n *Node) newScheduler(pool string, epoch uint64) holder.Stepper {
 	return scheduler.New(scheduler.Options{Pool: pool, Epoch: epoch, Seed: epoch, Hosts: n.control.Owners()})
 }
 
-func (n *Node) watch(ctx context.Context, h *granter.Holder) {
+func (n *Node) watch(ctx context.Context, h *holder.Holder) {
 	w := &watcher.Watcher{Pool: h.Pool, Engines: n.resolver, Interval: n.PollInterval, List: n.HostList, Post: h.Post}
 	w.Run(ctx)
 }
@@ -311,7 +331,7 @@
 		Endpoints: n.resolver, Ledger: n.control, Hosts: n.control, Store: n.store, Times: n.Times,
 	}
 	n.sessions = newSessionSet(ctx, n, d.Owner())
-	d.Session, d.Pools = n.sessions.get, n.sessions.pools
+	d.Session, d.Sessions = n.sessions.get, n.sessions.all
 	d.Start(context.WithoutCancel(ctx))
 	n.control.Subscribe(func(_ uint64, cfg *Config) { n.sessions.match(cfg) })
 	if _, cfg, _ := n.control.Config(); cfg != nil {
@@ -324,11 +344,12 @@
 
 // stop ends the node as planned.
 func (n *Node) stop(work context.Context, cancel context.CancelFunc) error {
-	n.stopping.Store(true)
+	n.leaving.Store(true)
 	klog.Infof("node: stopping host=%s active=%d", n.HostID, n.store.Active())
 	if !n.wait(n.BalancerDelay) {
 		return n.cutOff(cancel)
 	}
+	n.stopping.Store(true)
 	n.bounded(work, "roles not handed over", n.control.HandOver)
 	drain, undrain := n.drainContext(work)
 	defer undrain()
