scheduler: a new holder waits for the first host list before it grants

Before its first host list a new holder went by the configuration alone; with all hosts synced it granted at once what had waited. Change: grants wait for the first list, for at most 3 s. Two scenarios end the holder after endpoints have left; the scenario test notes the sources, since the test cache does not see the program that it builds. Conclusion: the gap is closed; whether it was the only cause is open.

--- a/internal/scenariorunner/scenario_test.go
+++ b/internal/scenariorunner/scenario_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"flag"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/dragonflycroft/dragonflycroft/internal/scenariorunner"
+	"github.com/google/go-cmp/cmp"
 )
 
 // long selects the scenarios that take minutes: go test ./internal/scenariorunner -long -timeout 30m
@@ -23,6 +23,7 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/dragonflycroft").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	noteSources(t)
 	config, err := os.ReadFile("../../examples/kessler.json")
 	if err != nil {
 		t.Fatal(err)
@@ -41,6 +42,24 @@
 	}
 }
 
+// noteSources opens the program's sources. The program is built by a command that the test cache does not see; files that
+// a test opens count, so that a change to them runs the scenarios again.
+func noteSources(t *testing.T) {
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" {
+			return err
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		return f.Close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func runScenario(t *testing.T, binary string, config []byte, file string) {
 	dir := t.TempDir()
 	r := &scenariorunner.Runner{Binary: binary, Dir: dir, Config: config, Logf: t.Logf}
--- a/internal/scenariorunner/steps.go
+++ b/internal/scenariorunner/steps.go
@@ -31,7 +31,52 @@
 	return nil
 }
 
-func (r *Runner) stepKill(_ context.Context, s Step) error { return r.eachHost(s, (*host).kill) }
+// stepKill kills the named hosts, or with holder=ROLE the one that holds a role.
+func (r *Runner) stepKill(ctx context.Context, s Step) error {
+	return r.eachHolder(ctx, s, (*host).kill)
+}
+
+// eachHolder is eachHost with the holder of the role that the step names, if any.
+func (r *Runner) eachHolder(ctx context.Context, s Step, f func(h *host) error) error {
+	if role := s.text("holder", ""); role != "" {
+		name, err := r.holderOf(ctx, role)
+		if err != nil {
+			return err
+		}
+		s.Args = append(s.Args, name)
+	}
+	return r.eachHost(s, f)
+}
+
+// holderOf asks the hosts in turn who holds a role.
+func (r *Runner) holderOf(ctx context.Context, role string) (string, error) {
+	for _, h := range r.cluster.hosts {
+		if !h.running() {
+			continue
+		}
+		service := connector.NewService(h.id, h.operator, connector.Timeouts{
+			Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second,
+		})
+		response, err := service.Do(ctx, connector.Call{
+			Method: http.MethodGet, Path: "/v1/status", Header: map[string]string{"Authorization": "Bearer " + operatorToken},
+		}, func() {})
+		if err != nil {
+			continue
+		}
+		var status struct {
+			Roles []struct{ Role, Host string } `json:"roles"`
+		}
+		if err := json.Unmarshal(response.Body, &status); err != nil {
+			return "", err
+		}
+		for _, held := range status.Roles {
+			if held.Role == role && held.Host != "" {
+				return held.Host, nil
+			}
+		}
+	}
+	return "", fmt.Errorf("no host holds %s", role)
+}
 
 func (r *Runner) stepStart(ctx context.Context, s Step) error {
 	return r.eachHost(s, func(h *host) error {
@@ -48,8 +93,8 @@
 }
 
 // stepStop asks a host to stop as planned and checks that it cut off nothing.
-func (r *Runner) stepStop(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error {
+func (r *Runner) stepStop(ctx context.Context, s Step) error {
+	return r.eachHolder(ctx, s, func(h *host) error {
 		h.stopping = true
 		if err := h.signal(syscall.SIGTERM); err != nil {
 			return err
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -45,6 +45,9 @@
 	// Hosts are the entry hosts expected to report their runs. When all have synced, endpoints are used fully before
 	// the grants of an earlier holder have expired. It may be empty.
 	Hosts []string
+	// ListWait is how long grants wait for the first host list; 0 means that there is no list. A new holder does not know
+	// which endpoints are leaving, and an endpoint that has left for long must not receive work from it.
+	ListWait time.Duration
 }
 
 // Scheduler decides for one pool. It is a pure state machine: equal events at equal times give equal actions. It is not
@@ -54,6 +57,8 @@
 	rng     *rand.Rand
 	now     time.Duration
 	began   bool
+	listed  bool
+	listBy  time.Duration
 	actions []Action
 
 	config  *configurer.Config
@@ -136,7 +141,7 @@
 // latest one.
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	if !s.began {
-		s.began, s.now = true, now
+		s.began, s.now, s.listBy = true, now, now+s.opts.ListWait
 		s.at(now+s.opts.GrantTTL+grantMargin, func() { s.table.EndWarmup(s.now) })
 	}
 	s.now = max(s.now, now)
@@ -146,10 +151,16 @@
 	s.apply(ev)
 	s.review()
 	s.shed(ev)
-	s.dispatch()
+	if !s.awaitsList() {
+		s.dispatch()
+	}
 	return s.actions
 }
 
+// awaitsList reports whether grants still wait for the first host list. The wait is bounded, so that a platform list that
+// cannot be read does not stop all work.
+func (s *Scheduler) awaitsList() bool { return s.now < s.listBy && !s.listed }
+
 func (s *Scheduler) apply(ev Event) {
 	switch e := ev.(type) {
 	case Configure:
@@ -179,6 +190,7 @@
 			s.prefixes.Change(e.Endpoint, e.Seq, e.Added, e.Removed)
 		}
 	case HostsListed:
+		s.listed = true
 		s.listHosts(e)
 	case TiersClosed:
 		s.closeTiers(e.Below)
--- a/node.go
+++ b/node.go
@@ -66,6 +66,10 @@
 	return fmt.Sprintf("%d requests were cut off: %v", len(e.Requests), e.Requests)
 }
 
+// listWait bounds the wait of a new holder for the platform's first host list. It is below the 5 s after which a leaving
+// endpoint must receive no new work, and above the time limits of two polls.
+const listWait = 3 * time.Second
+
 // versionInForce is the configuration version that this process acts on.
 var versionInForce = expvar.NewInt("node_config_version")
 
@@ -311,7 +315,11 @@
 }
 
 func (n *Node) newScheduler(pool string, epoch uint64) holder.Stepper {
-	return scheduler.New(scheduler.Options{Pool: pool, Epoch: epoch, Seed: epoch, Hosts: n.control.Owners()})
+	options := scheduler.Options{Pool: pool, Epoch: epoch, Seed: epoch, Hosts: n.control.Owners()}
+	if n.HostList != nil {
+		options.ListWait = listWait
+	}
+	return scheduler.New(options)
 }
 
 func (n *Node) watch(ctx context.Context, h *holder.Holder) {
