controller: wait for handlers of the in-memory network; propagation by size on virtual time

A handler that outlived its caller was still asleep when the test's bubble ended, which panicked once in about 100 runs of TestOperatorsRace.

--- a/internal/controller/fabric_test.go
+++ b/internal/controller/fabric_test.go
@@ -21,6 +21,8 @@
 	delay time.Duration
 	// drop loses the answer of an exchange that has taken effect when it returns true.
 	drop func(from, to, method string) bool
+	// calls are the handlers in progress, which may outlive their caller.
+	calls sync.WaitGroup
 }
 
 type endpoint struct {
@@ -96,10 +98,10 @@
 		err error
 	}
 	answered := make(chan answer, 1)
-	go func() {
+	f.calls.Go(func() {
 		out, err := h(ctx, transporter.Peer{HostID: e.id, Addr: e.id}, payload)
 		answered <- answer{out, err}
-	}()
+	})
 	select {
 	case a := <-answered:
 		time.Sleep(f.delay)
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -82,3 +82,26 @@
 		}
 	})
 }
+
+// Guards against a propagation that grows with the number of hosts. The bound is the target of 2 s; the times are virtual,
+// with 1 ms one way between hosts and no time for computing.
+func TestPropagationBySize(t *testing.T) {
+	for _, size := range []int{6, 60, 640} {
+		synctest.Test(t, func(t *testing.T) {
+			s := start(t, size, 3)
+			s.configure()
+			s.fresh(10*time.Second, 1, s.ids)
+			time.Sleep(3 * time.Second)
+			worst := time.Duration(0)
+			for v := uint64(1); v <= 5; v++ {
+				time.Sleep(370 * time.Millisecond)
+				p := controller.Patch{ID: fmt.Sprint("p", v), Base: v, Body: fmt.Appendf(nil, `{"limits":{"max_waiting":%d}}`, v)}
+				if _, err := s.hosts["h1"].client.PatchConfig(s.ctx, p); err != nil {
+					t.Fatal(err)
+				}
+				worst = max(worst, s.fresh(2*time.Second, v+1, s.ids))
+			}
+			t.Logf("%d hosts: slowest of 5 versions in force everywhere %v after the answer", size, worst)
+		})
+	}
+}
--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -70,6 +70,7 @@
 	t.Cleanup(func() {
 		cancel()
 		s.wg.Wait()
+		s.fabric.calls.Wait()
 	})
 	return s
 }
@@ -200,10 +201,12 @@
 			t.Fatal(err)
 		}
 		s.until(100*time.Millisecond-time.Since(began), "hand-over", func() bool { h := s.holder(role); return h != "" && h != first })
+		t.Logf("hand-over took %v", time.Since(began))
 		time.Sleep(2 * time.Second)
 		second := s.holder(role)
 		s.hosts[second].stop()
-		s.until(2*time.Second, "fail-over", func() bool { h := s.holder(role); return h != "" && h != second })
+		took := s.until(2*time.Second, "fail-over", func() bool { h := s.holder(role); return h != "" && h != second })
+		t.Logf("fail-over took %v", took)
 	})
 }
 
--- a/internal/recorder/ledger.go
+++ b/internal/recorder/ledger.go
@@ -9,9 +9,10 @@
 
 // Defaults and bounds of the ledger.
 const (
-	DefaultRetention    = 24 * time.Hour
-	DefaultMaxOrders    = 100_000
-	DefaultMaxBytes     = 256 << 20
+	DefaultRetention = 24 * time.Hour
+	DefaultMaxOrders = 100_000
+	// DefaultMaxBytes leaves half of the 64 MB that a node may spend on control.
+	DefaultMaxBytes     = 32 << 20
 	DefaultMaxBodyBytes = 1 << 20
 	// maxFieldBytes bounds each text of an intent.
 	maxFieldBytes = 1 << 10
