--- a/internal/controller/measure_test.go
+++ b/internal/controller/measure_test.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
+	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -61,9 +62,10 @@
 	return agent, func() { _ = tr.Close() }
 }
 
-func propagate(b *testing.B, receivers int) {
-	voters, hosts := map[string]string{}, map[string]*realHost{}
-	var controllers []string
+// startControls starts three control hosts and returns them with their addresses.
+func startControls(b *testing.B) (hosts map[string]*realHost, controllers []string) {
+	voters := map[string]string{}
+	hosts = map[string]*realHost{}
 	for _, id := range []string{"c1", "c2", "c3"} {
 		probe := &transporter.Transport{HostID: id, ListenAddr: "127.0.0.1:0"}
 		if err := probe.Listen(); err != nil {
@@ -76,6 +78,42 @@
 	for id, addr := range voters {
 		hosts[id] = startReal(b, id, addr, b.TempDir(), voters)
 	}
+	return hosts, controllers
+}
+
+// BenchmarkOrder measures one order: its intent and its outcome, each committed by a quorum with synced files.
+func BenchmarkOrder(b *testing.B) {
+	hosts, _ := startControls(b)
+	defer func() {
+		for _, h := range hosts {
+			h.kill()
+		}
+	}()
+	ctx, client := b.Context(), hosts["c1"].client
+	if _, err := client.PatchConfig(ctx, controller.Patch{ID: "first", Body: []byte(document)}); err != nil {
+		b.Fatal(err)
+	}
+	<-hosts["c1"].agent.Joined()
+	owner := hosts["c1"].agent.Owner()
+	var n atomic.Int64
+	b.SetParallelism(4)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			key := recorder.Key{Workspace: "w", Value: fmt.Sprint(n.Add(1))}
+			in := recorder.Intent{Key: key, Digest: "d", RequestID: key.Value, Owner: owner, Endpoint: "e"}
+			if r, err := client.Intend(ctx, in); err != nil || !r.Granted {
+				b.Errorf("intent: %v, %v", r, err)
+			}
+			if err := client.Conclude(ctx, key, owner, recorder.Outcome{Outcome: recorder.OutcomeDone, Body: make([]byte, 512)}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+func propagate(b *testing.B, receivers int) {
+	hosts, controllers := startControls(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	var closers []func()
@@ -106,7 +144,7 @@
 	cpu, written := usage(b)
 	time.Sleep(idle)
 	cpuAfter, writtenAfter := usage(b)
-	nodes := float64(receivers + len(voters))
+	nodes := float64(receivers + len(hosts))
 	b.ReportMetric(100*(cpuAfter-cpu).Seconds()/idle.Seconds()/nodes, "%core/node")
 	b.ReportMetric(float64(writtenAfter-written)/idle.Seconds()/nodes/1024, "KiB/s/node")
 
