--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"testing"
@@ -160,7 +161,7 @@
 		}
 	case 9, 10:
 		if id, v := w.pick("running"); v != nil {
-			v.tokens += rapid.IntRange(1, 60).Draw(w.t, "tokens")
+			v.tokens += rapid.SampledFrom([]int{1, 9, 60, 500, 1 << 40}).Draw(w.t, "tokens")
 			w.disprove(v)
 			w.step(scheduler.Progress{RequestID: id, OutputTokens: v.tokens})
 		}
@@ -192,7 +193,7 @@
 		Model:           rapid.SampledFrom([]string{"m", "m", "m", "x"}).Draw(w.t, "model"),
 		Adapter:         rapid.SampledFrom([]string{"", "", "a"}).Draw(w.t, "adapter"),
 		Fingerprint:     rapid.SampledFrom([]string{"", "p", "q", "r"}).Draw(w.t, "print"),
-		PromptTokens:    rapid.IntRange(0, 6000).Draw(w.t, "prompt"),
+		PromptTokens:    rapid.SampledFrom([]int{-9, 0, 300, 300, 1900, 6000, math.MaxInt}).Draw(w.t, "prompt"),
 		MaxOutputTokens: rapid.IntRange(0, 400).Draw(w.t, "output"),
 		Remaining:       time.Duration(rapid.SampledFrom([]int{0, 0, 3000}).Draw(w.t, "remaining")) * time.Millisecond,
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -24,6 +24,9 @@
 // finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
 const finishMargin = 1.3
 
+// maxCountedTokens bounds what is believed of a single request, so that sums stay within their range.
+const maxCountedTokens = 1 << 24
+
 // freedPerRun is the number of held requests that may take the place of an ended run.
 const freedPerRun = 4
 
@@ -154,6 +157,8 @@
 
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
+	d.PromptTokens = min(max(d.PromptTokens, 0), maxCountedTokens)
+	d.MaxOutputTokens = min(max(d.MaxOutputTokens, 0), maxCountedTokens)
 	r := &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
 	if d.Remaining > 0 {
 		r.deadline = s.now + d.Remaining
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -120,6 +120,7 @@
 	}
 	e := r.endpoint
 	s.proveAlive(e, r)
+	p.OutputTokens = min(p.OutputTokens, maxCountedTokens)
 	tokens := p.OutputTokens - r.seen
 	if r.seen == 0 && p.OutputTokens > 0 {
 		s.firstToken(e, r)
@@ -281,7 +282,7 @@
 	s.start(Started{Host: host, RequestID: r.id, Endpoint: run.Endpoint})
 	r.startedAt = s.now - max(run.RunningFor, 0)
 	if run.OutputTokens > 0 {
-		r.seen = run.OutputTokens
+		r.seen = min(run.OutputTokens, maxCountedTokens)
 		s.endPrefill(r.endpoint, r)
 		if r.seen > r.output {
 			s.rebook(r)
