--- a/sessions.go
+++ b/sessions.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
+	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 )
 
 // Config is one version of the configuration of the whole system.
@@ -42,38 +44,38 @@
 		pool := p.Name
 		session := &granter.Session{
 			Pool: pool, Host: s.owner, Zone: s.node.Zone, Transport: s.node.transport, Locator: s.node.control,
-			Kept: func() []granter.Claim { return s.kept(pool) },
+			Kept: func() []indexer.Claim { return s.kept(pool) },
 		}
 		s.current[pool] = session
 		s.wg.Go(func() { _ = session.Run(s.ctx) })
 	}
 }
 
-func (s *sessionSet) kept(pool string) []granter.Claim {
+func (s *sessionSet) kept(pool string) []indexer.Claim {
 	metas := s.node.store.Keyed(pool)
-	claims := make([]granter.Claim, 0, len(metas))
+	claims := make([]indexer.Claim, 0, len(metas))
 	for _, m := range metas {
-		claims = append(claims, granter.Claim{Workspace: m.Workspace, Key: m.Key, Digest: m.Digest, RequestID: m.RequestID})
+		claims = append(claims, indexer.Claim{Workspace: m.Workspace, Key: m.Key, Digest: m.Digest, RequestID: m.RequestID})
 	}
 	return claims
 }
 
-func (s *sessionSet) get(pool string) (dispatcher.Session, bool) {
+func (s *sessionSet) get(pool string) (runner.Session, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	session, ok := s.current[pool]
 	return session, ok
 }
 
-func (s *sessionSet) pools() []string {
+// all returns the sessions in the order of their pools.
+func (s *sessionSet) all() []runner.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pools := make([]string, 0, len(s.current))
-	for p := range s.current {
-		pools = append(pools, p)
+	sessions := make([]runner.Session, 0, len(s.current))
+	for _, pool := range slices.Sorted(maps.Keys(s.current)) {
+		sessions = append(sessions, s.current[pool])
 	}
-	slices.Sort(pools)
-	return pools
+	return sessions
 }
 
 func (s *sessionSet) wait() { s.wg.Wait() }
