--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -64,6 +64,10 @@
 		below = t.Order - 1
 	}
 	below = max(below, s.closedBelow)
+	// Until the hosts have reported, a new holder does not know which runs of closed tiers there are.
+	if s.table.Warm() {
+		return
+	}
 	if below < s.lowest() && (tick || below != s.confirmed) {
 		s.confirmed = below
 		s.emit(ConfirmClosed{Below: below})
