--- a/node_test.go
+++ b/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -251,7 +252,6 @@
 // Guards against requests that are cut off by a planned stop, and against a stopping host that takes new ones.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	s := newSystem(t, 3, 2, slow())
-	s.nodes[0].BalancerDelay = 2 * time.Second
 	bodies := make([][]byte, 30)
 	replies := make([]*reply, len(bodies))
 	var wg sync.WaitGroup
@@ -272,26 +272,56 @@
 	for s.nodes[0].store.Active() < len(bodies) {
 		time.Sleep(time.Millisecond)
 	}
+	s.nodes[0].stop()
+	if err := <-s.nodes[0].ended; err != nil {
+		t.Errorf("the planned stop ended with %v", err)
+	}
+	s.nodes[0].ended <- nil
+	wg.Wait()
+	for i, r := range replies {
+		if r != nil && (r.outcome != "done" || r.text != standin.Answer(bodies[i], 40)) {
+			t.Errorf("request %d: outcome %s reason %s, %d bytes", i, r.outcome, r.reason, len(r.text))
+		}
+	}
+}
+
+// Guards against requests that the balancer still sends to a stopping host and that are refused, and against a stop that cannot
+// be ended at once.
+func TestStopWhileTheBalancerLearns(t *testing.T) {
+	s := newSystem(t, 2, 1, fast())
 	stopping := s.nodes[0]
+	stopping.BalancerDelay = time.Hour
 	stopping.stop()
 	for stopping.Unready() == "" {
 		time.Sleep(time.Millisecond)
 	}
-	// The balancer has not noticed yet.
 	late, err := s.do("POST", stopping.url+chatPath, "key-k", chatBody("late", 5, false), nil)
 	if err != nil || late.outcome != "done" {
 		t.Errorf("while the balancer learns of the stop: %+v %v", late, err)
 	}
-	if err := <-s.nodes[0].ended; err != nil {
-		t.Errorf("the planned stop ended with %v", err)
+	stopping.Abort()
+	if err := <-stopping.ended; err != nil {
+		t.Errorf("an abort without requests in progress ended with %v", err)
 	}
-	s.nodes[0].ended <- nil
-	wg.Wait()
-	for i, r := range replies {
-		if r != nil && (r.outcome != "done" || r.text != standin.Answer(bodies[i], 40)) {
-			t.Errorf("request %d: outcome %s reason %s, %d bytes", i, r.outcome, r.reason, len(r.text))
-		}
+	stopping.ended <- nil
+}
+
+// Guards against an abort that hides the requests it cuts off, or that waits for them.
+func TestAbortReportsWhatItCutsOff(t *testing.T) {
+	s := newSystem(t, 2, 1, slow())
+	node := s.nodes[0]
+	resp, err := s.request(context.Background(), "POST", node.url+chatPath, "key-k", chatBody("long", 1000, true), nil)
+	must(t, err)
+	defer resp.Body.Close()
+	r, err := readReply(resp, 1)
+	must(t, err)
+	node.stop()
+	node.Abort()
+	var cut *CutOffError
+	if err := <-node.ended; !errors.As(err, &cut) || !slices.Equal(cut.Requests, []string{r.id + " streaming"}) {
+		t.Errorf("the abort ended with %v", err)
 	}
+	node.ended <- nil
 }
 
 // Guards against a host that takes requests on a configuration it cannot confirm, or while it stops.
