attacher: keep long attachments open

Cause: the limit of the first message stayed in force, so that an attachment ended after a second and the host that followed had to attach again; after six times it asked the engine instead. Change: the limit is replaced once the request has been read, and an attachment that brought chunks starts the count of attempts anew. A pool that leaves the configuration refuses its waiting requests.

--- a/internal/attacher/attacher.go
+++ b/internal/attacher/attacher.go
@@ -21,6 +21,8 @@
 	keepAliveInterval = 300 * time.Millisecond
 	// silenceLimit is how long the owner may be silent; it spans three keep-alive messages.
 	silenceLimit = time.Second
+	// attachmentLimit replaces the limit of the first message, which would end the attachment; it is longer than any run.
+	attachmentLimit = 24 * time.Hour
 )
 
 // NotFoundError reports that the host does not hold the answer.
@@ -47,7 +49,7 @@
 	// The other side sends nothing more; its end of the stream closes when it leaves.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.SetRecvTimeout(0)
+	s.SetRecvTimeout(attachmentLimit)
 	go func() {
 		_ = s.Recv(&attacherpb.AttachRequest{})
 		cancel()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -88,10 +88,14 @@
 }
 
 func (f *Follower) copyFromOwner(ctx context.Context) bool {
-	for attempt := range attempts {
+	had := 0
+	for attempt := 0; attempt < attempts; attempt++ {
 		if attempt > 0 && !f.Limits.Pause(ctx, attempt) {
 			return false
 		}
+		if chunks, _ := f.Answer.Len(); chunks > had {
+			had, attempt = chunks, 0
+		}
 		addr, ok := f.Hosts.Addr(f.Host)
 		if !ok || f.Owner == f.Self {
 			return false
--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -94,9 +94,11 @@
 	requests  map[string]*tracked
 	outbox    []*granterpb.EntryMessage
 	connected bool
-	wake      chan struct{}
-	beats     [heartbeatsKept]beat
-	seq       uint64
+	// closed is true while the pool is not in the configuration.
+	closed bool
+	wake   chan struct{}
+	beats  [heartbeatsKept]beat
+	seq    uint64
 }
 
 type beat struct {
@@ -125,6 +127,10 @@
 func (s *Session) Submit(d scheduler.Descriptor, cb Callbacks) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		go cb.Refuse(scheduler.RefuseUnserved, 0)
+		return
+	}
 	if s.requests == nil {
 		s.requests = make(map[string]*tracked)
 	}
@@ -132,6 +138,25 @@
 	s.push(&granterpb.EntryMessage{Body: &granterpb.EntryMessage_Submit{Submit: translator.EncodeDescriptor(d)}})
 }
 
+// SetOpen follows the configuration. While the pool is not part of it, waiting requests are refused: no scheduler would ever
+// grant them. Runs go on.
+func (s *Session) SetOpen(open bool) {
+	s.mu.Lock()
+	s.closed = !open
+	var waiting []string
+	if s.closed {
+		for id, t := range s.requests {
+			if t.phase != phaseRunning {
+				waiting = append(waiting, id)
+			}
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range waiting {
+		s.onRefuse(&granterpb.Refuse{RequestId: id, Reason: string(scheduler.RefuseUnserved)})
+	}
+}
+
 // Started reports that a granted request has been dispatched.
 func (s *Session) Started(id, endpoint string) {
 	s.mu.Lock()
--- a/node_test.go
+++ b/node_test.go
@@ -436,6 +436,24 @@
 	if !strings.Contains(r.text, `"m2"`) {
 		t.Errorf("got %s", r.text)
 	}
+	s.engines[0].Crash()
+	waiting := make(chan *reply, 1)
+	go func() {
+		r, err := s.do("POST", s.nodes[0].url+chatPath, "key-k", chatBody("x", 1, false), nil)
+		if err != nil {
+			t.Error(err)
+		}
+		waiting <- r
+	}()
+	for s.nodes[0].store.Active() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	without := next
+	without.Pools = []configurer.Pool{s.cfg.Pools[1]}
+	s.control.Configure(&without)
+	if r := <-waiting; r == nil || r.outcome != "refused" && r.outcome != "not_run" {
+		t.Errorf("a request of a pool that was removed: %+v", r)
+	}
 }
 
 // Guards against a break between the request path and the replicated control part: three hosts in one process agree on the
--- a/sessions.go
+++ b/sessions.go
@@ -33,10 +33,13 @@
 	return &sessionSet{ctx: ctx, node: n, owner: owner, current: make(map[string]*granter.Session)}
 }
 
-// match opens sessions for new pools. The session of a pool that left the configuration stays for its requests in progress.
+// match opens sessions for new pools. The session of a pool that left the configuration stays for its runs.
 func (s *sessionSet) match(cfg *Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for pool, session := range s.current {
+		session.SetOpen(slices.ContainsFunc(cfg.Pools, func(p configurer.Pool) bool { return p.Name == pool }))
+	}
 	for _, p := range cfg.Pools {
 		if s.current[p.Name] != nil || s.ctx.Err() != nil {
 			continue
