--- a/internal/controller/fabric_test.go
+++ b/internal/controller/fabric_test.go
@@ -288,7 +288,7 @@
 func (r *replica) Remove(context.Context, string) error             { return errors.New("not a voter") }
 
 // run starts a part that ends with the test.
-func run(t *testing.T, ctx context.Context, wg *sync.WaitGroup, fn func(context.Context) error) {
+func run(ctx context.Context, t *testing.T, wg *sync.WaitGroup, fn func(context.Context) error) {
 	wg.Go(func() {
 		if err := fn(ctx); err != nil {
 			t.Error(err)
--- a/internal/controller/measure_test.go
+++ b/internal/controller/measure_test.go
@@ -46,7 +46,7 @@
 }
 
 // startReceiver starts a host without the replicated log.
-func startReceiver(b *testing.B, ctx context.Context, wg *sync.WaitGroup, id string, controllers []string) (*controller.Agent, func()) {
+func startReceiver(ctx context.Context, b *testing.B, wg *sync.WaitGroup, id string, controllers []string) (*controller.Agent, func()) {
 	b.Helper()
 	tr := &transporter.Transport{HostID: id, Zone: "z", ListenAddr: "127.0.0.1:0", Key: []byte("shared")}
 	if err := tr.Listen(); err != nil {
@@ -129,7 +129,7 @@
 	}()
 	var agents []*controller.Agent
 	for i := range receivers {
-		agent, closer := startReceiver(b, ctx, &wg, fmt.Sprintf("r%03d", i), controllers)
+		agent, closer := startReceiver(ctx, b, &wg, fmt.Sprintf("r%03d", i), controllers)
 		agents, closers = append(agents, agent), append(closers, closer)
 	}
 	client := hosts["c1"].client
--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -102,12 +102,12 @@
 		h.machine = controller.NewMachine()
 		svc := &controller.Service{HostID: id, Network: e, Log: s.log.replica(id, h.machine), Machine: h.machine, Wall: s.wall}
 		svc.Register()
-		run(s.t, ctx, &s.wg, svc.Run)
+		run(ctx, s.t, &s.wg, svc.Run)
 	}
 	relay := &distributor.Relay{HostID: id, Network: e, Holder: h.agent}
 	relay.Register()
-	run(s.t, ctx, &s.wg, relay.Run)
-	run(s.t, ctx, &s.wg, h.agent.Run)
+	run(ctx, s.t, &s.wg, relay.Run)
+	run(ctx, s.t, &s.wg, h.agent.Run)
 	s.hosts[id] = h
 	return h
 }
--- a/internal/recorder/ledger_test.go
+++ b/internal/recorder/ledger_test.go
@@ -34,7 +34,7 @@
 	name    string
 	attempt uint64
 	// waiting is true from the intent until it is granted, given up or refused.
-	waiting, granted, dispatched, lost bool
+	waiting, granted, dispatched bool
 }
 
 // message is a command on its way to the ledger; it may be delivered late and more than once.
