applier, controller: split into translator, waker and confirmer

The values, errors and messages of the control part are now in translator; the requests to wake hosts and the shared confirmations of leadership have packages of their own.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -21,9 +21,9 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 const (
@@ -46,8 +46,8 @@
 // Control gives access to the control leader; *submitter.Client implements it.
 type Control interface {
 	Config(ctx context.Context) (uint64, []byte, error)
-	PatchConfig(ctx context.Context, p applier.Patch) (applier.PatchResult, error)
-	History(ctx context.Context, from uint64, limit int) ([]applier.Revision, error)
+	PatchConfig(ctx context.Context, p translator.Patch) (translator.PatchResult, error)
+	History(ctx context.Context, from uint64, limit int) ([]translator.Revision, error)
 	Status(ctx context.Context) (*controllerpb.Status, error)
 	ChangeVoters(ctx context.Context, action, id, addr string) error
 }
--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -1,3 +1,4 @@
+// Package applier applies the commands of the replicated log to configuration, roles, members and the ledger of orders.
 package applier
 
 import (
@@ -15,6 +16,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Bounds of the replicated state.
@@ -38,16 +40,16 @@
 	version        uint64
 	document       []byte
 	config         *configurer.Config
-	history        []Revision
+	history        []translator.Revision
 	historyBytes   int
 	accepted       map[string]patchRecord
 	refused        map[string]patchRecord
 	refusedOrder   []string
-	roles          map[string]Assignment
-	members        map[string]Member
+	roles          map[string]translator.Assignment
+	members        map[string]translator.Member
 	membersVersion uint64
 	// memberList is the sorted list of live members of membersVersion, or nil; it is not changed once it is built.
-	memberList []Member
+	memberList []translator.Member
 	// forgottenVersion is the members' version at which a removed member was last forgotten.
 	forgottenVersion uint64
 	term             uint64
@@ -73,7 +75,7 @@
 	m.version, m.document, m.config, m.history, m.historyBytes = 0, nil, nil, nil, 0
 	m.accepted, m.refused, m.refusedOrder = map[string]patchRecord{}, map[string]patchRecord{}, nil
 	m.memberList, m.forgottenVersion = nil, 0
-	m.roles, m.members, m.membersVersion, m.term = map[string]Assignment{}, map[string]Member{}, 0, 0
+	m.roles, m.members, m.membersVersion, m.term = map[string]translator.Assignment{}, map[string]translator.Member{}, 0, 0
 	m.ledger = recorder.New(recorder.Limits{})
 	m.clockAt = time.Now()
 }
@@ -83,7 +85,7 @@
 	cmd := &controllerpb.Command{}
 	var result *controllerpb.Result
 	if err := proto.Unmarshal(command, cmd); err != nil {
-		result = &controllerpb.Result{Failure: EncodeFailure(&MalformedCommandError{Reason: err.Error()})}
+		result = &controllerpb.Result{Failure: translator.EncodeFailure(&translator.MalformedCommandError{Reason: err.Error()})}
 		klog.Errorf("applier: malformed command index=%d reason=%q", index, err)
 	} else {
 		m.mu.Lock()
@@ -116,15 +118,15 @@
 		}
 	case *controllerpb.Command_IntendOrder:
 		var record recorder.Record
-		if record, err = m.ledger.Intend(intentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
-			result.Order = OrderProto(record)
+		if record, err = m.ledger.Intend(translator.IntentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
+			result.Order = translator.OrderProto(record)
 		}
 	case *controllerpb.Command_ConcludeOrder:
 		c := body.ConcludeOrder
-		err = m.ledger.Conclude(KeyOf(c.GetKey()), c.GetOwner(), outcomeOf(c.GetOutcome()))
+		err = m.ledger.Conclude(translator.KeyOf(c.GetKey()), c.GetOwner(), translator.OutcomeOf(c.GetOutcome()))
 	case *controllerpb.Command_WithdrawOrder:
 		w := body.WithdrawOrder
-		err = m.ledger.Withdraw(KeyOf(w.GetKey()), w.GetOwner(), w.GetAttempt())
+		err = m.ledger.Withdraw(translator.KeyOf(w.GetKey()), w.GetOwner(), w.GetAttempt())
 	case *controllerpb.Command_ExpireOrders:
 		m.ledger.Sweep(m.ownerLives())
 		m.ledger.Expire()
@@ -138,10 +140,10 @@
 		m.term = max(m.term, cmd.GetTerm())
 		err = m.checkTerm(cmd)
 	default:
-		err = &MalformedCommandError{Reason: "no body"}
+		err = &translator.MalformedCommandError{Reason: "no body"}
 	}
 	if err != nil {
-		result.Failure = EncodeFailure(err)
+		result.Failure = translator.EncodeFailure(err)
 	}
 	return result
 }
@@ -150,7 +152,7 @@
 // that the present leadership has renewed.
 func (m *Machine) checkTerm(cmd *controllerpb.Command) error {
 	if cmd.GetTerm() != m.term {
-		return &StaleTermError{Term: cmd.GetTerm(), Current: m.term}
+		return &translator.StaleTermError{Term: cmd.GetTerm(), Current: m.term}
 	}
 	return nil
 }
@@ -161,7 +163,7 @@
 
 func (m *Machine) patchConfig(unixMS int64, p *controllerpb.PatchConfig) (uint64, error) {
 	if p.GetId() == "" || len(p.GetId()) > maxPatchIDBytes {
-		return 0, &PatchIDError{ID: p.GetId(), Reason: fmt.Sprintf("must have 1 to %d bytes", maxPatchIDBytes)}
+		return 0, &translator.PatchIDError{ID: p.GetId(), Reason: fmt.Sprintf("must have 1 to %d bytes", maxPatchIDBytes)}
 	}
 	digest := patchDigest(p)
 	first, known := m.accepted[p.GetId()]
@@ -170,12 +172,12 @@
 	}
 	if known {
 		if first.digest != digest {
-			return 0, &PatchIDError{ID: p.GetId(), Reason: "was used with another patch"}
+			return 0, &translator.PatchIDError{ID: p.GetId(), Reason: "was used with another patch"}
 		}
-		return first.version, DecodeFailure(first.failure)
+		return first.version, translator.DecodeFailure(first.failure)
 	}
 	if err := m.tryPatch(unixMS, p); err != nil {
-		m.refuse(p.GetId(), patchRecord{digest: digest, failure: EncodeFailure(err)})
+		m.refuse(p.GetId(), patchRecord{digest: digest, failure: translator.EncodeFailure(err)})
 		return 0, err
 	}
 	m.accepted[p.GetId()] = patchRecord{digest: digest, version: m.version}
@@ -184,7 +186,7 @@
 
 func (m *Machine) tryPatch(unixMS int64, p *controllerpb.PatchConfig) error {
 	if p.GetBase() != m.version {
-		return &StaleVersionError{Base: p.GetBase(), Current: m.version}
+		return &translator.StaleVersionError{Base: p.GetBase(), Current: m.version}
 	}
 	cfg, document, err := configurer.Apply(m.document, p.GetBody())
 	if err != nil {
@@ -193,7 +195,7 @@
 	m.version++
 	m.document, m.config = document, cfg
 	m.ledger.SetLimits(ledgerLimits(cfg))
-	m.history = append(m.history, Revision{
+	m.history = append(m.history, translator.Revision{
 		Version: m.version, PatchID: p.GetId(), Author: p.GetAuthor(), Base: p.GetBase(),
 		Time: time.UnixMilli(unixMS).UTC(), Patch: p.GetBody(),
 	})
@@ -201,7 +203,7 @@
 	for len(m.history) > maxRevisions || (m.historyBytes > maxHistoryBytes && len(m.history) > 1) {
 		m.historyBytes -= len(m.history[0].Patch)
 		delete(m.accepted, m.history[0].PatchID)
-		m.history[0] = Revision{}
+		m.history[0] = translator.Revision{}
 		m.history = m.history[1:]
 	}
 	return nil
@@ -226,9 +228,9 @@
 func (m *Machine) grantRole(g *controllerpb.GrantRole) (uint64, error) {
 	current := m.roles[g.GetRole()]
 	if current.Epoch != g.GetPreviousEpoch() {
-		return 0, &StaleEpochError{Previous: g.GetPreviousEpoch(), Current: current.Epoch}
+		return 0, &translator.StaleEpochError{Previous: g.GetPreviousEpoch(), Current: current.Epoch}
 	}
-	m.roles[g.GetRole()] = Assignment{Host: g.GetHost(), Incarnation: g.GetIncarnation(), Epoch: current.Epoch + 1}
+	m.roles[g.GetRole()] = translator.Assignment{Host: g.GetHost(), Incarnation: g.GetIncarnation(), Epoch: current.Epoch + 1}
 	return current.Epoch + 1, nil
 }
 
@@ -240,7 +242,7 @@
 	if !same && current.Incarnation != p.GetPreviousIncarnation() {
 		return current.Incarnation
 	}
-	next := Member{
+	next := translator.Member{
 		Host: p.GetHost(), Nonce: p.GetNonce(), Incarnation: current.Incarnation, Zone: p.GetZone(), Addr: p.GetAddr(),
 		CallersAddr: p.GetCallersAddr(), Control: p.GetControl(), Version: current.Version,
 	}
@@ -271,7 +273,7 @@
 
 // forgetRemoved bounds the members that are remembered for their incarnation number, the oldest first.
 func (m *Machine) forgetRemoved() {
-	var removed []Member
+	var removed []translator.Member
 	for _, member := range m.members {
 		if member.Removed {
 			removed = append(removed, member)
@@ -280,7 +282,7 @@
 	if len(removed) <= maxRemoved {
 		return
 	}
-	oldest := slices.MinFunc(removed, func(a, b Member) int { return int(a.Version) - int(b.Version) })
+	oldest := slices.MinFunc(removed, func(a, b translator.Member) int { return int(a.Version) - int(b.Version) })
 	m.forgottenVersion = m.membersVersion
 	delete(m.members, oldest.Host)
 }
@@ -301,10 +303,10 @@
 }
 
 // History returns up to limit revisions from a version on, in ascending order.
-func (m *Machine) History(from uint64, limit int) []Revision {
+func (m *Machine) History(from uint64, limit int) []translator.Revision {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	at, _ := slices.BinarySearchFunc(m.history, from, func(r Revision, v uint64) int {
+	at, _ := slices.BinarySearchFunc(m.history, from, func(r translator.Revision, v uint64) int {
 		if r.Version < v {
 			return -1
 		}
@@ -315,14 +317,14 @@
 }
 
 // Roles returns the holder of each role that was ever granted.
-func (m *Machine) Roles() map[string]Assignment {
+func (m *Machine) Roles() map[string]translator.Assignment {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return maps.Clone(m.roles)
 }
 
 // Members returns the members that are not removed, sorted by host, and the members' version. The list must not be changed.
-func (m *Machine) Members() ([]Member, uint64) {
+func (m *Machine) Members() ([]translator.Member, uint64) {
 	m.mu.RLock()
 	list, version := m.memberList, m.membersVersion
 	m.mu.RUnlock()
@@ -332,13 +334,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.memberList == nil {
-		m.memberList = make([]Member, 0, len(m.members))
+		m.memberList = make([]translator.Member, 0, len(m.members))
 		for _, member := range m.members {
 			if !member.Removed {
 				m.memberList = append(m.memberList, member)
 			}
 		}
-		slices.SortFunc(m.memberList, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
+		slices.SortFunc(m.memberList, func(a, b translator.Member) int { return compareStrings(a.Host, b.Host) })
 	}
 	return m.memberList, m.membersVersion
 }
@@ -346,7 +348,7 @@
 // MembersSince returns the members that changed after a version, with the removed ones. The list is full, and holds live
 // members only, when the version is not known any more. Sending changes alone matters when many hosts start at once: full
 // lists of 640 members to 640 hosts for each join took seconds.
-func (m *Machine) MembersSince(since uint64) (members []Member, version uint64, full bool) {
+func (m *Machine) MembersSince(since uint64) (members []translator.Member, version uint64, full bool) {
 	all, version := m.Members()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -361,12 +363,12 @@
 			members = append(members, member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return compareStrings(a.Host, b.Host) })
+	slices.SortFunc(members, func(a, b translator.Member) int { return compareStrings(a.Host, b.Host) })
 	return members, m.membersVersion, false
 }
 
 // Member returns the last known process of a host, also when it was removed.
-func (m *Machine) Member(host string) (Member, bool) {
+func (m *Machine) Member(host string) (translator.Member, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	member, ok := m.members[host]
--- a/internal/applier/snapshot.go
+++ b/internal/applier/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes.
@@ -22,14 +23,14 @@
 		ForgottenVersion: m.forgottenVersion,
 	}
 	for _, r := range m.history {
-		s.History = append(s.History, RevisionProto(r))
+		s.History = append(s.History, translator.RevisionProto(r))
 		s.Patches = append(s.Patches, recordProto(r.PatchID, m.accepted[r.PatchID]))
 	}
 	for _, id := range m.refusedOrder {
 		s.Patches = append(s.Patches, recordProto(id, m.refused[id]))
 	}
 	for name, a := range m.roles {
-		s.Roles = append(s.Roles, RoleProto(name, a))
+		s.Roles = append(s.Roles, translator.RoleProto(name, a))
 	}
 	slices.SortFunc(s.Roles, func(a, b *controllerpb.Role) int { return compareStrings(a.Name, b.Name) })
 	for _, member := range m.members {
@@ -38,29 +39,17 @@
 	slices.SortFunc(s.Members, func(a, b *controllerpb.Member) int { return compareStrings(a.Host, b.Host) })
 	records, withdrawn := m.ledger.Export()
 	for _, r := range records {
-		s.Orders = append(s.Orders, OrderProto(r))
+		s.Orders = append(s.Orders, translator.OrderProto(r))
 	}
 	for _, w := range withdrawn {
 		s.Withdrawals = append(s.Withdrawals, &controllerpb.Withdrawal{
-			Key: keyProto(w.Key), Owner: w.Owner, Attempt: w.Attempt, AtMs: w.AtMS,
+			Key: translator.KeyProto(w.Key), Owner: w.Owner, Attempt: w.Attempt, AtMs: w.AtMS,
 		})
 	}
 	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	return out, eris.Wrap(err, "encode snapshot")
 }
 
-// RevisionProto returns the message form of a revision.
-func RevisionProto(r Revision) *controllerpb.Revision {
-	return &controllerpb.Revision{
-		Version: r.Version, PatchId: r.PatchID, Author: r.Author, UnixMs: r.Time.UnixMilli(), Patch: r.Patch, Base: r.Base,
-	}
-}
-
-// RoleProto returns the message form of a role's holder.
-func RoleProto(name string, a Assignment) *controllerpb.Role {
-	return &controllerpb.Role{Name: name, Host: a.Host, Incarnation: a.Incarnation, Epoch: a.Epoch}
-}
-
 func recordProto(id string, r patchRecord) *controllerpb.PatchRecord {
 	return &controllerpb.PatchRecord{Id: id, Digest: r.digest[:], Version: r.version, Failure: r.failure}
 }
@@ -84,10 +73,10 @@
 	m.term, m.forgottenVersion = s.GetTerm(), s.GetForgottenVersion()
 	m.restorePatches(s)
 	for _, r := range s.GetRoles() {
-		m.roles[r.GetName()] = Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
+		m.roles[r.GetName()] = translator.Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
 	}
 	for _, p := range s.GetMembers() {
-		m.members[p.GetHost()] = MemberOf(p)
+		m.members[p.GetHost()] = translator.MemberOf(p)
 	}
 	m.restoreLedger(s)
 	m.mu.Unlock()
@@ -99,7 +88,7 @@
 
 func (m *Machine) restorePatches(s *controllerpb.Snapshot) {
 	for _, r := range s.GetHistory() {
-		m.history = append(m.history, RevisionOf(r))
+		m.history = append(m.history, translator.RevisionOf(r))
 		m.historyBytes += len(r.GetPatch())
 	}
 	for _, p := range s.GetPatches() {
@@ -117,12 +106,12 @@
 func (m *Machine) restoreLedger(s *controllerpb.Snapshot) {
 	records := make([]recorder.Record, 0, len(s.GetOrders()))
 	for _, o := range s.GetOrders() {
-		records = append(records, OrderOf(o))
+		records = append(records, translator.OrderOf(o))
 	}
 	withdrawn := make([]recorder.Withdrawal, 0, len(s.GetWithdrawals()))
 	for _, w := range s.GetWithdrawals() {
 		withdrawn = append(withdrawn, recorder.Withdrawal{
-			Key: KeyOf(w.GetKey()), Owner: w.GetOwner(), Attempt: w.GetAttempt(), AtMS: w.GetAtMs(),
+			Key: translator.KeyOf(w.GetKey()), Owner: w.GetOwner(), Attempt: w.GetAttempt(), AtMS: w.GetAtMs(),
 		})
 	}
 	if m.config != nil {
--- a/internal/controller/confirmer.go
+++ b/internal/confirmer/confirmer.go
@@ -1,16 +1,27 @@
-package controller
+// Package confirmer shares confirmations of leadership among the exchanges that wait for one.
+package confirmer
 
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// confirmer shares confirmations of leadership: all callers that arrive while one is in progress are answered by the next
+// timeout bounds one confirmation.
+const timeout = 2 * time.Second
+
+// Log confirms that this host leads; a confirmation begins after the call.
+type Log interface {
+	ConfirmLeader(ctx context.Context) (term, applied uint64, err error)
+}
+
+// Confirmer shares confirmations of leadership: all callers that arrive while one is in progress are answered by the next
 // one, which begins after their arrival. At 640 hosts this keeps quorum exchanges independent of the number of heartbeats.
-type confirmer struct {
-	log Log
+// Set Log before Start.
+type Confirmer struct {
+	Log Log
 
 	mu      sync.Mutex
 	running bool
@@ -22,15 +33,15 @@
 // errClosed reports a confirmation asked of a service that does not run.
 var errClosed = eris.New("the control service does not run")
 
-// start allows confirmations until ctx ends.
-func (c *confirmer) start(ctx context.Context) {
+// Start allows confirmations until ctx ends.
+func (c *Confirmer) Start(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ctx = ctx
 }
 
-// stop waits for the confirmation in progress; the context passed to start has ended.
-func (c *confirmer) stop() {
+// Stop waits for the confirmation in progress; the context passed to Start has ended.
+func (c *Confirmer) Stop() {
 	c.mu.Lock()
 	c.ctx = nil
 	c.mu.Unlock()
@@ -43,8 +54,8 @@
 	err  error
 }
 
-// leader returns the term in which a quorum confirmed, after the call began, that this host leads.
-func (c *confirmer) leader(ctx context.Context) (uint64, error) {
+// Leader returns the term in which a quorum confirmed, after the call began, that this host leads.
+func (c *Confirmer) Leader(ctx context.Context) (uint64, error) {
 	c.mu.Lock()
 	if c.ctx == nil {
 		c.mu.Unlock()
@@ -68,7 +79,7 @@
 	}
 }
 
-func (c *confirmer) run(runCtx context.Context) {
+func (c *Confirmer) run(runCtx context.Context) {
 	for {
 		c.mu.Lock()
 		round := c.next
@@ -79,8 +90,8 @@
 			return
 		}
 		c.mu.Unlock()
-		ctx, cancel := context.WithTimeout(runCtx, proposeTimeout)
-		round.term, _, round.err = c.log.ConfirmLeader(ctx)
+		ctx, cancel := context.WithTimeout(runCtx, timeout)
+		round.term, _, round.err = c.Log.ConfirmLeader(ctx)
 		cancel()
 		close(round.done)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Types of the parts that the controller is made of.
@@ -22,17 +23,17 @@
 	// Machine is the replicated state.
 	Machine = applier.Machine
 	// Patch is a change of the configuration.
-	Patch = applier.Patch
+	Patch = translator.Patch
 	// PatchResult is the version that a patch created.
-	PatchResult = applier.PatchResult
+	PatchResult = translator.PatchResult
 	// Revision is one accepted version in the history.
-	Revision = applier.Revision
+	Revision = translator.Revision
 	// Member is a process of a host.
-	Member = applier.Member
+	Member = translator.Member
 	// StaleVersionError reports a patch against a version that is not the current one.
-	StaleVersionError = applier.StaleVersionError
+	StaleVersionError = translator.StaleVersionError
 	// PatchIDError reports a patch id that is missing or was used with another patch.
-	PatchIDError = applier.PatchIDError
+	PatchIDError = translator.PatchIDError
 	// UnavailableError reports that no control leader answered in time.
 	UnavailableError = submitter.UnavailableError
 )
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -7,10 +7,10 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/detector"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -35,7 +35,7 @@
 	if !ready {
 		return nil, "not the leader"
 	}
-	term, err := s.confirm.leader(ctx)
+	term, err := s.confirm.Leader(ctx)
 	if err != nil {
 		return nil, err.Error()
 	}
@@ -146,7 +146,7 @@
 }
 
 // release ends the leases that the host has given up and lets the loop grant them at once.
-func (s *Service) release(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, roles map[string]applier.Assignment) {
+func (s *Service) release(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, roles map[string]translator.Assignment) {
 	for _, r := range hb.GetReleased() {
 		if lead.leases.Release(now, r.GetRole(), roles[r.GetRole()], hb.GetHost(), incarnation, r.GetEpoch()) {
 			s.poke()
@@ -156,7 +156,7 @@
 
 // renew renews the leases of the host and lists all holders. While a new leader does not know the shed level, it confirms
 // only what the host already holds, since a new holder would not know which tiers are closed.
-func (s *Service) renew(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, wanted []string, roles map[string]applier.Assignment, reply *controllerpb.HeartbeatReply) {
+func (s *Service) renew(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, wanted []string, roles map[string]translator.Assignment, reply *controllerpb.HeartbeatReply) {
 	_, known := lead.permits.Level()
 	held := map[string]uint64{}
 	for _, h := range hb.GetHeld() {
@@ -167,7 +167,7 @@
 		if a.Epoch == 0 {
 			continue
 		}
-		reply.Holders = append(reply.Holders, applier.RoleProto(role, a))
+		reply.Holders = append(reply.Holders, translator.RoleProto(role, a))
 		if !known && held[role] != a.Epoch {
 			continue
 		}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/confirmer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/detector"
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
@@ -19,7 +19,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+	"github.com/dragonflycroft/dragonflycroft/internal/waker"
 )
 
 const (
@@ -40,7 +42,6 @@
 	expireInterval = 10 * time.Second
 	stepInterval   = 25 * time.Millisecond
 	proposeTimeout = 2 * time.Second
-	wakeTimeout    = 300 * time.Millisecond
 )
 
 // Service answers heartbeats, commands and queries on a host that holds the replicated log. Only the leader answers; the
@@ -54,14 +55,14 @@
 	Wall func() time.Time
 
 	origin  time.Time
-	confirm confirmer
+	confirm confirmer.Confirmer
+	waker   waker.Waker
 	notify  chan struct{}
 
 	mu         sync.Mutex
 	lead       *leadership
 	electedFor uint64
 	elected    bool
-	wakes      sync.Map // address -> *wakeState
 	cancel     context.CancelFunc
 	done       chan struct{}
 	wg         sync.WaitGroup
@@ -81,7 +82,8 @@
 // Register adds the service's methods to the network. Call it before the network and the log run.
 func (s *Service) Register() {
 	s.origin = time.Now()
-	s.confirm.log = s.Log
+	s.confirm.Log = s.Log
+	s.waker.Network = s.Network
 	s.notify = make(chan struct{}, 1)
 	s.done = make(chan struct{})
 	s.Machine.OnChange = s.poke
@@ -128,7 +130,7 @@
 	s.mu.Lock()
 	s.cancel = cancel
 	s.mu.Unlock()
-	s.confirm.start(ctx)
+	s.confirm.Start(ctx)
 	defer s.stopped()
 	tick := time.NewTicker(stepInterval)
 	defer tick.Stop()
@@ -149,8 +151,9 @@
 	s.mu.Lock()
 	s.lead, s.elected = nil, false
 	s.mu.Unlock()
-	s.confirm.stop()
+	s.confirm.Stop()
 	s.wg.Wait()
+	s.waker.Wait()
 	close(s.done)
 }
 
@@ -184,7 +187,7 @@
 	begin := &controllerpb.Command{Term: term, Body: &controllerpb.Command_BeginTerm{BeginTerm: &controllerpb.BeginTerm{}}}
 	result, err := s.propose(ctx, begin)
 	if err == nil {
-		err = applier.DecodeFailure(result.GetFailure())
+		err = translator.DecodeFailure(result.GetFailure())
 	}
 	if err != nil {
 		klog.Warningf("controller: cannot begin term=%d reason=%q", term, err)
@@ -236,7 +239,7 @@
 		lead.toldVersion = version
 		klog.Infof("controller: configuration accepted version=%d term=%d", version, lead.term)
 		for _, m := range distributor.Direct(s.HostID, members) {
-			s.wake(ctx, m.Addr, "configuration")
+			s.waker.Wake(ctx, m.Addr, "configuration")
 		}
 	}
 	if orders, _ := s.Machine.Orders(); orders > 0 && now-lead.expiredAt >= expireInterval {
@@ -265,7 +268,7 @@
 	}
 }
 
-func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]applier.Assignment, members []Member) {
+func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]translator.Assignment, members []Member) {
 	var hosts []leaser.Host
 	for _, m := range members {
 		if lead.detector.Eligible(now, detector.Process{Host: m.Host, Incarnation: m.Incarnation}) {
@@ -279,7 +282,7 @@
 			}},
 		}, func() {
 			if m, ok := s.Machine.Member(g.Host); ok {
-				s.wake(ctx, m.Addr, "role")
+				s.waker.Wake(ctx, m.Addr, "role")
 			}
 		})
 		if started {
@@ -289,7 +292,7 @@
 }
 
 // stepPermits moves the shed level; it returns true when the level changed.
-func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]applier.Assignment) bool {
+func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]translator.Assignment) bool {
 	if cfg == nil {
 		return false
 	}
@@ -311,6 +314,21 @@
 	return changed
 }
 
+// wakeHolders wakes the holders of pool roles.
+func (s *Service) wakeHolders(ctx context.Context, members []Member, roles map[string]translator.Assignment) {
+	holders := map[string]bool{}
+	for role, a := range roles {
+		if isPoolRole(role) {
+			holders[a.Host] = true
+		}
+	}
+	for _, m := range members {
+		if holders[m.Host] {
+			s.waker.Wake(ctx, m.Addr, "shed level")
+		}
+	}
+}
+
 // wantedRoles are the roles of a configuration.
 func wantedRoles(cfg *configurer.Config) []string {
 	if cfg == nil {
@@ -352,7 +370,7 @@
 		defer cancel()
 		result, err := s.propose(ctx, cmd)
 		if err == nil {
-			err = applier.DecodeFailure(result.GetFailure())
+			err = translator.DecodeFailure(result.GetFailure())
 		}
 		s.mu.Lock()
 		delete(lead.inFlight, name)
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -14,9 +14,9 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -78,10 +78,10 @@
 	config         *configurer.Config
 	confirmedAt    time.Time
 	relayedAt      time.Time
-	members        []applier.Member
+	members        []translator.Member
 	membersVersion uint64
 
-	holders  map[string]applier.Assignment
+	holders  map[string]translator.Assignment
 	held     map[string]lease
 	ended    map[string]uint64
 	draining bool
@@ -91,7 +91,7 @@
 	subscribers []func(uint64, *configurer.Config)
 	onRole      []func(string, uint64, bool)
 	onShed      []func(int, int, time.Duration)
-	onMembers   []func([]applier.Member)
+	onMembers   []func([]translator.Member)
 	calls       []func()
 	pending     chan struct{}
 	wake        chan chan bool
@@ -110,7 +110,7 @@
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
 		a.joined = make(chan struct{})
-		a.holders, a.held, a.ended = map[string]applier.Assignment{}, map[string]lease{}, map[string]uint64{}
+		a.holders, a.held, a.ended = map[string]translator.Assignment{}, map[string]lease{}, map[string]uint64{}
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
 		a.wake = make(chan chan bool, maxWakes)
@@ -335,21 +335,21 @@
 	if r.GetMembersVersion() == a.membersVersion {
 		return
 	}
-	byHost := make(map[string]applier.Member, len(a.members)+len(r.GetMembers()))
+	byHost := make(map[string]translator.Member, len(a.members)+len(r.GetMembers()))
 	if !r.GetMembersFull() {
 		for _, m := range a.members {
 			byHost[m.Host] = m
 		}
 	}
 	for _, p := range r.GetMembers() {
-		m := applier.MemberOf(p)
+		m := translator.MemberOf(p)
 		byHost[m.Host] = m
 		if m.Removed {
 			delete(byHost, m.Host)
 		}
 	}
 	a.membersVersion = r.GetMembersVersion()
-	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y applier.Member) int { return strings.Compare(x.Host, y.Host) })
+	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y translator.Member) int { return strings.Compare(x.Host, y.Host) })
 	members := a.members
 	for _, fn := range a.onMembers {
 		a.enqueue(func() { fn(members) })
@@ -370,17 +370,17 @@
 }
 
 // Owner returns the name of this process in the ledger and in request ids, HOST.INCARNATION.
-func (a *Agent) Owner() string { return applier.Owner(a.HostID, a.Incarnation()) }
+func (a *Agent) Owner() string { return translator.Owner(a.HostID, a.Incarnation()) }
 
 // Members returns the live members, sorted by host.
-func (a *Agent) Members() []applier.Member {
+func (a *Agent) Members() []translator.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.members
 }
 
 // OnMembers registers a function that is called with each new list of members.
-func (a *Agent) OnMembers(fn func([]applier.Member)) {
+func (a *Agent) OnMembers(fn func([]translator.Member)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.onMembers = append(a.onMembers, fn)
--- a/internal/applier/failure.go
+++ b/internal/translator/failure.go
@@ -1,4 +1,4 @@
-package applier
+package translator
 
 import (
 	"errors"
@@ -57,19 +57,19 @@
 	case errors.As(err, &term):
 		f.Code, f.Base, f.Current = codeStaleTerm, term.Term, term.Current
 	case errors.As(err, &mismatch):
-		f.Code, f.Key = codeDigestMismatch, keyProto(mismatch.Key)
+		f.Code, f.Key = codeDigestMismatch, KeyProto(mismatch.Key)
 	case errors.As(err, &full):
 		f.Code, f.Orders, f.Bytes = codeLedgerFull, int64(full.Orders), full.Bytes
 	case errors.As(err, &owner):
-		f.Code, f.Key, f.Owner, f.Asked = codeNotOwner, keyProto(owner.Key), owner.Owner, owner.Asked
+		f.Code, f.Key, f.Owner, f.Asked = codeNotOwner, KeyProto(owner.Key), owner.Owner, owner.Asked
 	case errors.As(err, &unknown):
-		f.Code, f.Key = codeUnknownOrder, keyProto(unknown.Key)
+		f.Code, f.Key = codeUnknownOrder, KeyProto(unknown.Key)
 	case errors.As(err, &done):
-		f.Code, f.Key = codeConcluded, keyProto(done.Key)
+		f.Code, f.Key = codeConcluded, KeyProto(done.Key)
 	case errors.As(err, &intent):
 		f.Code, f.Message = codeInvalidIntent, intent.Reason
 	case errors.As(err, &gone):
-		f.Code, f.Key = codeWithdrawn, keyProto(gone.Key)
+		f.Code, f.Key = codeWithdrawn, KeyProto(gone.Key)
 	}
 	return f
 }
--- a/internal/applier/orders.go
+++ b/internal/translator/orders.go
@@ -1,11 +1,12 @@
-package applier
+package translator
 
 import (
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
 
-func keyProto(k recorder.Key) *controllerpb.Key {
+// KeyProto returns the message form of a key.
+func KeyProto(k recorder.Key) *controllerpb.Key {
 	return &controllerpb.Key{Workspace: k.Workspace, Value: k.Value}
 }
 
@@ -17,12 +18,13 @@
 // IntentProto returns the message form of an intent.
 func IntentProto(in recorder.Intent) *controllerpb.IntendOrder {
 	return &controllerpb.IntendOrder{
-		Key: keyProto(in.Key), Digest: in.Digest, RequestId: in.RequestID, Owner: in.Owner,
+		Key: KeyProto(in.Key), Digest: in.Digest, RequestId: in.RequestID, Owner: in.Owner,
 		Endpoint: in.Endpoint, Attempt: in.Attempt,
 	}
 }
 
-func intentOf(p *controllerpb.IntendOrder) recorder.Intent {
+// IntentOf reads the message form of an intent.
+func IntentOf(p *controllerpb.IntendOrder) recorder.Intent {
 	return recorder.Intent{
 		Key: KeyOf(p.GetKey()), Digest: p.GetDigest(), RequestID: p.GetRequestId(), Owner: p.GetOwner(),
 		Endpoint: p.GetEndpoint(), Attempt: p.GetAttempt(),
@@ -36,7 +38,8 @@
 	}
 }
 
-func outcomeOf(p *controllerpb.Outcome) recorder.Outcome {
+// OutcomeOf reads the message form of an outcome.
+func OutcomeOf(p *controllerpb.Outcome) recorder.Outcome {
 	return recorder.Outcome{
 		Outcome: p.GetOutcome(), Status: int(p.GetStatus()), Header: p.GetHeader(), Body: p.GetBody(), Truncated: p.GetTruncated(),
 	}
@@ -57,11 +60,11 @@
 // OrderOf reads the message form of a record.
 func OrderOf(p *controllerpb.Order) recorder.Record {
 	r := recorder.Record{
-		Intent: intentOf(p.GetIntent()), Phase: recorder.Phase(p.GetPhase()), Granted: p.GetGranted(),
+		Intent: IntentOf(p.GetIntent()), Phase: recorder.Phase(p.GetPhase()), Granted: p.GetGranted(),
 		RecordedUnixMS: p.GetRecordedUnixMs(), ChangedMS: p.GetChangedMs(),
 	}
 	if p.GetOutcome() != nil {
-		out := outcomeOf(p.GetOutcome())
+		out := OutcomeOf(p.GetOutcome())
 		r.Outcome = &out
 	}
 	return r
--- a/internal/applier/types.go
+++ b/internal/translator/types.go
@@ -1,5 +1,5 @@
-// Package applier applies the commands of the replicated log to configuration, roles, members and the ledger of orders.
-package applier
+// Package translator defines the values and errors of the control part and converts them from and to messages.
+package translator
 
 import (
 	"fmt"
@@ -78,6 +78,18 @@
 	}
 }
 
+// RevisionProto returns the message form of a revision.
+func RevisionProto(r Revision) *controllerpb.Revision {
+	return &controllerpb.Revision{
+		Version: r.Version, PatchId: r.PatchID, Author: r.Author, UnixMs: r.Time.UnixMilli(), Patch: r.Patch, Base: r.Base,
+	}
+}
+
+// RoleProto returns the message form of a role's holder.
+func RoleProto(name string, a Assignment) *controllerpb.Role {
+	return &controllerpb.Role{Name: name, Host: a.Host, Incarnation: a.Incarnation, Epoch: a.Epoch}
+}
+
 // StaleVersionError reports a patch that was written against a version that is not the current one.
 type StaleVersionError struct {
 	Base    uint64
