--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -100,10 +100,14 @@
 			s.askPermit(t.Order)
 			return false
 		}
-		r, ok := s.book.Victim(t.Order)
+		r, newest, ok := s.book.Victims(t.Order)
 		if !ok {
 			return true
 		}
+		// Old work that has missed its target is worth less than new work that can meet it.
+		if s.timeliness(r) < lateLane {
+			r = newest
+		}
 		s.refuse(r, RefuseOverload, s.retryAfter())
 	}
 	return true
--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -73,13 +73,14 @@
 	delete(b.owners, h.owner)
 }
 
-// Victim returns the newest request of the caller that asks for the most tokens in a tier.
-func (b *Book[T]) Victim(tier int) (v T, ok bool) {
+// Victims returns the oldest and the newest request of the caller that asks for the most tokens in a tier.
+func (b *Book[T]) Victims(tier int) (oldest, newest T, ok bool) {
 	h := b.tiers[tier]
 	if h == nil || h.Len() == 0 {
-		return v, false
+		return oldest, newest, false
 	}
-	return h.Min().Value.waiting.Back().Value.(T), true
+	w := h.Min().Value.waiting
+	return w.Front().Value.(T), w.Back().Value.(T), true
 }
 
 func largerFirst(x, y *owned) bool {
--- a/internal/shedder/shedder_test.go
+++ b/internal/shedder/shedder_test.go
@@ -12,15 +12,15 @@
 	b.Add(small, 150, 1, "small")
 	b.Add(weighty, 300, 4, "weighty")
 	b.Add(Owner{1, "w", "big"}, 1e6, 1, "other tier")
-	if v, ok := b.Victim(2); !ok || v != "big2" {
-		t.Errorf("victim %q, want the newest request of the largest caller", v)
+	if oldest, v, ok := b.Victims(2); !ok || oldest != "big1" || v != "big2" {
+		t.Errorf("victims %q and %q, want those of the largest caller", oldest, v)
 	}
 	b.Remove(newest)
 	b.Remove(newest)
-	if v, _ := b.Victim(2); v != "small" {
+	if _, v, _ := b.Victims(2); v != "small" {
 		t.Errorf("victim %q, want small: the large caller is down to 100", v)
 	}
-	if _, ok := b.Victim(0); ok {
+	if _, _, ok := b.Victims(0); ok {
 		t.Error("an empty tier has a victim")
 	}
 }
