--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -70,6 +70,7 @@
 	t.Cleanup(func() {
 		cancel()
 		s.wg.Wait()
+		s.fabric.calls.Wait()
 	})
 	return s
 }
@@ -101,12 +102,12 @@
 		h.machine = controller.NewMachine()
 		svc := &controller.Service{HostID: id, Network: e, Log: s.log.replica(id, h.machine), Machine: h.machine, Wall: s.wall}
 		svc.Register()
-		run(s.t, ctx, &s.wg, svc.Run)
+		run(ctx, s.t, &s.wg, svc.Run)
 	}
 	relay := &distributor.Relay{HostID: id, Network: e, Holder: h.agent}
 	relay.Register()
-	run(s.t, ctx, &s.wg, relay.Run)
-	run(s.t, ctx, &s.wg, h.agent.Run)
+	run(ctx, s.t, &s.wg, relay.Run)
+	run(ctx, s.t, &s.wg, h.agent.Run)
 	s.hosts[id] = h
 	return h
 }
@@ -200,10 +201,12 @@
 			t.Fatal(err)
 		}
 		s.until(100*time.Millisecond-time.Since(began), "hand-over", func() bool { h := s.holder(role); return h != "" && h != first })
+		t.Logf("hand-over took %v", time.Since(began))
 		time.Sleep(2 * time.Second)
 		second := s.holder(role)
 		s.hosts[second].stop()
-		s.until(2*time.Second, "fail-over", func() bool { h := s.holder(role); return h != "" && h != second })
+		took := s.until(2*time.Second, "fail-over", func() bool { h := s.holder(role); return h != "" && h != second })
+		t.Logf("fail-over took %v", took)
 	})
 }
 
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -64,6 +64,10 @@
 		below = t.Order - 1
 	}
 	below = max(below, s.closedBelow)
+	// Until the hosts have reported, a new holder does not know which runs of closed tiers there are.
+	if s.table.Warm() {
+		return
+	}
 	if below < s.lowest() && (tick || below != s.confirmed) {
 		s.confirmed = below
 		s.emit(ConfirmClosed{Below: below})
@@ -100,10 +104,14 @@
 			s.askPermit(t.Order)
 			return false
 		}
-		r, ok := s.book.Victim(t.Order)
+		r, newest, ok := s.book.Victims(t.Order)
 		if !ok {
 			return true
 		}
+		// Old work that has missed its target is worth less than new work that can meet it.
+		if s.timeliness(r) < lateLane {
+			r = newest
+		}
 		s.refuse(r, RefuseOverload, s.retryAfter())
 	}
 	return true
