granter, holder: entry hosts remember suspects for the next holder

Cause: the scheduler shares suspects by an action that the shell dropped, so a new holder did not know which requests had crashed endpoints. Change: the holder sends shared suspects to all entry hosts; sessions keep them for ten minutes or their refusal time and report them in the Hello.

--- a/internal/granter/session.go
+++ b/internal/granter/session.go
@@ -99,6 +99,8 @@
 	wake   chan struct{}
 	beats  [heartbeatsKept]beat
 	seq    uint64
+	// suspects are those that holders have shared, by fingerprint.
+	suspects map[string]rememberedSuspect
 }
 
 type beat struct {
@@ -364,6 +366,7 @@
 			parts = append(parts, part)
 		}
 	}
+	part.Suspects = s.recallSuspects(now)
 	for _, c := range kept {
 		room()
 		part.Kept = append(part.Kept, c)
@@ -447,6 +450,8 @@
 			s.onRefuse(b.Refuse)
 		case *granterpb.HolderMessage_CancelRun:
 			s.onCancelRun(b.CancelRun)
+		case *granterpb.HolderMessage_Suspect:
+			s.onSuspect(b.Suspect)
 		}
 	}
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -167,6 +167,9 @@
 			h.Shedder.ConfirmClosed(granter.RoleOf(h.Pool), a.Below)
 		}
 		return
+	case scheduler.ShareSuspect:
+		h.shareSuspect(a.Suspect)
+		return
 	case scheduler.Grant:
 		holderGrants.Add(1)
 	case scheduler.Refuse:
@@ -181,6 +184,14 @@
 	}
 }
 
+// shareSuspect tells all entry hosts, so that a later holder learns of it from any of them.
+func (h *Holder) shareSuspect(suspect scheduler.Suspect) {
+	m := &granterpb.HolderMessage{Body: &granterpb.HolderMessage_Suspect{Suspect: translator.EncodeSuspect(suspect)}}
+	for _, p := range h.peers {
+		p.send(m)
+	}
+}
+
 func (h *Holder) heartbeatOf(host string) uint64 {
 	if p := h.peers[host]; p != nil {
 		return p.heartbeat
@@ -307,6 +318,9 @@
 		for _, r := range part.GetRunning() {
 			synced.Running = append(synced.Running, translator.DecodeRun(r))
 		}
+		for _, suspect := range part.GetSuspects() {
+			synced.Suspects = append(synced.Suspects, translator.DecodeSuspect(suspect))
+		}
 		if part != hello {
 			hello.Kept = append(hello.Kept, part.GetKept()...)
 		}
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -32,10 +32,18 @@
 		return nil
 	case scheduler.Submit:
 		f.waiting = append(f.waiting, ev)
+		if ev.Descriptor.Fingerprint != "" {
+			suspect := scheduler.Suspect{Fingerprint: ev.Descriptor.Fingerprint, Crashes: 2, RefusedFor: time.Hour}
+			actions = append(actions, scheduler.ShareSuspect{Suspect: suspect})
+		}
 	case scheduler.HostSynced:
 		for _, d := range ev.Waiting {
 			f.waiting = append(f.waiting, scheduler.Submit{Host: ev.Host, Descriptor: d})
 		}
+		for _, suspect := range ev.Suspects {
+			f.events = append(f.events, fmt.Sprintf("suspect %s crashes=%d refused=%v",
+				suspect.Fingerprint, suspect.Crashes, suspect.RefusedFor > 59*time.Minute))
+		}
 		f.events = append(f.events, fmt.Sprintf("synced %s waiting=%d running=%d", ev.Host, len(ev.Waiting), len(ev.Running)))
 	case scheduler.Finished:
 		f.room++
@@ -149,8 +157,12 @@
 }
 
 func (r *rig) submit(id string) <-chan string {
+	return r.submitDescriptor(scheduler.Descriptor{RequestID: id, Workspace: "w"})
+}
+
+func (r *rig) submitDescriptor(d scheduler.Descriptor) <-chan string {
 	granted := make(chan string, 8)
-	r.session.Submit(scheduler.Descriptor{RequestID: id, Workspace: "w"}, granter.Callbacks{
+	r.session.Submit(d, granter.Callbacks{
 		Grant: func(endpoint string, deadline time.Time) {
 			if deadline.After(time.Now()) {
 				granted <- endpoint
@@ -188,6 +200,17 @@
 	}
 }
 
+// Guards against a new holder that does not know which requests have crashed endpoints, and lets them crash two more.
+func TestSuspectsOutliveTheHolder(t *testing.T) {
+	r := newRig(t)
+	r.roles.grant(1)
+	r.until(func() bool { return r.policy.seen("synced h.1 waiting=0 running=0") })
+	// The grant follows the suspect on the same stream.
+	<-r.submitDescriptor(scheduler.Descriptor{RequestID: "poison", Workspace: "w", Fingerprint: "f"})
+	r.roles.grant(2)
+	r.until(func() bool { return r.policy.seen("suspect f crashes=2 refused=true") })
+}
+
 // Guards against a state that is lost or cut when it does not fit one message.
 func TestLongHello(t *testing.T) {
 	r := newRig(t)
--- a/internal/scenariorunner/workload.go
+++ b/internal/scenariorunner/workload.go
@@ -55,6 +55,7 @@
 // workload describes the requests of one load step.
 type workload struct {
 	name        string
+	body        string
 	order       bool
 	n           int
 	concurrency int
@@ -72,7 +73,7 @@
 func (s Step) workload(c *cluster) (*workload, error) {
 	w := &workload{
 		name: s.text("name", "load"), tier: s.text("tier", "counter"), workspace: s.text("workspace", "counter-desk"),
-		key: s.text("key", ""), order: s.text("kind", "chat") == "order",
+		body: s.text("body", s.text("name", "load")), key: s.text("key", ""), order: s.text("kind", "chat") == "order",
 		crash: s.text("crash", "no") == "yes", same: s.text("same", "no") == "yes",
 	}
 	var errs [5]error
@@ -158,7 +159,7 @@
 	if w.same {
 		i = 0
 	}
-	content := fmt.Sprintf("%s-%d ", w.name, i)
+	content := fmt.Sprintf("%s-%d ", w.body, i)
 	if missing := w.promptBytes - len(content); missing > 0 {
 		content += strings.Repeat("x", missing)
 	}
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// EncodeSuspect returns the message of a suspect.
+func EncodeSuspect(s scheduler.Suspect) *granterpb.Suspect {
+	return &granterpb.Suspect{Fingerprint: s.Fingerprint, Crashes: int64(s.Crashes), RefusedForNs: int64(s.RefusedFor)}
+}
+
+// DecodeSuspect returns the suspect of a message.
+func DecodeSuspect(m *granterpb.Suspect) scheduler.Suspect {
+	return scheduler.Suspect{
+		Fingerprint: m.GetFingerprint(), Crashes: int(m.GetCrashes()), RefusedFor: time.Duration(m.GetRefusedForNs()),
+	}
+}
+
 // DecodeRun reads the message form of a run.
 func DecodeRun(m *granterpb.Run) scheduler.Run {
 	return scheduler.Run{
