--- a/internal/controller/system_test.go
+++ b/internal/controller/system_test.go
@@ -496,3 +496,35 @@
 		}
 	})
 }
+
+// Guards against two processes that run under one host id both acting under a role, and against an incarnation, which is part
+// of request ids, that both are given.
+func TestTwoProcessesOfOneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, 4, 3)
+		s.configure()
+		role := controller.PoolRole("a")
+		s.until(3*time.Second, "role held", func() bool { return s.holder(role) != "" })
+		id := s.holder(role)
+		first := s.hosts[id]
+		before := first.agent.Incarnation()
+		// The second process keeps the id and has no replicated log.
+		second := s.boot(id, "z9", false)
+		s.until(2*time.Second, "the second process joined", func() bool { return second.agent.Incarnation() > before })
+		both := 0
+		for range 2_000 {
+			time.Sleep(5 * time.Millisecond)
+			if first.agent.Incarnation() == second.agent.Incarnation() {
+				both++
+			}
+			for _, r := range []string{controller.RolePlacement, role, controller.PoolRole("b")} {
+				if first.valid(r) && second.valid(r) {
+					t.Fatalf("both processes of %s hold %s", id, r)
+				}
+			}
+		}
+		if both > 0 {
+			t.Errorf("both processes had the same incarnation at %d moments", both)
+		}
+	})
+}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -37,6 +38,9 @@
 	ExchangeTimeout = 300 * time.Millisecond
 	// expiryInterval is how often lapsed leases are reported; RoleValid itself is exact.
 	expiryInterval = 25 * time.Millisecond
+	// rejoinDelay is the pause of a process whose host id another process has taken, so that two processes with one id by
+	// mistake do not replace each other at every heartbeat.
+	rejoinDelay = 5 * time.Second
 	// maxWakes bounds the requests for a heartbeat that wait.
 	maxWakes = 64
 	// retryDelay is the pause after all control hosts have failed to answer.
@@ -72,6 +76,7 @@
 	leader      string
 	leaderAddr  string
 	term        uint64
+	rejoinAt    time.Time
 
 	version        uint64
 	document       []byte
@@ -82,8 +87,7 @@
 	membersVersion uint64
 
 	holders  map[string]translator.Assignment
-	held     map[string]lease
-	ended    map[string]uint64
+	leases   *tenant.Leases
 	draining bool
 	leaving  bool
 	shed     shedState
@@ -100,17 +104,11 @@
 	initOnce    sync.Once
 }
 
-// lease is a role held until a time of this host's monotonic clock.
-type lease struct {
-	epoch uint64
-	until time.Time
-}
-
 func (a *Agent) init() {
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
 		a.joined = make(chan struct{})
-		a.holders, a.held, a.ended = map[string]translator.Assignment{}, map[string]lease{}, map[string]uint64{}
+		a.holders, a.leases = map[string]translator.Assignment{}, tenant.New()
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
 		a.wake = make(chan chan bool, maxWakes)
@@ -150,7 +148,7 @@
 	a.heartbeatLoop(ctx)
 	wg.Wait()
 	a.mu.Lock()
-	a.endAll()
+	a.report(a.leases.EndAll())
 	a.mu.Unlock()
 	a.runCalls()
 	close(a.done)
@@ -204,7 +202,7 @@
 func (a *Agent) interval() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.relayed(time.Now()) && len(a.held) == 0 {
+	if a.relayed(time.Now()) && len(a.leases.Held()) == 0 {
 		return RelayedInterval
 	}
 	return HeartbeatInterval
@@ -212,6 +210,12 @@
 
 // beat sends one heartbeat to the leader, or to the next control host when it does not answer.
 func (a *Agent) beat(ctx context.Context) bool {
+	a.mu.Lock()
+	paused := time.Now().Before(a.rejoinAt)
+	a.mu.Unlock()
+	if paused {
+		return false
+	}
 	tried := map[string]bool{}
 	for _, addr := range a.targets() {
 		for addr != "" && !tried[addr] && ctx.Err() == nil {
@@ -279,18 +283,18 @@
 		Control: a.Control, Seq: a.seq, ConfigVersion: a.version, Draining: a.draining, Leaving: a.leaving,
 		MembersVersion: a.membersVersion, Relayed: a.relayed(now), IntervalMs: HeartbeatInterval.Milliseconds(),
 	}
-	if hb.Relayed && len(a.held) == 0 {
+	if hb.Relayed && len(a.leases.Held()) == 0 {
 		hb.IntervalMs = RelayedInterval.Milliseconds()
 	}
-	for role, l := range a.held {
-		if now.Before(l.until) {
-			hb.Held = append(hb.Held, &controllerpb.HeldRole{Role: role, Epoch: l.epoch})
+	for role, l := range a.leases.Held() {
+		if now.Before(l.Until) {
+			hb.Held = append(hb.Held, &controllerpb.HeldRole{Role: role, Epoch: l.Epoch})
 		}
 	}
-	for role, epoch := range a.ended {
+	for role, epoch := range a.leases.Ended() {
 		hb.Released = append(hb.Released, &controllerpb.HeldRole{Role: role, Epoch: epoch})
 	}
-	hb.Reports = a.shed.reports(now, a.held)
+	hb.Reports = a.shed.reports(now, a.leases.Held())
 	return hb
 }
 
@@ -304,8 +308,8 @@
 	}
 	if r.GetSuperseded() {
 		klog.Errorf("heartbeater: another process runs under this host id host=%s incarnation=%d", a.HostID, a.incarnation)
-		a.endAll()
-		a.nonce, a.incarnation = rand.Uint64(), 0
+		a.report(a.leases.EndAll())
+		a.nonce, a.incarnation, a.rejoinAt = rand.Uint64(), 0, time.Now().Add(rejoinDelay)
 		return
 	}
 	a.term, a.leader, a.leaderAddr = r.GetTerm(), r.GetLeader(), addr
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
@@ -36,8 +36,8 @@
 	defer a.mu.Unlock()
 	a.init()
 	a.onRole = append(a.onRole, fn)
-	for role, l := range a.held {
-		a.enqueue(func() { fn(role, l.epoch, true) })
+	for role, l := range a.leases.Held() {
+		a.enqueue(func() { fn(role, l.Epoch, true) })
 	}
 }
 
@@ -45,8 +45,8 @@
 func (a *Agent) RoleValid(role string, epoch uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l, ok := a.held[role]
-	return ok && l.epoch == epoch && time.Now().Before(l.until)
+	a.init()
+	return a.leases.Valid(time.Now(), role, epoch)
 }
 
 // HandOver gives up all roles and takes no new ones. It returns once the callbacks have run and the leader has answered,
@@ -55,7 +55,7 @@
 	a.mu.Lock()
 	a.init()
 	a.draining = true
-	a.endAll()
+	a.report(a.leases.EndAll())
 	delivered := make(chan struct{})
 	a.enqueue(func() { close(delivered) })
 	a.mu.Unlock()
@@ -106,58 +106,27 @@
 	a.holders = make(map[string]translator.Assignment, len(r.GetHolders()))
 	for _, h := range r.GetHolders() {
 		a.holders[h.GetName()] = translator.Assignment{Host: h.GetHost(), Incarnation: h.GetIncarnation(), Epoch: h.GetEpoch()}
-		if a.ended[h.GetName()] < h.GetEpoch() {
-			delete(a.ended, h.GetName())
-		}
+		a.leases.Observe(h.GetName(), h.GetEpoch())
 	}
-	until := sent.Add(time.Duration(r.GetLeaseMs()) * time.Millisecond)
+	if a.draining {
+		return
+	}
+	now, until := time.Now(), sent.Add(time.Duration(r.GetLeaseMs())*time.Millisecond)
 	for _, g := range r.GetGranted() {
-		a.acceptGrant(g.GetRole(), g.GetEpoch(), until)
+		a.report(a.leases.Grant(now, g.GetRole(), g.GetEpoch(), until))
 	}
 }
 
-// acceptGrant renews a lease or starts a new one. An epoch that this host has given up or lost is not taken again.
-func (a *Agent) acceptGrant(role string, epoch uint64, until time.Time) {
-	current, held := a.held[role]
-	if a.draining || epoch <= a.ended[role] || !time.Now().Before(until) || (held && epoch < current.epoch) {
-		return
-	}
-	if held && current.epoch == epoch {
-		if !time.Now().Before(current.until) {
-			a.end(role)
-			return
+// report logs changes of roles and passes them to the callbacks; the caller holds the lock.
+func (a *Agent) report(changes []tenant.Change) {
+	for _, c := range changes {
+		klog.Infof("heartbeater: role host=%s role=%s epoch=%d held=%t", a.HostID, c.Role, c.Epoch, c.Held)
+		if !c.Held {
+			a.shed.forget(c.Role)
 		}
-		if until.After(current.until) {
-			a.held[role] = lease{epoch: epoch, until: until}
+		for _, fn := range a.onRole {
+			a.enqueue(func() { fn(c.Role, c.Epoch, c.Held) })
 		}
-		return
-	}
-	if held {
-		a.end(role)
-		delete(a.ended, role)
-	}
-	a.held[role] = lease{epoch: epoch, until: until}
-	klog.Infof("heartbeater: role held host=%s role=%s epoch=%d", a.HostID, role, epoch)
-	for _, fn := range a.onRole {
-		a.enqueue(func() { fn(role, epoch, true) })
-	}
-}
-
-// end stops acting under a role. The epoch is reported as released until the leader has granted another one.
-func (a *Agent) end(role string) {
-	l := a.held[role]
-	delete(a.held, role)
-	a.ended[role] = max(a.ended[role], l.epoch)
-	a.shed.forget(role)
-	klog.Infof("heartbeater: role ended host=%s role=%s epoch=%d", a.HostID, role, l.epoch)
-	for _, fn := range a.onRole {
-		a.enqueue(func() { fn(role, l.epoch, false) })
-	}
-}
-
-func (a *Agent) endAll() {
-	for _, role := range slices.Sorted(maps.Keys(a.held)) {
-		a.end(role)
 	}
 }
 
@@ -169,13 +138,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
 			a.mu.Lock()
-			for _, role := range slices.Sorted(maps.Keys(a.held)) {
-				if !now.Before(a.held[role].until) {
-					a.end(role)
-				}
-			}
+			a.report(a.leases.Expire(time.Now()))
 			a.mu.Unlock()
 		}
 	}
--- a/internal/heartbeater/shed.go
+++ b/internal/heartbeater/shed.go
@@ -5,6 +5,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 )
 
 // AskFor is how long an ask for a shed permit lasts unless it is repeated.
@@ -35,11 +36,11 @@
 	delete(s.confirmed, role)
 }
 
-func (s *shedState) reports(now time.Time, held map[string]lease) []*controllerpb.ShedReport {
+func (s *shedState) reports(now time.Time, held map[string]tenant.Lease) []*controllerpb.ShedReport {
 	var out []*controllerpb.ShedReport
 	for role, l := range held {
 		r := &controllerpb.ShedReport{
-			Role: role, Epoch: l.epoch, ConfirmedBelow: permitter.Open,
+			Role: role, Epoch: l.Epoch, ConfirmedBelow: permitter.Open,
 			Level: &controllerpb.ShedLevel{Term: s.told.Term, Number: s.told.Number, ClosedBelow: int64(s.told.ClosedBelow)},
 		}
 		if below, ok := s.confirmed[role]; ok {
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -91,7 +91,9 @@
 	}
 	delay := minRetryDelay
 	var last error
+	followed := false
 	for {
+		redirected := false
 		for _, addr := range c.targets() {
 			err := c.exchange(ctx, addr, method, req, resp)
 			if err == nil {
@@ -103,9 +105,16 @@
 			}
 			var moved *redirectError
 			if errors.As(err, &moved) && moved.addr != "" && moved.addr != addr {
+				redirected = true
 				break
 			}
 		}
+		if redirected && !followed {
+			// One redirect is followed at once; hosts that name each other are not asked in a tight loop.
+			followed = true
+			continue
+		}
+		followed = false
 		if last == nil {
 			return &UnavailableError{Method: method, Err: eris.New("no control host is known")}
 		}
