--- a/harness_test.go
+++ b/harness_test.go
@@ -20,17 +20,17 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
 // system is a whole system in one process: entry hosts and stand-in endpoints on loopback.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	cfg      *configurer.Config
 	control  *localcontroller.Controller
 	records  *standin.Records
@@ -63,7 +63,7 @@
 }
 
 // newSystem starts engines, one plain service and entry hosts.
-func newSystem(t *testing.T, nodes, engines int, speed emulator.Options) *system {
+func newSystem(t testing.TB, nodes, engines int, speed emulator.Options) *system {
 	t.Helper()
 	s := &system{t: t, records: &standin.Records{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	s.cfg = &configurer.Config{
@@ -107,7 +107,7 @@
 }
 
 // newReplicatedSystem starts the replicated control part on all entry hosts.
-func newReplicatedSystem(t *testing.T, nodes, engines int, speed emulator.Options) *system {
+func newReplicatedSystem(t testing.TB, nodes, engines int, speed emulator.Options) *system {
 	t.Helper()
 	s := newSystem(t, 0, engines, speed)
 	s.voters = make(map[string]string)
@@ -142,7 +142,7 @@
 	return s
 }
 
-func must(t *testing.T, err error) {
+func must(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -162,7 +162,7 @@
 	n.Node = &Node{
 		HostID: id, Zone: "z1", PeerAddr: "127.0.0.1:0", CallerAddr: "127.0.0.1:0", Key: []byte("shared key of the test"),
 		Endpoint: connector.Timeouts{Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second},
-		Times:    dispatcher.Times{Linger: time.Minute},
+		Times:    runner.Times{Linger: time.Minute},
 		NewControl: func(t *transporter.Transport) (Control, error) {
 			if s.voters != nil {
 				n.participant = participant.New(t, participant.Options{
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -24,6 +24,12 @@
 // finishMargin is applied to the time that an answer needs when it is compared with the time that its caller has left.
 const finishMargin = 1.3
 
+// maxCountedTokens bounds what is believed of a single request, so that sums stay within their range.
+const maxCountedTokens = 1 << 24
+
+// freedPerRun is the number of held requests that may take the place of an ended run.
+const freedPerRun = 4
+
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -53,6 +59,8 @@
 	pinned *endpoint
 	// unpinned requests have waited for an endpoint once.
 	unpinned bool
+	// older and newer link the waiting requests of one fingerprint.
+	older, newer *request
 
 	endpoint *endpoint
 	booked   int  // tokens booked at the endpoint
@@ -68,19 +76,47 @@
 	cancel   bool // CancelRun was sent
 
 	startedAt  time.Duration
-	firstAt    time.Duration
 	progressed time.Duration
 	seen       int // output tokens so far
 }
 
 // fingerprint follows the requests with one fingerprint.
 type fingerprint struct {
-	active  []*request // granted or running
-	waiting map[*request]struct{}
+	active      []*request // granted or running
+	first, last *request   // waiting, linked by newer and older
+	held        []*request // wait until a run of the fingerprint ends, the first held first
+}
+
+func (f *fingerprint) push(r *request) {
+	if r.older = f.last; f.last != nil {
+		f.last.newer = r
+	} else {
+		f.first = r
+	}
+	f.last = r
 }
 
-func (f *fingerprint) sortedWaiting() []*request {
-	return sorted(f.waiting)
+func (f *fingerprint) remove(r *request) {
+	if r.older != nil {
+		r.older.newer = r.newer
+	} else if f.first == r {
+		f.first = r.newer
+	}
+	if r.newer != nil {
+		r.newer.older = r.older
+	} else if f.last == r {
+		f.last = r.older
+	}
+	r.older, r.newer = nil, nil
+}
+
+// waiting returns the waiting requests in the order in which they began to wait.
+func (f *fingerprint) waiting() []*request {
+	var list []*request
+	for r := f.first; r != nil; r = r.newer {
+		list = append(list, r)
+	}
+	return list
 }
 
 func sorted(set map[*request]struct{}) []*request {
@@ -107,20 +143,22 @@
 func (s *Scheduler) print(fp string) *fingerprint {
 	p := s.prints[fp]
 	if p == nil {
-		p = &fingerprint{waiting: make(map[*request]struct{})}
+		p = &fingerprint{}
 		s.prints[fp] = p
 	}
 	return p
 }
 
 func (s *Scheduler) dropPrint(fp string) {
-	if p := s.prints[fp]; p != nil && len(p.active) == 0 && len(p.waiting) == 0 {
+	if p := s.prints[fp]; p != nil && len(p.active) == 0 && p.first == nil {
 		delete(s.prints, fp)
 	}
 }
 
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
+	d.PromptTokens = min(max(d.PromptTokens, 0), maxCountedTokens)
+	d.MaxOutputTokens = min(max(d.MaxOutputTokens, 0), maxCountedTokens)
 	r := &request{id: d.RequestID, host: host, d: d, seq: s.nextSeq, arrived: s.now - max(d.Waited, 0)}
 	if d.Remaining > 0 {
 		r.deadline = s.now + d.Remaining
@@ -165,7 +203,7 @@
 	owner := shedder.Owner{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.handle = s.book.Add(owner, float64(r.tokens), s.weight(r.d.Workspace), r)
 	if r.d.Fingerprint != "" {
-		s.print(r.d.Fingerprint).waiting[r] = struct{}{}
+		s.print(r.d.Fingerprint).push(r)
 	}
 	return s.assign(r)
 }
@@ -173,7 +211,7 @@
 // assign puts a waiting request into the lane that fits it, or refuses it.
 func (s *Scheduler) assign(r *request) bool {
 	c := s.classOf(r.d)
-	if c.Members() == 0 {
+	if c == nil {
 		s.refuse(r, RefuseUnserved, 0)
 		return false
 	}
@@ -232,9 +270,22 @@
 		r.entry = nil
 	}
 	s.unpin(r)
+	if p := s.prints[r.d.Fingerprint]; r.held && p != nil {
+		if i := slices.Index(p.held, r); i >= 0 {
+			p.held = slices.Delete(p.held, i, i+1)
+		}
+	}
 	r.held = false
 }
 
+// holdTwin leaves a request out of the lanes until a run of its fingerprint ends.
+func (s *Scheduler) holdTwin(r *request) {
+	s.unassign(r)
+	r.held = true
+	p := s.print(r.d.Fingerprint)
+	p.held = append(p.held, r)
+}
+
 // dequeue ends the waiting of a request.
 func (s *Scheduler) dequeue(r *request) {
 	s.unassign(r)
@@ -251,7 +302,7 @@
 		r.handle = nil
 	}
 	if p := s.prints[r.d.Fingerprint]; p != nil {
-		delete(p.waiting, r)
+		p.remove(r)
 		s.dropPrint(r.d.Fingerprint)
 	}
 }
@@ -300,12 +351,15 @@
 	s.rank(e)
 }
 
-// freeHeld lets requests that waited for a run of their fingerprint be chosen again.
+// freeHeld lets requests that waited for a run of their fingerprint be chosen again: a few after each run, so that a flood
+// of equal requests is not sorted anew each time, and all of them once nothing runs.
 func (s *Scheduler) freeHeld(p *fingerprint) {
-	for _, r := range p.sortedWaiting() {
-		if r.held {
-			s.reassign(r)
-		}
+	n := len(p.held)
+	if len(p.active) > 0 {
+		n = min(n, freedPerRun)
+	}
+	for _, r := range slices.Clone(p.held[:n]) {
+		s.reassign(r)
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -1,8 +1,6 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// maxEnded bounds the remembered runs that ended badly. A sign of a crash may arrive after the end of its runs.
@@ -16,21 +14,6 @@
 // endedRun is a run that ended without an answer.
 type endedRun struct{ id, endpoint, print string }
 
-// host is one entry host.
-type host struct {
-	zone   string
-	synced bool
-}
-
-func (s *Scheduler) host(name string) *host {
-	h := s.hosts[name]
-	if h == nil {
-		h = &host{}
-		s.hosts[name] = h
-	}
-	return h
-}
-
 // estimate predicts the tokens of a request.
 func (s *Scheduler) estimate(r *request) {
 	if s.service() {
@@ -136,7 +119,8 @@
 		s.run(r) // The report overtook Started.
 	}
 	e := r.endpoint
-	e.ProveAlive(s.now, r.startedAt)
+	s.proveAlive(e, r)
+	p.OutputTokens = min(p.OutputTokens, maxCountedTokens)
 	tokens := p.OutputTokens - r.seen
 	if r.seen == 0 && p.OutputTokens > 0 {
 		s.firstToken(e, r)
@@ -157,7 +141,6 @@
 
 func (s *Scheduler) firstToken(e *endpoint, r *request) {
 	took := s.now - r.startedAt
-	r.firstAt = s.now
 	e.Limit.ObserveFirstToken(s.now, took, e.Prefill(r.queued))
 	e.Speed.ObserveFirstToken(r.queued, took)
 	if r.tier != nil {
@@ -210,12 +193,14 @@
 	if f.OutputTokens > 0 {
 		s.lengths.Observe(f.OutputTokens, r.lengthKeys()...)
 	}
-	s.quarantine.Finished(s.now, r.d.Fingerprint)
+	changed, cleared := s.quarantine.Finished(s.now, r.d.Fingerprint)
+	if cleared {
+		s.shareSuspect(r.d.Fingerprint)
+	}
+	s.proveAlive(e, r)
 	e.Succeed(s.now, r.startedAt)
-	if p := s.prints[r.d.Fingerprint]; p != nil {
-		for _, w := range p.sortedWaiting() {
-			s.reassign(w)
-		}
+	if changed {
+		s.reassignPrint(r.d.Fingerprint)
 	}
 }
 
@@ -239,8 +224,11 @@
 
 // syncHost replaces what is known of a host by its own account.
 func (s *Scheduler) syncHost(e HostSynced) {
-	h := s.host(e.Host)
-	h.zone, h.synced = e.Zone, true
+	s.synced[e.Host] = true
+	for _, p := range e.Suspects {
+		s.quarantine.Restore(s.now, p.Fingerprint, p.Crashes, p.RefusedFor)
+		s.reassignPrint(p.Fingerprint)
+	}
 	listed := make(map[string]bool, len(e.Waiting)+len(e.Running))
 	for _, run := range e.Running {
 		listed[run.Descriptor.RequestID] = true
@@ -294,7 +282,7 @@
 	s.start(Started{Host: host, RequestID: r.id, Endpoint: run.Endpoint})
 	r.startedAt = s.now - max(run.RunningFor, 0)
 	if run.OutputTokens > 0 {
-		r.seen = run.OutputTokens
+		r.seen = min(run.OutputTokens, maxCountedTokens)
 		s.endPrefill(r.endpoint, r)
 		if r.seen > r.output {
 			s.rebook(r)
@@ -309,7 +297,7 @@
 		return
 	}
 	for _, name := range s.opts.Hosts {
-		if h := s.hosts[name]; h == nil || !h.synced {
+		if !s.synced[name] {
 			return
 		}
 	}
@@ -318,7 +306,7 @@
 
 // loseHost forgets the waiting requests of a host; what it may still run stays counted for a time.
 func (s *Scheduler) loseHost(name string) {
-	delete(s.hosts, name)
+	delete(s.synced, name)
 	for _, r := range s.sortedRequests(func(r *request) bool { return r.host == name }) {
 		switch r.state {
 		case waiting, unconfirmed:
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -13,6 +13,8 @@
 	// drainTime lets runs of a closed tier end by themselves before they are cancelled, since their prefill would be
 	// wasted.
 	drainTime = 3 * time.Second
+	// cancelInterval is the time between searches for runs to cancel.
+	cancelInterval = 100 * time.Millisecond
 	// minRetry and maxRetry bound the advice of when to try again.
 	minRetry, maxRetry = time.Second, time.Minute
 )
@@ -62,6 +64,10 @@
 		below = t.Order - 1
 	}
 	below = max(below, s.closedBelow)
+	// Until the hosts have reported, a new holder does not know which runs of closed tiers there are.
+	if s.table.Warm() {
+		return
+	}
 	if below < s.lowest() && (tick || below != s.confirmed) {
 		s.confirmed = below
 		s.emit(ConfirmClosed{Below: below})
@@ -80,7 +86,8 @@
 	for t.waiting > 0 {
 		s.refuse(t.ages.Min().Value, RefuseOverload, s.retryAfter())
 	}
-	if t.active > 0 && s.now >= s.closedAt+drainTime {
+	if t.active > 0 && s.now >= max(s.closedAt+drainTime, s.nextCancel) {
+		s.nextCancel = s.now + cancelInterval
 		for _, r := range s.sortedRequests(func(r *request) bool { return r.tier == t && r.state == running && !r.cancel }) {
 			r.cancel = true
 			s.emit(CancelRun{Host: r.host, RequestID: r.id, Reason: "tier closed"})
@@ -97,10 +104,14 @@
 			s.askPermit(t.Order)
 			return false
 		}
-		r, ok := s.book.Victim(t.Order)
+		r, newest, ok := s.book.Victims(t.Order)
 		if !ok {
 			return true
 		}
+		// Old work that has missed its target is worth less than new work that can meet it.
+		if s.timeliness(r) < lateLane {
+			r = newest
+		}
 		s.refuse(r, RefuseOverload, s.retryAfter())
 	}
 	return true
