--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
@@ -78,6 +80,7 @@
 	epoch uint64
 	valid bool
 	fns   []func(role string, epoch uint64, held bool)
+	tiers []configurer.Tier
 }
 
 func (r *roles) Holder(string) (string, string, uint64, bool) {
@@ -103,7 +106,9 @@
 	}
 }
 
-func (r *roles) Config() (uint64, *configurer.Config, bool)             { return 1, &configurer.Config{}, true }
+func (r *roles) Config() (uint64, *configurer.Config, bool) {
+	return 1, &configurer.Config{Tiers: r.tiers}, true
+}
 func (r *roles) Subscribe(func(version uint64, cfg *configurer.Config)) {}
 
 type rig struct {
@@ -211,6 +216,72 @@
 	r.until(func() bool { return r.policy.seen("suspect f crashes=2 refused=true") })
 }
 
+// shedder records what the control leader is told.
+type shedder struct {
+	mu   sync.Mutex
+	told []string
+}
+
+func (s *shedder) tell(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = append(s.told, fmt.Sprintf(format, args...))
+}
+
+func (s *shedder) AskShedPermit(role string, tier int)  { s.tell("ask %s %d", role, tier) }
+func (s *shedder) ConfirmClosed(role string, below int) { s.tell("confirm %s %d", role, below) }
+func (s *shedder) ShedLevel() (closedBelow int)         { return 1 }
+
+// closing asks and confirms as the events come.
+type closing struct{ permits chan scheduler.ShedPermitted }
+
+func (c *closing) Step(_ time.Duration, ev scheduler.Event) []scheduler.Action {
+	switch ev := ev.(type) {
+	case scheduler.TiersClosed:
+		return []scheduler.Action{scheduler.ConfirmClosed{Below: ev.Below}, scheduler.AskShedPermit{Tier: ev.Below}}
+	case scheduler.ShedPermitted:
+		c.permits <- ev
+	}
+	return nil
+}
+
+// Guards against a new holder that opens closed tiers, and against asks, confirmations or permits that are lost or widened.
+func TestShedding(t *testing.T) {
+	told, policy, r := &shedder{}, &closing{permits: make(chan scheduler.ShedPermitted, 8)}, &roles{}
+	r.tiers = []configurer.Tier{{Name: "a", Order: 0}, {Name: "b", Order: 1}, {Name: "c", Order: 2}}
+	ctx, cancel := context.WithCancel(t.Context())
+	desk := &Desk{
+		Transport: &transporter.Transport{}, Roles: r, Configuration: r, Shedder: told,
+		NewStepper: func(string, uint64) Stepper { return policy },
+	}
+	desk.Start(ctx)
+	r.grant(1)
+	desk.Shed(0, 1, time.Second)
+	desk.Shed(2, -1, 0)
+	got := []scheduler.ShedPermitted{<-policy.permits, <-policy.permits}
+	if diff := cmp.Diff([]scheduler.ShedPermitted{{Tier: 1, For: time.Second}, {Tier: 2, For: time.Second}}, got); diff != "" {
+		t.Error(diff)
+	}
+	want := []string{"confirm pool/p 1", "ask pool/p 1", "confirm pool/p 0", "ask pool/p 0", "confirm pool/p 2", "ask pool/p 2"}
+	for {
+		told.mu.Lock()
+		now := append([]string{}, told.told...)
+		told.mu.Unlock()
+		if len(now) >= len(want) {
+			if diff := cmp.Diff(want, now); diff != "" {
+				t.Error(diff)
+			}
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	desk.Wait()
+	if len(policy.permits) != 0 {
+		t.Error("a permit was given to a tier that it does not cover")
+	}
+}
+
 // Guards against a state that is lost or cut when it does not fit one message.
 func TestLongHello(t *testing.T) {
 	r := newRig(t)
