--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -12,11 +12,12 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
+	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
 
 // readBody reads the request body within the size limit. It reserves the memory first: when the memory set aside for bodies is
 // used up, it waits, and the caller's data stays in the network. Release gives the memory back.
-func (s *Server) readBody(k *call, tier string) (body []byte, release func(), f *failure) {
+func (s *Server) readBody(k *call, tier string) (body []byte, release func(), f *responder.Failure) {
 	limit := s.maxBody()
 	length := k.c.Request.Header.ContentLength()
 	if length > limit {
@@ -30,7 +31,7 @@
 	}
 	back, err := s.memory.Acquire(k.ctx, tier, len(k.index.Config().Tiers), reserved)
 	if err != nil {
-		return nil, nil, &failure{status: http.StatusServiceUnavailable, reason: "caller_gone", message: "the caller left before its body was read"}
+		return nil, nil, &responder.Failure{Status: http.StatusServiceUnavailable, Reason: "caller_gone", Message: "the caller left before its body was read"}
 	}
 	bodyBytes.Add(reserved)
 	giveBack := func(n int64) {
@@ -42,9 +43,9 @@
 	var slow *slowBodyError
 	switch {
 	case errors.As(err, &slow):
-		f = &failure{status: http.StatusRequestTimeout, reason: "body_too_slow", message: err.Error() + "; the request did not run"}
+		f = &responder.Failure{Status: http.StatusRequestTimeout, Reason: "body_too_slow", Message: err.Error() + "; the request did not run"}
 	case err != nil:
-		f = &failure{status: http.StatusBadRequest, reason: "body_incomplete", message: "the body could not be read: " + err.Error()}
+		f = &responder.Failure{Status: http.StatusBadRequest, Reason: "body_incomplete", Message: "the body could not be read: " + err.Error()}
 	case len(body) > limit:
 		f = tooLarge(limit)
 	}
@@ -94,15 +95,15 @@
 	return io.ReadAll(io.LimitReader(r, int64(limit)+1))
 }
 
-func tooLarge(limit int) *failure {
-	return &failure{
-		status: http.StatusRequestEntityTooLarge, reason: "body_too_large",
-		message: fmt.Sprintf("the body is larger than %d bytes; the request did not run", limit),
+func tooLarge(limit int) *responder.Failure {
+	return &responder.Failure{
+		Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large",
+		Message: fmt.Sprintf("the body is larger than %d bytes; the request did not run", limit),
 	}
 }
 
 // common reads the headers that chat requests and service calls share.
-func (k *call) common(req *describer.Request) *failure {
+func (k *call) common(req *describer.Request) *responder.Failure {
 	req.Workspace, req.Caller = k.identity.Workspace.Name, k.identity.Caller.Name
 	tiers := k.identity.Caller.Tiers
 	req.Tier = string(k.c.GetHeader(HeaderTier))
@@ -114,24 +115,24 @@
 		allowed = allowed || t == req.Tier
 	}
 	if !allowed {
-		return &failure{
-			status: http.StatusForbidden, reason: "tier_not_allowed",
-			message: fmt.Sprintf("tier %q is not allowed for this caller, which may use %s", req.Tier, strings.Join(tiers, ", ")),
+		return &responder.Failure{
+			Status: http.StatusForbidden, Reason: "tier_not_allowed",
+			Message: fmt.Sprintf("tier %q is not allowed for this caller, which may use %s", req.Tier, strings.Join(tiers, ", ")),
 		}
 	}
 	req.Key = string(k.c.GetHeader(HeaderIdempotencyKey))
 	if len(req.Key) > maxKeyBytes {
-		return &failure{
-			status: http.StatusBadRequest, reason: "invalid_header",
-			message: fmt.Sprintf("%s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes),
+		return &responder.Failure{
+			Status: http.StatusBadRequest, Reason: "invalid_header",
+			Message: fmt.Sprintf("%s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes),
 		}
 	}
 	if text := string(k.c.GetHeader(HeaderTimeoutMS)); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || ms <= 0 {
-			return &failure{
-				status: http.StatusBadRequest, reason: "invalid_header",
-				message: HeaderTimeoutMS + " is not a positive number of milliseconds",
+			return &responder.Failure{
+				Status: http.StatusBadRequest, Reason: "invalid_header",
+				Message: HeaderTimeoutMS + " is not a positive number of milliseconds",
 			}
 		}
 		req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
+	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
 
 const (
@@ -49,7 +50,7 @@
 	answer, reader, err := s.Requests.Accept(req)
 	if err != nil {
 		release()
-		s.fail(k.c, failureOf(err))
+		s.fail(k.c, responder.FromError(err))
 		return
 	}
 	defer reader.Close()
@@ -57,15 +58,15 @@
 }
 
 // chatRequest decodes a body and finds the pool of its model. It reports whether the caller asked for a stream.
-func (k *call) chatRequest(req *describer.Request, body []byte) (stream bool, f *failure) {
+func (k *call) chatRequest(req *describer.Request, body []byte) (stream bool, f *responder.Failure) {
 	decoded, err := chatdecoder.Decode(body)
 	if err != nil {
-		return false, &failure{status: http.StatusBadRequest, reason: "invalid_body", message: err.Error()}
+		return false, &responder.Failure{Status: http.StatusBadRequest, Reason: "invalid_body", Message: err.Error()}
 	}
 	pool := k.index.PoolOfModel(decoded.Model)
 	if pool == nil {
-		return false, &failure{
-			status: http.StatusNotFound, reason: "unknown_model", message: fmt.Sprintf("the model %q is not known", decoded.Model),
+		return false, &responder.Failure{
+			Status: http.StatusNotFound, Reason: "unknown_model", Message: fmt.Sprintf("the model %q is not known", decoded.Model),
 		}
 	}
 	req.Pool, req.Model, req.Adapter = pool.Name, decoded.Model, decoded.Adapter
@@ -103,7 +104,7 @@
 	}
 	if end := a.End(); end != nil && !isDone(*end) {
 		if chunks, _ := a.Len(); chunks == 0 {
-			s.failEnd(k.c, a.Meta().RequestID, *end)
+			s.fail(k.c, responder.FromEnd(a.Meta().RequestID, *end))
 			return
 		}
 	}
@@ -117,7 +118,7 @@
 	}
 	m := a.Meta()
 	if !isDone(end) {
-		s.failEnd(k.c, m.RequestID, end)
+		s.fail(k.c, responder.FromEnd(m.RequestID, end))
 		return
 	}
 	k.c.Response.Header.Set(HeaderRequestID, m.RequestID)
@@ -183,7 +184,7 @@
 	if streamed {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 0 {
-			s.fail(k.c, &failure{status: http.StatusBadRequest, reason: "invalid_query", message: "from is not a chunk index", requestID: id})
+			s.fail(k.c, &responder.Failure{Status: http.StatusBadRequest, Reason: "invalid_query", Message: "from is not a chunk index", RequestID: id})
 			return
 		}
 		from = n
@@ -191,7 +192,7 @@
 	streamed = streamed || strings.Contains(string(k.c.GetHeader("Accept")), "text/event-stream")
 	a, r, err := s.Requests.Fetch(k.identity.Workspace.Name, id, from)
 	if err != nil {
-		s.fail(k.c, failureOf(err))
+		s.fail(k.c, responder.FromError(err))
 		return
 	}
 	defer r.Close()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"expvar"
 	"math"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,12 +19,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
-	"github.com/dragonflycroft/dragonflycroft/internal/chatencoder"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
-	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/drainer"
 	"github.com/dragonflycroft/dragonflycroft/internal/reserver"
+	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
 
 func init() {
@@ -37,8 +33,8 @@
 
 // Headers of requests and responses.
 const (
-	HeaderRequestID      = "X-Dragonflycroft-Request-Id"
-	HeaderOutcome        = "X-Dragonflycroft-Outcome"
+	HeaderRequestID      = responder.HeaderRequestID
+	HeaderOutcome        = responder.HeaderOutcome
 	HeaderTier           = "X-Dragonflycroft-Tier"
 	HeaderTimeoutMS      = "X-Dragonflycroft-Timeout-Ms"
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -64,7 +60,6 @@
 
 var (
 	countRequests = expvar.NewMap("server_requests")
-	countRefused  = expvar.NewMap("server_refused")
 	bodyBytes     = expvar.NewInt("server_body_bytes")
 )
 
@@ -153,8 +148,8 @@
 // recovered answers a request whose handler failed by a fault of this program. It may have run.
 func (s *Server) recovered(_ context.Context, c *app.RequestContext, fault any, stack []byte) {
 	klog.Errorf("server: handler failed path=%s fault=%v stack=%q", c.Path(), fault, stack)
-	s.fail(c, &failure{
-		status: http.StatusInternalServerError, outcome: answerer.Unknown, reason: "internal", message: "the entry host failed to handle the request",
+	s.fail(c, &responder.Failure{
+		Status: http.StatusInternalServerError, Outcome: answerer.Unknown, Reason: "internal", Message: "the entry host failed to handle the request",
 	})
 	c.SetConnectionClose()
 }
@@ -195,7 +190,7 @@
 	h.GET("/v1/requests/:id", s.guard("fetch", false, s.serveFetch))
 	h.Any("/v1/services/:service/*path", s.guard("service", true, s.serveService))
 	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
-		s.fail(c, &failure{status: http.StatusNotFound, reason: "unknown_path", message: "this path is not known"})
+		s.fail(c, &responder.Failure{Status: http.StatusNotFound, Reason: "unknown_path", Message: "this path is not known"})
 	})
 }
 
@@ -216,7 +211,7 @@
 		if s.closing.Load() {
 			c.SetConnectionClose()
 		}
-		refuse := func(f *failure) {
+		refuse := func(f *responder.Failure) {
 			// The body stays unread, so that the connection cannot carry another request.
 			if c.Request.Header.ContentLength() != 0 {
 				c.SetConnectionClose()
@@ -228,22 +223,22 @@
 			if reason == "" {
 				reason = "no configuration is known"
 			}
-			refuse(&failure{
-				status: http.StatusServiceUnavailable, outcome: answerer.NotRun, reason: "unready",
-				message: "this entry host takes no new requests: " + reason, retryAfter: time.Second,
+			refuse(&responder.Failure{
+				Status: http.StatusServiceUnavailable, Outcome: answerer.NotRun, Reason: "unready",
+				Message: "this entry host takes no new requests: " + reason, RetryAfter: time.Second,
 			})
 			return
 		}
 		key, ok := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 		if !ok {
-			refuse(&failure{
-				status: http.StatusUnauthorized, reason: "no_key", message: "an API key is required as a bearer token",
+			refuse(&responder.Failure{
+				Status: http.StatusUnauthorized, Reason: "no_key", Message: "an API key is required as a bearer token",
 			})
 			return
 		}
 		identity, ok := index.CallerByKey(key)
 		if !ok {
-			refuse(&failure{status: http.StatusUnauthorized, reason: "unknown_key", message: "the API key is not known"})
+			refuse(&responder.Failure{Status: http.StatusUnauthorized, Reason: "unknown_key", Message: "the API key is not known"})
 			return
 		}
 		serve(&call{ctx: ctx, c: c, index: index, identity: identity})
@@ -281,97 +276,10 @@
 	k.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": models})
 }
 
-// failure is an error answer.
-type failure struct {
-	status     int
-	outcome    answerer.Outcome
-	reason     string
-	message    string
-	requestID  string
-	retryAfter time.Duration
-}
-
-func (f *failure) body() chatencoder.ErrorBody {
-	return chatencoder.ErrorBody{Error: chatencoder.ErrorDetail{
-		Outcome: f.outcome, Reason: f.reason, Message: f.message, RequestID: f.requestID, RetryAfterMS: f.retryAfter.Milliseconds(),
-	}}
-}
-
-func (s *Server) fail(c *app.RequestContext, f *failure) {
-	if f.outcome == "" {
-		f.outcome = answerer.NotRun
-	}
-	countRefused.Add(f.reason, 1)
-	h := &c.Response.Header
-	h.Set(HeaderOutcome, string(f.outcome))
-	if f.requestID == "" {
-		f.requestID = s.Requests.NewID("")
-	}
-	h.Set(HeaderRequestID, f.requestID)
-	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(int64((f.retryAfter+time.Second-1)/time.Second), 10))
-	}
-	if f.outcome == answerer.Unknown {
-		// OpenAI clients repeat a failed request unless told otherwise; this one may have run.
-		h.Set("X-Should-Retry", "false")
-	}
-	data, _ := json.Marshal(f.body())
-	c.Data(f.status, "application/json; charset=utf-8", data)
-}
-
-// failureOf maps an error of taking a request over.
-func failureOf(err error) *failure {
-	var reused *dispatcher.KeyReusedError
-	var missing *dispatcher.NotFoundError
-	var pool *dispatcher.UnknownPoolError
-	switch {
-	case errors.As(err, &pool):
-		return &failure{
-			status: http.StatusServiceUnavailable, reason: "unready", message: err.Error(), retryAfter: time.Second,
-		}
-	case errors.As(err, &reused):
-		return &failure{
-			status: http.StatusUnprocessableEntity, outcome: answerer.Refused, reason: "key_reused",
-			message: err.Error(), requestID: reused.RequestID,
-		}
-	case errors.As(err, &missing):
-		return &failure{
-			status: http.StatusNotFound, outcome: answerer.Unknown, reason: "unknown_request",
-			message: err.Error(), requestID: missing.RequestID,
-		}
-	}
-	return &failure{status: http.StatusInternalServerError, reason: "internal", message: err.Error()}
-}
-
-// statusOf returns the HTTP status of a final state that is no success.
-func statusOf(e answerer.End) int {
-	switch e.Reason {
-	case "limit":
-		return http.StatusTooManyRequests
-	case "unserved":
-		return http.StatusNotFound
-	case "key_reused":
-		return http.StatusUnprocessableEntity
-	case "deadline", "time_limit":
-		return http.StatusGatewayTimeout
-	case "endpoint_rejected":
-		if e.Response != nil && e.Response.Status/100 == 4 {
-			return e.Response.Status
-		}
+// fail answers with a failure; a request that was refused before it was accepted gets an id here.
+func (s *Server) fail(c *app.RequestContext, f *responder.Failure) {
+	if f.RequestID == "" {
+		f.RequestID = s.Requests.NewID("")
 	}
-	if e.Outcome == answerer.Unknown {
-		return http.StatusBadGateway
-	}
-	return http.StatusServiceUnavailable
-}
-
-// failEnd answers with a final state that is no success.
-func (s *Server) failEnd(c *app.RequestContext, id string, e answerer.End) {
-	message := e.Message
-	if e.Response != nil && len(e.Response.Body) > 0 {
-		message += ": " + string(e.Response.Body[:min(len(e.Response.Body), 1024)])
-	}
-	s.fail(c, &failure{
-		status: statusOf(e), outcome: e.Outcome, reason: e.Reason, message: message, requestID: id, retryAfter: e.RetryAfter,
-	})
+	f.Write(c)
 }
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
+	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
 
 // serveService routes a call of a plain service; the answer is passed on with its status.
@@ -27,7 +28,7 @@
 	answer, reader, err := s.Requests.Accept(*req)
 	if err != nil {
 		release()
-		s.fail(k.c, failureOf(err))
+		s.fail(k.c, responder.FromError(err))
 		return
 	}
 	defer reader.Close()
@@ -35,19 +36,19 @@
 }
 
 // serviceRequest finds the route of a call. A call without a route is refused before its body is read.
-func (k *call) serviceRequest() (*describer.Request, *failure) {
+func (k *call) serviceRequest() (*describer.Request, *responder.Failure) {
 	name, path, method := k.c.Param("service"), "/"+k.c.Param("path"), string(k.c.Method())
 	service := k.index.Service(name)
 	if service == nil {
-		return nil, &failure{
-			status: http.StatusNotFound, reason: "unknown_service", message: fmt.Sprintf("the service %q is not known; the call did not run", name),
+		return nil, &responder.Failure{
+			Status: http.StatusNotFound, Reason: "unknown_service", Message: fmt.Sprintf("the service %q is not known; the call did not run", name),
 		}
 	}
 	route := service.Route(method, path)
 	if route == nil {
-		return nil, &failure{
-			status: http.StatusNotFound, reason: "unknown_route",
-			message: fmt.Sprintf("the service %q has no route for %s %s; the call did not run", name, method, path),
+		return nil, &responder.Failure{
+			Status: http.StatusNotFound, Reason: "unknown_route",
+			Message: fmt.Sprintf("the service %q has no route for %s %s; the call did not run", name, method, path),
 		}
 	}
 	req := &describer.Request{Kind: answerer.KindService, Pool: service.Pool, Idempotent: route.Idempotent, PromptTokens: 1}
@@ -55,9 +56,9 @@
 		return nil, f
 	}
 	if route.RequireKey && req.Key == "" {
-		return nil, &failure{
-			status: http.StatusBadRequest, reason: "key_required",
-			message: HeaderIdempotencyKey + " is required for this route; the call did not run",
+		return nil, &responder.Failure{
+			Status: http.StatusBadRequest, Reason: "key_required",
+			Message: HeaderIdempotencyKey + " is required for this route; the call did not run",
 		}
 	}
 	if query := string(k.c.URI().QueryString()); query != "" {
@@ -74,7 +75,7 @@
 	}
 	id := a.Meta().RequestID
 	if !isDone(end) || end.Response == nil {
-		s.failEnd(k.c, id, end)
+		s.fail(k.c, responder.FromEnd(id, end))
 		return
 	}
 	h := &k.c.Response.Header
