--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -238,7 +238,7 @@
 func (c *closing) Step(_ time.Duration, ev scheduler.Event) []scheduler.Action {
 	switch ev := ev.(type) {
 	case scheduler.TiersClosed:
-		return []scheduler.Action{scheduler.ConfirmClosed{Below: ev.Below}, scheduler.AskShedPermit{Tier: ev.Below}}
+		return []scheduler.Action{scheduler.ConfirmClosed(ev), scheduler.AskShedPermit{Tier: ev.Below}}
 	case scheduler.ShedPermitted:
 		c.permits <- ev
 	}
