scheduler: confirm closed tiers only when every expected host has reported

The end of the old holder's grants says nothing of runs that a host has not reported yet. A new holder now confirms when all expected hosts have synced, or after the 30 s for which runs of a lost host are counted.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -293,7 +293,7 @@
 
 // checkWarm ends the start-up phase once all expected hosts have synced.
 func (s *Scheduler) checkWarm() {
-	if !s.table.Warm() || len(s.opts.Hosts) == 0 {
+	if s.accounted || len(s.opts.Hosts) == 0 {
 		return
 	}
 	for _, name := range s.opts.Hosts {
@@ -301,6 +301,7 @@
 			return
 		}
 	}
+	s.accounted = true
 	s.table.EndWarmup(s.now)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -68,13 +68,15 @@
 	byTier  map[string]*tier
 	limits  configurer.Limits
 
-	synced   map[string]bool // entry hosts that have reported
-	requests map[string]*request
-	nextSeq  uint64
-	waiting  int
-	wanted   int // tokens of waiting requests
-	ended    []endedRun
-	prints   map[string]*fingerprint
+	synced map[string]bool // entry hosts that have reported
+	// accounted is true once no run of an earlier holder can be unknown.
+	accounted bool
+	requests  map[string]*request
+	nextSeq   uint64
+	waiting   int
+	wanted    int // tokens of waiting requests
+	ended     []endedRun
+	prints    map[string]*fingerprint
 
 	table      *tracker.Table
 	endpoints  map[string]*endpoint
@@ -142,7 +144,12 @@
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	if !s.began {
 		s.began, s.now, s.listBy = true, now, now+s.opts.ListWait
-		s.at(now+s.opts.GrantTTL+grantMargin, func() { s.table.EndWarmup(s.now) })
+		s.at(now+s.opts.GrantTTL+grantMargin, func() {
+			s.table.EndWarmup(s.now)
+			s.accounted = s.accounted || len(s.opts.Hosts) == 0
+		})
+		// Runs of a host that never reports stay possible for as long as those of a lost host are counted.
+		s.at(now+orphanTime, func() { s.accounted = true })
 	}
 	s.now = max(s.now, now)
 	s.actions = nil
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -65,7 +65,7 @@
 	}
 	below = max(below, s.closedBelow)
 	// Until the hosts have reported, a new holder does not know which runs of closed tiers there are.
-	if s.table.Warm() {
+	if !s.accounted {
 		return
 	}
 	if below < s.lowest() && (tick || below != s.confirmed) {
