--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -23,7 +23,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 )
 
 const (
@@ -46,8 +46,8 @@
 // Control gives access to the control leader; *submitter.Client implements it.
 type Control interface {
 	Config(ctx context.Context) (uint64, []byte, error)
-	PatchConfig(ctx context.Context, p translator.Patch) (translator.PatchResult, error)
-	History(ctx context.Context, from uint64, limit int) ([]translator.Revision, error)
+	PatchConfig(ctx context.Context, p marshaller.Patch) (marshaller.PatchResult, error)
+	History(ctx context.Context, from uint64, limit int) ([]marshaller.Revision, error)
 	Status(ctx context.Context) (*controllerpb.Status, error)
 	ChangeVoters(ctx context.Context, action, id, addr string) error
 }
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -20,8 +20,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // localControl applies commands to one state without a log.
@@ -38,7 +38,7 @@
 	return version, document, nil
 }
 
-func (l *localControl) PatchConfig(_ context.Context, p translator.Patch) (translator.PatchResult, error) {
+func (l *localControl) PatchConfig(_ context.Context, p marshaller.Patch) (marshaller.PatchResult, error) {
 	if l.before != nil {
 		l.before()
 	}
@@ -46,16 +46,16 @@
 		PatchConfig: &controllerpb.PatchConfig{Id: p.ID, Base: p.Base, Body: p.Body, Author: p.Author},
 	}})
 	if err != nil {
-		return translator.PatchResult{}, err
+		return marshaller.PatchResult{}, err
 	}
 	result := &controllerpb.Result{}
 	if err := proto.Unmarshal(l.machine.Apply(1, raw), result); err != nil {
-		return translator.PatchResult{}, err
+		return marshaller.PatchResult{}, err
 	}
-	return translator.PatchResult{Version: result.GetNumber()}, translator.DecodeFailure(result.GetFailure())
+	return marshaller.PatchResult{Version: result.GetNumber()}, marshaller.DecodeFailure(result.GetFailure())
 }
 
-func (l *localControl) History(_ context.Context, from uint64, limit int) ([]translator.Revision, error) {
+func (l *localControl) History(_ context.Context, from uint64, limit int) ([]marshaller.Revision, error) {
 	return l.machine.History(from, limit), nil
 }
 
@@ -208,14 +208,14 @@
 func TestDrain(t *testing.T) {
 	control, send := serve(t, nil)
 	ctx := context.Background()
-	if _, err := control.PatchConfig(ctx, translator.Patch{ID: "first", Body: []byte(document)}); err != nil {
+	if _, err := control.PatchConfig(ctx, marshaller.Patch{ID: "first", Body: []byte(document)}); err != nil {
 		t.Fatal(err)
 	}
 	overtaken := 0
 	control.before = func() {
 		if overtaken++; overtaken == 1 {
 			control.before = nil
-			_, err := control.PatchConfig(ctx, translator.Patch{ID: "other", Base: 1, Body: []byte(`{"limits":{"max_waiting":4}}`)})
+			_, err := control.PatchConfig(ctx, marshaller.Patch{ID: "other", Base: 1, Body: []byte(`{"limits":{"max_waiting":4}}`)})
 			if err != nil {
 				t.Error(err)
 			}
--- a/internal/administrator/handlers.go
+++ b/internal/administrator/handlers.go
@@ -14,8 +14,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // HeaderPatchID names the patch id of a change. A patch sent again under the same id returns the first result.
@@ -47,8 +47,8 @@
 // failWith answers with the status that fits an error of the control leader.
 func failWith(c *app.RequestContext, err error) {
 	var (
-		stale       *translator.StaleVersionError
-		id          *translator.PatchIDError
+		stale       *marshaller.StaleVersionError
+		id          *marshaller.PatchIDError
 		invalid     *configurer.InvalidError
 		voter       *submitter.VoterError
 		unavailable *submitter.UnavailableError
@@ -109,13 +109,13 @@
 		fail(c, 400, "patch_id", HeaderPatchID+" is required", nil)
 		return
 	}
-	p := translator.Patch{ID: id, Base: base, Body: append([]byte(nil), c.Request.Body()...), Author: operator(c)}
+	p := marshaller.Patch{ID: id, Base: base, Body: append([]byte(nil), c.Request.Body()...), Author: operator(c)}
 	result, err := a.Control.PatchConfig(ctx, p)
 	respond(c, p, result, err)
 }
 
 // respond answers with the result of a patch.
-func respond(c *app.RequestContext, p translator.Patch, result translator.PatchResult, err error) {
+func respond(c *app.RequestContext, p marshaller.Patch, result marshaller.PatchResult, err error) {
 	if err != nil {
 		klog.Warningf("administrator: patch refused id=%s author=%s base=%d reason=%q", p.ID, p.Author, p.Base, err)
 		failWith(c, err)
@@ -143,7 +143,7 @@
 		return
 	}
 	type revision struct {
-		translator.Revision
+		marshaller.Revision
 		Patch json.RawMessage `json:"patch"`
 	}
 	out := make([]revision, 0, len(revisions))
@@ -269,7 +269,7 @@
 		}
 	}
 	drain := body.Drain == nil || *body.Drain
-	var stale *translator.StaleVersionError
+	var stale *marshaller.StaleVersionError
 	for range drainAttempts {
 		version, document, err := a.Control.Config(ctx)
 		if err != nil {
@@ -288,7 +288,7 @@
 			c.JSON(200, map[string]uint64{"version": version})
 			return
 		}
-		p := translator.Patch{ID: fmt.Sprintf("drain-%016x", rand.Uint64()), Base: version, Body: patch, Author: operator(c)}
+		p := marshaller.Patch{ID: fmt.Sprintf("drain-%016x", rand.Uint64()), Base: version, Body: patch, Author: operator(c)}
 		result, err := a.Control.PatchConfig(ctx, p)
 		if errors.As(err, &stale) {
 			continue
--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -15,8 +15,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Bounds of the replicated state.
@@ -40,16 +40,16 @@
 	version        uint64
 	document       []byte
 	config         *configurer.Config
-	history        []translator.Revision
+	history        []marshaller.Revision
 	historyBytes   int
 	accepted       map[string]patchRecord
 	refused        map[string]patchRecord
 	refusedOrder   []string
-	roles          map[string]translator.Assignment
-	members        map[string]translator.Member
+	roles          map[string]marshaller.Assignment
+	members        map[string]marshaller.Member
 	membersVersion uint64
 	// memberList is the sorted list of live members of membersVersion, or nil; it is not changed once it is built.
-	memberList []translator.Member
+	memberList []marshaller.Member
 	// forgottenVersion is the members' version at which a removed member was last forgotten.
 	forgottenVersion uint64
 	term             uint64
@@ -75,7 +75,7 @@
 	m.version, m.document, m.config, m.history, m.historyBytes = 0, nil, nil, nil, 0
 	m.accepted, m.refused, m.refusedOrder = map[string]patchRecord{}, map[string]patchRecord{}, nil
 	m.memberList, m.forgottenVersion = nil, 0
-	m.roles, m.members, m.membersVersion, m.term = map[string]translator.Assignment{}, map[string]translator.Member{}, 0, 0
+	m.roles, m.members, m.membersVersion, m.term = map[string]marshaller.Assignment{}, map[string]marshaller.Member{}, 0, 0
 	m.ledger = recorder.New(recorder.Limits{})
 	m.clockAt = time.Now()
 }
@@ -85,7 +85,7 @@
 	cmd := &controllerpb.Command{}
 	var result *controllerpb.Result
 	if err := proto.Unmarshal(command, cmd); err != nil {
-		result = &controllerpb.Result{Failure: translator.EncodeFailure(&translator.MalformedCommandError{Reason: err.Error()})}
+		result = &controllerpb.Result{Failure: marshaller.EncodeFailure(&marshaller.MalformedCommandError{Reason: err.Error()})}
 		klog.Errorf("applier: malformed command index=%d reason=%q", index, err)
 	} else {
 		m.mu.Lock()
@@ -118,15 +118,15 @@
 		}
 	case *controllerpb.Command_IntendOrder:
 		var record recorder.Record
-		if record, err = m.ledger.Intend(translator.IntentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
-			result.Order = translator.OrderProto(record)
+		if record, err = m.ledger.Intend(marshaller.IntentOf(body.IntendOrder), cmd.GetUnixMs()); err == nil {
+			result.Order = marshaller.OrderProto(record)
 		}
 	case *controllerpb.Command_ConcludeOrder:
 		c := body.ConcludeOrder
-		err = m.ledger.Conclude(translator.KeyOf(c.GetKey()), c.GetOwner(), translator.OutcomeOf(c.GetOutcome()))
+		err = m.ledger.Conclude(marshaller.KeyOf(c.GetKey()), c.GetOwner(), marshaller.OutcomeOf(c.GetOutcome()))
 	case *controllerpb.Command_WithdrawOrder:
 		w := body.WithdrawOrder
-		err = m.ledger.Withdraw(translator.KeyOf(w.GetKey()), w.GetOwner(), w.GetAttempt())
+		err = m.ledger.Withdraw(marshaller.KeyOf(w.GetKey()), w.GetOwner(), w.GetAttempt())
 	case *controllerpb.Command_ExpireOrders:
 		m.ledger.Sweep(m.ownerLives())
 		m.ledger.Expire()
@@ -140,10 +140,10 @@
 		m.term = max(m.term, cmd.GetTerm())
 		err = m.checkTerm(cmd)
 	default:
-		err = &translator.MalformedCommandError{Reason: "no body"}
+		err = &marshaller.MalformedCommandError{Reason: "no body"}
 	}
 	if err != nil {
-		result.Failure = translator.EncodeFailure(err)
+		result.Failure = marshaller.EncodeFailure(err)
 	}
 	return result
 }
@@ -152,7 +152,7 @@
 // that the present leadership has renewed.
 func (m *Machine) checkTerm(cmd *controllerpb.Command) error {
 	if cmd.GetTerm() != m.term {
-		return &translator.StaleTermError{Term: cmd.GetTerm(), Current: m.term}
+		return &marshaller.StaleTermError{Term: cmd.GetTerm(), Current: m.term}
 	}
 	return nil
 }
@@ -163,7 +163,7 @@
 
 func (m *Machine) patchConfig(unixMS int64, p *controllerpb.PatchConfig) (uint64, error) {
 	if p.GetId() == "" || len(p.GetId()) > maxPatchIDBytes {
-		return 0, &translator.PatchIDError{ID: p.GetId(), Reason: fmt.Sprintf("must have 1 to %d bytes", maxPatchIDBytes)}
+		return 0, &marshaller.PatchIDError{ID: p.GetId(), Reason: fmt.Sprintf("must have 1 to %d bytes", maxPatchIDBytes)}
 	}
 	digest := patchDigest(p)
 	first, known := m.accepted[p.GetId()]
@@ -172,12 +172,12 @@
 	}
 	if known {
 		if first.digest != digest {
-			return 0, &translator.PatchIDError{ID: p.GetId(), Reason: "was used with another patch"}
+			return 0, &marshaller.PatchIDError{ID: p.GetId(), Reason: "was used with another patch"}
 		}
-		return first.version, translator.DecodeFailure(first.failure)
+		return first.version, marshaller.DecodeFailure(first.failure)
 	}
 	if err := m.tryPatch(unixMS, p); err != nil {
-		m.refuse(p.GetId(), patchRecord{digest: digest, failure: translator.EncodeFailure(err)})
+		m.refuse(p.GetId(), patchRecord{digest: digest, failure: marshaller.EncodeFailure(err)})
 		return 0, err
 	}
 	m.accepted[p.GetId()] = patchRecord{digest: digest, version: m.version}
@@ -186,7 +186,7 @@
 
 func (m *Machine) tryPatch(unixMS int64, p *controllerpb.PatchConfig) error {
 	if p.GetBase() != m.version {
-		return &translator.StaleVersionError{Base: p.GetBase(), Current: m.version}
+		return &marshaller.StaleVersionError{Base: p.GetBase(), Current: m.version}
 	}
 	cfg, document, err := configurer.Apply(m.document, p.GetBody())
 	if err != nil {
@@ -195,7 +195,7 @@
 	m.version++
 	m.document, m.config = document, cfg
 	m.ledger.SetLimits(ledgerLimits(cfg))
-	m.history = append(m.history, translator.Revision{
+	m.history = append(m.history, marshaller.Revision{
 		Version: m.version, PatchID: p.GetId(), Author: p.GetAuthor(), Base: p.GetBase(),
 		Time: time.UnixMilli(unixMS).UTC(), Patch: p.GetBody(),
 	})
@@ -203,7 +203,7 @@
 	for len(m.history) > maxRevisions || (m.historyBytes > maxHistoryBytes && len(m.history) > 1) {
 		m.historyBytes -= len(m.history[0].Patch)
 		delete(m.accepted, m.history[0].PatchID)
-		m.history[0] = translator.Revision{}
+		m.history[0] = marshaller.Revision{}
 		m.history = m.history[1:]
 	}
 	return nil
@@ -228,9 +228,9 @@
 func (m *Machine) grantRole(g *controllerpb.GrantRole) (uint64, error) {
 	current := m.roles[g.GetRole()]
 	if current.Epoch != g.GetPreviousEpoch() {
-		return 0, &translator.StaleEpochError{Previous: g.GetPreviousEpoch(), Current: current.Epoch}
+		return 0, &marshaller.StaleEpochError{Previous: g.GetPreviousEpoch(), Current: current.Epoch}
 	}
-	m.roles[g.GetRole()] = translator.Assignment{Host: g.GetHost(), Incarnation: g.GetIncarnation(), Epoch: current.Epoch + 1}
+	m.roles[g.GetRole()] = marshaller.Assignment{Host: g.GetHost(), Incarnation: g.GetIncarnation(), Epoch: current.Epoch + 1}
 	return current.Epoch + 1, nil
 }
 
@@ -242,7 +242,7 @@
 	if !same && current.Incarnation != p.GetPreviousIncarnation() {
 		return current.Incarnation
 	}
-	next := translator.Member{
+	next := marshaller.Member{
 		Host: p.GetHost(), Nonce: p.GetNonce(), Incarnation: current.Incarnation, Zone: p.GetZone(), Addr: p.GetAddr(),
 		CallersAddr: p.GetCallersAddr(), Control: p.GetControl(), Version: current.Version,
 	}
@@ -273,7 +273,7 @@
 
 // forgetRemoved bounds the members that are remembered for their incarnation number, the oldest first.
 func (m *Machine) forgetRemoved() {
-	var removed []translator.Member
+	var removed []marshaller.Member
 	for _, member := range m.members {
 		if member.Removed {
 			removed = append(removed, member)
@@ -282,7 +282,7 @@
 	if len(removed) <= maxRemoved {
 		return
 	}
-	oldest := slices.MinFunc(removed, func(a, b translator.Member) int { return int(a.Version) - int(b.Version) })
+	oldest := slices.MinFunc(removed, func(a, b marshaller.Member) int { return int(a.Version) - int(b.Version) })
 	m.forgottenVersion = m.membersVersion
 	delete(m.members, oldest.Host)
 }
@@ -303,10 +303,10 @@
 }
 
 // History returns up to limit revisions from a version on, in ascending order.
-func (m *Machine) History(from uint64, limit int) []translator.Revision {
+func (m *Machine) History(from uint64, limit int) []marshaller.Revision {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	at, _ := slices.BinarySearchFunc(m.history, from, func(r translator.Revision, v uint64) int {
+	at, _ := slices.BinarySearchFunc(m.history, from, func(r marshaller.Revision, v uint64) int {
 		if r.Version < v {
 			return -1
 		}
@@ -317,14 +317,14 @@
 }
 
 // Roles returns the holder of each role that was ever granted.
-func (m *Machine) Roles() map[string]translator.Assignment {
+func (m *Machine) Roles() map[string]marshaller.Assignment {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return maps.Clone(m.roles)
 }
 
 // Members returns the members that are not removed, sorted by host, and the members' version. The list must not be changed.
-func (m *Machine) Members() ([]translator.Member, uint64) {
+func (m *Machine) Members() ([]marshaller.Member, uint64) {
 	m.mu.RLock()
 	list, version := m.memberList, m.membersVersion
 	m.mu.RUnlock()
@@ -334,13 +334,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.memberList == nil {
-		m.memberList = make([]translator.Member, 0, len(m.members))
+		m.memberList = make([]marshaller.Member, 0, len(m.members))
 		for _, member := range m.members {
 			if !member.Removed {
 				m.memberList = append(m.memberList, member)
 			}
 		}
-		slices.SortFunc(m.memberList, func(a, b translator.Member) int { return compareStrings(a.Host, b.Host) })
+		slices.SortFunc(m.memberList, func(a, b marshaller.Member) int { return compareStrings(a.Host, b.Host) })
 	}
 	return m.memberList, m.membersVersion
 }
@@ -348,7 +348,7 @@
 // MembersSince returns the members that changed after a version, with the removed ones. The list is full, and holds live
 // members only, when the version is not known any more. Sending changes alone matters when many hosts start at once: full
 // lists of 640 members to 640 hosts for each join took seconds.
-func (m *Machine) MembersSince(since uint64) (members []translator.Member, version uint64, full bool) {
+func (m *Machine) MembersSince(since uint64) (members []marshaller.Member, version uint64, full bool) {
 	all, version := m.Members()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -363,12 +363,12 @@
 			members = append(members, member)
 		}
 	}
-	slices.SortFunc(members, func(a, b translator.Member) int { return compareStrings(a.Host, b.Host) })
+	slices.SortFunc(members, func(a, b marshaller.Member) int { return compareStrings(a.Host, b.Host) })
 	return members, m.membersVersion, false
 }
 
 // Member returns the last known process of a host, also when it was removed.
-func (m *Machine) Member(host string) (translator.Member, bool) {
+func (m *Machine) Member(host string) (marshaller.Member, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	member, ok := m.members[host]
--- a/internal/applier/snapshot.go
+++ b/internal/applier/snapshot.go
@@ -10,8 +10,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes.
@@ -23,14 +23,14 @@
 		ForgottenVersion: m.forgottenVersion,
 	}
 	for _, r := range m.history {
-		s.History = append(s.History, translator.RevisionProto(r))
+		s.History = append(s.History, marshaller.RevisionProto(r))
 		s.Patches = append(s.Patches, recordProto(r.PatchID, m.accepted[r.PatchID]))
 	}
 	for _, id := range m.refusedOrder {
 		s.Patches = append(s.Patches, recordProto(id, m.refused[id]))
 	}
 	for name, a := range m.roles {
-		s.Roles = append(s.Roles, translator.RoleProto(name, a))
+		s.Roles = append(s.Roles, marshaller.RoleProto(name, a))
 	}
 	slices.SortFunc(s.Roles, func(a, b *controllerpb.Role) int { return compareStrings(a.Name, b.Name) })
 	for _, member := range m.members {
@@ -39,11 +39,11 @@
 	slices.SortFunc(s.Members, func(a, b *controllerpb.Member) int { return compareStrings(a.Host, b.Host) })
 	records, withdrawn := m.ledger.Export()
 	for _, r := range records {
-		s.Orders = append(s.Orders, translator.OrderProto(r))
+		s.Orders = append(s.Orders, marshaller.OrderProto(r))
 	}
 	for _, w := range withdrawn {
 		s.Withdrawals = append(s.Withdrawals, &controllerpb.Withdrawal{
-			Key: translator.KeyProto(w.Key), Owner: w.Owner, Attempt: w.Attempt, AtMs: w.AtMS,
+			Key: marshaller.KeyProto(w.Key), Owner: w.Owner, Attempt: w.Attempt, AtMs: w.AtMS,
 		})
 	}
 	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
@@ -73,10 +73,10 @@
 	m.term, m.forgottenVersion = s.GetTerm(), s.GetForgottenVersion()
 	m.restorePatches(s)
 	for _, r := range s.GetRoles() {
-		m.roles[r.GetName()] = translator.Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
+		m.roles[r.GetName()] = marshaller.Assignment{Host: r.GetHost(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch()}
 	}
 	for _, p := range s.GetMembers() {
-		m.members[p.GetHost()] = translator.MemberOf(p)
+		m.members[p.GetHost()] = marshaller.MemberOf(p)
 	}
 	m.restoreLedger(s)
 	m.mu.Unlock()
@@ -88,7 +88,7 @@
 
 func (m *Machine) restorePatches(s *controllerpb.Snapshot) {
 	for _, r := range s.GetHistory() {
-		m.history = append(m.history, translator.RevisionOf(r))
+		m.history = append(m.history, marshaller.RevisionOf(r))
 		m.historyBytes += len(r.GetPatch())
 	}
 	for _, p := range s.GetPatches() {
@@ -106,12 +106,12 @@
 func (m *Machine) restoreLedger(s *controllerpb.Snapshot) {
 	records := make([]recorder.Record, 0, len(s.GetOrders()))
 	for _, o := range s.GetOrders() {
-		records = append(records, translator.OrderOf(o))
+		records = append(records, marshaller.OrderOf(o))
 	}
 	withdrawn := make([]recorder.Withdrawal, 0, len(s.GetWithdrawals()))
 	for _, w := range s.GetWithdrawals() {
 		withdrawn = append(withdrawn, recorder.Withdrawal{
-			Key: translator.KeyOf(w.GetKey()), Owner: w.GetOwner(), Attempt: w.GetAttempt(), AtMS: w.GetAtMs(),
+			Key: marshaller.KeyOf(w.GetKey()), Owner: w.GetOwner(), Attempt: w.GetAttempt(), AtMS: w.GetAtMs(),
 		})
 	}
 	if m.config != nil {
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -8,7 +8,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/detector"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -28,7 +28,7 @@
 	case *controllerpb.Command_PatchConfig, *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder,
 		*controllerpb.Command_WithdrawOrder:
 	default:
-		failure := translator.EncodeFailure(&translator.MalformedCommandError{Reason: "clients may not send this command"})
+		failure := marshaller.EncodeFailure(&marshaller.MalformedCommandError{Reason: "clients may not send this command"})
 		return proto.Marshal(&controllerpb.SubmitReply{Result: &controllerpb.Result{Failure: failure}})
 	}
 	s.mu.Lock()
@@ -66,13 +66,13 @@
 			if bytes += len(r.Patch); bytes > maxHistoryPageBytes && len(reply.Revisions) > 0 {
 				break
 			}
-			reply.Revisions = append(reply.Revisions, translator.RevisionProto(r))
+			reply.Revisions = append(reply.Revisions, marshaller.RevisionProto(r))
 		}
 	case *controllerpb.QueryRequest_Status:
 		reply.Status = s.status(lead, version)
 	case *controllerpb.QueryRequest_Order:
-		if record, ok := s.Machine.Order(translator.KeyOf(q.Order.GetKey())); ok {
-			reply.Order = translator.OrderProto(record)
+		if record, ok := s.Machine.Order(marshaller.KeyOf(q.Order.GetKey())); ok {
+			reply.Order = marshaller.OrderProto(record)
 		}
 	}
 	return proto.Marshal(reply)
@@ -100,7 +100,7 @@
 		})
 	}
 	for _, role := range wantedRoles(cfg) {
-		out.Roles = append(out.Roles, translator.RoleProto(role, roles[role]))
+		out.Roles = append(out.Roles, marshaller.RoleProto(role, roles[role]))
 	}
 	return out
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,9 +7,9 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Types of the parts that the controller is made of.
@@ -23,17 +23,17 @@
 	// Machine is the replicated state.
 	Machine = applier.Machine
 	// Patch is a change of the configuration.
-	Patch = translator.Patch
+	Patch = marshaller.Patch
 	// PatchResult is the version that a patch created.
-	PatchResult = translator.PatchResult
+	PatchResult = marshaller.PatchResult
 	// Revision is one accepted version in the history.
-	Revision = translator.Revision
+	Revision = marshaller.Revision
 	// Member is a process of a host.
-	Member = translator.Member
+	Member = marshaller.Member
 	// StaleVersionError reports a patch against a version that is not the current one.
-	StaleVersionError = translator.StaleVersionError
+	StaleVersionError = marshaller.StaleVersionError
 	// PatchIDError reports a patch id that is missing or was used with another patch.
-	PatchIDError = translator.PatchIDError
+	PatchIDError = marshaller.PatchIDError
 	// UnavailableError reports that no control leader answered in time.
 	UnavailableError = submitter.UnavailableError
 )
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -9,8 +9,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/detector"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -146,7 +146,7 @@
 }
 
 // release ends the leases that the host has given up and lets the loop grant them at once.
-func (s *Service) release(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, roles map[string]translator.Assignment) {
+func (s *Service) release(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, roles map[string]marshaller.Assignment) {
 	for _, r := range hb.GetReleased() {
 		if lead.leases.Release(now, r.GetRole(), roles[r.GetRole()], hb.GetHost(), incarnation, r.GetEpoch()) {
 			s.poke()
@@ -156,7 +156,7 @@
 
 // renew renews the leases of the host and lists all holders. While a new leader does not know the shed level, it confirms
 // only what the host already holds, since a new holder would not know which tiers are closed.
-func (s *Service) renew(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, wanted []string, roles map[string]translator.Assignment, reply *controllerpb.HeartbeatReply) {
+func (s *Service) renew(lead *leadership, now time.Duration, hb *controllerpb.Heartbeat, incarnation uint64, wanted []string, roles map[string]marshaller.Assignment, reply *controllerpb.HeartbeatReply) {
 	_, known := lead.permits.Level()
 	held := map[string]uint64{}
 	for _, h := range hb.GetHeld() {
@@ -167,7 +167,7 @@
 		if a.Epoch == 0 {
 			continue
 		}
-		reply.Holders = append(reply.Holders, translator.RoleProto(role, a))
+		reply.Holders = append(reply.Holders, marshaller.RoleProto(role, a))
 		if !known && held[role] != a.Epoch {
 			continue
 		}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -17,9 +17,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 	"github.com/dragonflycroft/dragonflycroft/internal/waker"
 )
@@ -187,7 +187,7 @@
 	begin := &controllerpb.Command{Term: term, Body: &controllerpb.Command_BeginTerm{BeginTerm: &controllerpb.BeginTerm{}}}
 	result, err := s.propose(ctx, begin)
 	if err == nil {
-		err = translator.DecodeFailure(result.GetFailure())
+		err = marshaller.DecodeFailure(result.GetFailure())
 	}
 	if err != nil {
 		klog.Warningf("controller: cannot begin term=%d reason=%q", term, err)
@@ -268,7 +268,7 @@
 	}
 }
 
-func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]translator.Assignment, members []Member) {
+func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]marshaller.Assignment, members []Member) {
 	var hosts []leaser.Host
 	for _, m := range members {
 		if lead.detector.Eligible(now, detector.Process{Host: m.Host, Incarnation: m.Incarnation}) {
@@ -292,7 +292,7 @@
 }
 
 // stepPermits moves the shed level; it returns true when the level changed.
-func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]translator.Assignment) bool {
+func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]marshaller.Assignment) bool {
 	if cfg == nil {
 		return false
 	}
@@ -315,7 +315,7 @@
 }
 
 // wakeHolders wakes the holders of pool roles.
-func (s *Service) wakeHolders(ctx context.Context, members []Member, roles map[string]translator.Assignment) {
+func (s *Service) wakeHolders(ctx context.Context, members []Member, roles map[string]marshaller.Assignment) {
 	holders := map[string]bool{}
 	for role, a := range roles {
 		if isPoolRole(role) {
@@ -370,7 +370,7 @@
 		defer cancel()
 		result, err := s.propose(ctx, cmd)
 		if err == nil {
-			err = translator.DecodeFailure(result.GetFailure())
+			err = marshaller.DecodeFailure(result.GetFailure())
 		}
 		s.mu.Lock()
 		delete(lead.inFlight, name)
--- a/internal/distributor/relay.go
+++ b/internal/distributor/relay.go
@@ -12,7 +12,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor/distributorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -34,7 +34,7 @@
 	Confirmation() (version uint64, document []byte, at time.Time)
 	Offer(version uint64, document []byte, confirmedAt time.Time)
 	Subscribe(fn func(version uint64, cfg *configurer.Config))
-	Members() []translator.Member
+	Members() []marshaller.Member
 	Leader() (id, addr string)
 }
 
@@ -103,10 +103,10 @@
 	return nil
 }
 
-func (r *Relay) position() (parent translator.Member, children []translator.Member, leader string) {
+func (r *Relay) position() (parent marshaller.Member, children []marshaller.Member, leader string) {
 	leader, _ = r.Holder.Leader()
 	if leader == "" {
-		return translator.Member{}, nil, ""
+		return marshaller.Member{}, nil, ""
 	}
 	parent, children = Position(leader, r.HostID, r.Holder.Members())
 	return parent, children, leader
--- a/internal/distributor/tree.go
+++ b/internal/distributor/tree.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 )
 
 // FanOut is the number of children of a host. With 16, 640 hosts are at most three levels below the leader.
@@ -14,9 +14,9 @@
 
 // Position returns the parent and the children of a host. The leader is the root; the other hosts follow in the order of
 // their ids. The parent of a host that is not a member is the leader.
-func Position(leader, self string, members []translator.Member) (parent translator.Member, children []translator.Member) {
+func Position(leader, self string, members []marshaller.Member) (parent marshaller.Member, children []marshaller.Member) {
 	order := treeOrder(leader, members)
-	at := slices.IndexFunc(order, func(m translator.Member) bool { return m.Host == self })
+	at := slices.IndexFunc(order, func(m marshaller.Member) bool { return m.Host == self })
 	if at < 0 {
 		return order[0], nil
 	}
@@ -25,20 +25,20 @@
 		children = order[first:min(first+FanOut, len(order))]
 	}
 	if at == 0 {
-		return translator.Member{}, children
+		return marshaller.Member{}, children
 	}
 	return order[(at-1)/FanOut], children
 }
 
 // Direct returns the hosts directly under the leader, and the leader.
-func Direct(leader string, members []translator.Member) []translator.Member {
+func Direct(leader string, members []marshaller.Member) []marshaller.Member {
 	order := treeOrder(leader, members)
 	return order[:min(len(order), FanOut+1)]
 }
 
-func treeOrder(leader string, members []translator.Member) []translator.Member {
-	order := make([]translator.Member, 1, len(members)+1)
-	order[0] = translator.Member{Host: leader}
+func treeOrder(leader string, members []marshaller.Member) []marshaller.Member {
+	order := make([]marshaller.Member, 1, len(members)+1)
+	order[0] = marshaller.Member{Host: leader}
 	for _, m := range members {
 		if m.Host == leader {
 			order[0] = m
@@ -46,6 +46,6 @@
 		}
 		order = append(order, m)
 	}
-	slices.SortFunc(order[1:], func(a, b translator.Member) int { return strings.Compare(a.Host, b.Host) })
+	slices.SortFunc(order[1:], func(a, b marshaller.Member) int { return strings.Compare(a.Host, b.Host) })
 	return order
 }
--- a/internal/distributor/tree_test.go
+++ b/internal/distributor/tree_test.go
@@ -5,15 +5,15 @@
 	"testing"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 )
 
 // Guards against a host that nobody serves, that two parents serve, or that is further from the leader than planned.
 func TestEveryHostHasOneParent(t *testing.T) {
 	for size, levels := range map[int]int{1: 0, 2: 1, 9: 1, 17: 1, 18: 2, 60: 2, 273: 2, 274: 3, 640: 3} {
-		var members []translator.Member
+		var members []marshaller.Member
 		for i := range size {
-			members = append(members, translator.Member{Host: fmt.Sprintf("h%03d", i)})
+			members = append(members, marshaller.Member{Host: fmt.Sprintf("h%03d", i)})
 		}
 		leader := members[size/2].Host
 		parents := map[string]string{}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -16,8 +16,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -83,10 +83,10 @@
 	config         *configurer.Config
 	confirmedAt    time.Time
 	relayedAt      time.Time
-	members        []translator.Member
+	members        []marshaller.Member
 	membersVersion uint64
 
-	holders  map[string]translator.Assignment
+	holders  map[string]marshaller.Assignment
 	leases   *tenant.Leases
 	draining bool
 	leaving  bool
@@ -95,7 +95,7 @@
 	subscribers []func(uint64, *configurer.Config)
 	onRole      []func(string, uint64, bool)
 	onShed      []func(int, int, time.Duration)
-	onMembers   []func([]translator.Member)
+	onMembers   []func([]marshaller.Member)
 	calls       []func()
 	pending     chan struct{}
 	wake        chan chan bool
@@ -108,7 +108,7 @@
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
 		a.joined = make(chan struct{})
-		a.holders, a.leases = map[string]translator.Assignment{}, tenant.New()
+		a.holders, a.leases = map[string]marshaller.Assignment{}, tenant.New()
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
 		a.wake = make(chan chan bool, maxWakes)
@@ -339,21 +339,21 @@
 	if r.GetMembersVersion() == a.membersVersion {
 		return
 	}
-	byHost := make(map[string]translator.Member, len(a.members)+len(r.GetMembers()))
+	byHost := make(map[string]marshaller.Member, len(a.members)+len(r.GetMembers()))
 	if !r.GetMembersFull() {
 		for _, m := range a.members {
 			byHost[m.Host] = m
 		}
 	}
 	for _, p := range r.GetMembers() {
-		m := translator.MemberOf(p)
+		m := marshaller.MemberOf(p)
 		byHost[m.Host] = m
 		if m.Removed {
 			delete(byHost, m.Host)
 		}
 	}
 	a.membersVersion = r.GetMembersVersion()
-	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y translator.Member) int { return strings.Compare(x.Host, y.Host) })
+	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y marshaller.Member) int { return strings.Compare(x.Host, y.Host) })
 	members := a.members
 	for _, fn := range a.onMembers {
 		a.enqueue(func() { fn(members) })
@@ -374,17 +374,17 @@
 }
 
 // Owner returns the name of this process in the ledger and in request ids, HOST.INCARNATION.
-func (a *Agent) Owner() string { return translator.Owner(a.HostID, a.Incarnation()) }
+func (a *Agent) Owner() string { return marshaller.Owner(a.HostID, a.Incarnation()) }
 
 // Members returns the live members, sorted by host.
-func (a *Agent) Members() []translator.Member {
+func (a *Agent) Members() []marshaller.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.members
 }
 
 // OnMembers registers a function that is called with each new list of members.
-func (a *Agent) OnMembers(fn func([]translator.Member)) {
+func (a *Agent) OnMembers(fn func([]marshaller.Member)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.onMembers = append(a.onMembers, fn)
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -8,8 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Holder returns the host that holds a role, "pool/NAME" or "placement", as last heard from the leader.
@@ -20,7 +20,7 @@
 	if !known {
 		return "", "", 0, false
 	}
-	i := slices.IndexFunc(a.members, func(m translator.Member) bool {
+	i := slices.IndexFunc(a.members, func(m marshaller.Member) bool {
 		return m.Host == at.Host && m.Incarnation == at.Incarnation
 	})
 	if i < 0 {
@@ -103,9 +103,9 @@
 }
 
 func (a *Agent) acceptRoles(sent time.Time, r *controllerpb.HeartbeatReply) {
-	a.holders = make(map[string]translator.Assignment, len(r.GetHolders()))
+	a.holders = make(map[string]marshaller.Assignment, len(r.GetHolders()))
 	for _, h := range r.GetHolders() {
-		a.holders[h.GetName()] = translator.Assignment{Host: h.GetHost(), Incarnation: h.GetIncarnation(), Epoch: h.GetEpoch()}
+		a.holders[h.GetName()] = marshaller.Assignment{Host: h.GetHost(), Incarnation: h.GetIncarnation(), Epoch: h.GetEpoch()}
 		a.leases.Observe(h.GetName(), h.GetEpoch())
 	}
 	if a.draining {
--- a/internal/translator/failure.go
+++ b/internal/marshaller/failure.go
@@ -1,4 +1,4 @@
-package translator
+package marshaller
 
 import (
 	"errors"
--- a/internal/translator/orders.go
+++ b/internal/marshaller/orders.go
@@ -1,4 +1,4 @@
-package translator
+package marshaller
 
 import (
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
--- a/internal/translator/types.go
+++ b/internal/marshaller/types.go
@@ -1,5 +1,5 @@
-// Package translator defines the values and errors of the control part and converts them from and to messages.
-package translator
+// Package marshaller defines the values and errors of the control part and converts them from and to messages.
+package marshaller
 
 import (
 	"fmt"
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Methods of the control service.
@@ -186,22 +186,22 @@
 	if err := c.do(ctx, MethodSubmit, &controllerpb.SubmitRequest{Command: cmd}, resp); err != nil {
 		return nil, err
 	}
-	return resp.GetResult(), translator.DecodeFailure(resp.GetResult().GetFailure())
+	return resp.GetResult(), marshaller.DecodeFailure(resp.GetResult().GetFailure())
 }
 
-// PatchConfig applies a patch. It returns *translator.StaleVersionError, *translator.PatchIDError or *configurer.InvalidError
+// PatchConfig applies a patch. It returns *marshaller.StaleVersionError, *marshaller.PatchIDError or *configurer.InvalidError
 // when the patch is refused.
-func (c *Client) PatchConfig(ctx context.Context, p translator.Patch) (translator.PatchResult, error) {
+func (c *Client) PatchConfig(ctx context.Context, p marshaller.Patch) (marshaller.PatchResult, error) {
 	if len(p.Body) > configurer.MaxPatchBytes {
-		return translator.PatchResult{}, configurer.CheckPatch(p.Body)
+		return marshaller.PatchResult{}, configurer.CheckPatch(p.Body)
 	}
 	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_PatchConfig{
 		PatchConfig: &controllerpb.PatchConfig{Id: p.ID, Base: p.Base, Body: p.Body, Author: p.Author},
 	}})
 	if err != nil {
-		return translator.PatchResult{}, err
+		return marshaller.PatchResult{}, err
 	}
-	return translator.PatchResult{Version: result.GetNumber()}, nil
+	return marshaller.PatchResult{Version: result.GetNumber()}, nil
 }
 
 // Config returns the current configuration version with its document.
@@ -213,7 +213,7 @@
 }
 
 // History returns up to limit revisions from a version on, in ascending order.
-func (c *Client) History(ctx context.Context, from uint64, limit int) ([]translator.Revision, error) {
+func (c *Client) History(ctx context.Context, from uint64, limit int) ([]marshaller.Revision, error) {
 	resp := &controllerpb.QueryReply{}
 	req := &controllerpb.QueryRequest{Body: &controllerpb.QueryRequest_History{
 		History: &controllerpb.HistoryQuery{From: from, Limit: int32(limit)},
@@ -221,9 +221,9 @@
 	if err := c.do(ctx, MethodQuery, req, resp); err != nil {
 		return nil, err
 	}
-	out := make([]translator.Revision, 0, len(resp.GetRevisions()))
+	out := make([]marshaller.Revision, 0, len(resp.GetRevisions()))
 	for _, r := range resp.GetRevisions() {
-		out = append(out, translator.RevisionOf(r))
+		out = append(out, marshaller.RevisionOf(r))
 	}
 	return out, nil
 }
--- a/internal/submitter/order.go
+++ b/internal/submitter/order.go
@@ -5,8 +5,8 @@
 	"errors"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 )
 
 // Intend records an order before its dispatch. The order may be dispatched only if the record has Granted set. The errors
@@ -15,7 +15,7 @@
 func (c *Client) Intend(ctx context.Context, in recorder.Intent) (recorder.Record, error) {
 	in.Attempt = c.nextAttempt()
 	at := attemptKey{key: in.Key, owner: in.Owner}
-	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_IntendOrder{IntendOrder: translator.IntentProto(in)}})
+	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_IntendOrder{IntendOrder: marshaller.IntentProto(in)}})
 	if err != nil {
 		var uncertain *UnavailableError
 		if errors.As(err, &uncertain) {
@@ -23,7 +23,7 @@
 		}
 		return recorder.Record{}, err
 	}
-	record := translator.OrderOf(result.GetOrder())
+	record := marshaller.OrderOf(result.GetOrder())
 	if record.Granted {
 		c.remember(at, in.Attempt)
 	}
@@ -36,7 +36,7 @@
 		out.Body, out.Header, out.Truncated = nil, nil, true
 	}
 	_, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_ConcludeOrder{
-		ConcludeOrder: &controllerpb.ConcludeOrder{Key: keyProto(key), Owner: owner, Outcome: translator.OutcomeProto(out)},
+		ConcludeOrder: &controllerpb.ConcludeOrder{Key: keyProto(key), Owner: owner, Outcome: marshaller.OutcomeProto(out)},
 	}})
 	if err == nil {
 		c.forget(attemptKey{key: key, owner: owner})
@@ -73,7 +73,7 @@
 	if resp.GetOrder() == nil {
 		return recorder.Record{}, false, nil
 	}
-	return translator.OrderOf(resp.GetOrder()), true, nil
+	return marshaller.OrderOf(resp.GetOrder()), true, nil
 }
 
 func keyProto(k recorder.Key) *controllerpb.Key {
