--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -188,7 +188,7 @@
 	if p.GetBase() != m.version {
 		return &marshaller.StaleVersionError{Base: p.GetBase(), Current: m.version}
 	}
-	cfg, document, err := configurer.Apply(m.document, p.GetBody())
+	cfg, document, err := m.merge(p)
 	if err != nil {
 		return err
 	}
@@ -209,6 +209,30 @@
 	return nil
 }
 
+// merge applies a patch whose base is the current version. What the leader has checked is taken as it is.
+func (m *Machine) merge(p *controllerpb.PatchConfig) (*configurer.Config, []byte, error) {
+	switch {
+	case p.GetChecked() && p.GetRefusal() != nil:
+		return nil, nil, marshaller.DecodeFailure(p.GetRefusal())
+	case p.GetChecked():
+		return configurer.Merge(m.document, p.GetBody())
+	}
+	return configurer.Apply(m.document, p.GetBody())
+}
+
+// Check validates a patch against the current version, on the leader. A patch against another version is left unchecked; it
+// is normally refused when it is applied.
+func (m *Machine) Check(p *controllerpb.PatchConfig) {
+	version, document, _ := m.Config()
+	p.Checked, p.Refusal = p.GetBase() == version, nil
+	if !p.GetChecked() {
+		return
+	}
+	if _, _, err := configurer.Apply(document, p.GetBody()); err != nil {
+		p.Refusal = marshaller.EncodeFailure(err)
+	}
+}
+
 func ledgerLimits(cfg *configurer.Config) recorder.Limits {
 	return recorder.Limits{
 		Retention: time.Duration(cfg.Limits.OrderRetentionMS) * time.Millisecond,
--- a/internal/applier/machine_test.go
+++ b/internal/applier/machine_test.go
@@ -118,6 +118,36 @@
 	}
 }
 
+// Guards against a log that gives other versions when it is replayed under stricter validation rules, and against a snapshot
+// that cannot be restored under them. An empty document stands for one that was valid before.
+func TestAcceptedVersionsStay(t *testing.T) {
+	m := applier.New()
+	accepted := patch("p1", 0, `{}`)
+	accepted.GetPatchConfig().Checked = true
+	refused := patch("p2", 1, document)
+	refused.GetPatchConfig().Checked, refused.GetPatchConfig().Refusal = true, &controllerpb.Failure{Code: "invalid"}
+	got := []any{apply(t, m, accepted).GetNumber(), apply(t, m, refused).GetFailure().GetCode(), apply(t, m, refused).GetFailure().GetCode()}
+	if diff := cmp.Diff([]any{uint64(1), "invalid", "invalid"}, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := applier.New()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if version, _, cfg := restored.Config(); version != 1 || cfg == nil {
+		t.Errorf("restored version %d, want 1", version)
+	}
+	unchecked := patch("p3", 1, document).GetPatchConfig()
+	m.Check(unchecked)
+	if !unchecked.GetChecked() || unchecked.GetRefusal() != nil {
+		t.Errorf("a valid patch is refused: %v", unchecked.GetRefusal())
+	}
+}
+
 // Guards against an unbounded history and against an old patch id being applied again once it is forgotten.
 func TestHistoryIsBounded(t *testing.T) {
 	m := applier.New()
--- a/internal/applier/snapshot.go
+++ b/internal/applier/snapshot.go
@@ -63,7 +63,7 @@
 	var cfg *configurer.Config
 	if len(s.GetDocument()) > 0 {
 		var err error
-		if cfg, err = configurer.Decode(s.GetDocument()); err != nil {
+		if cfg, err = configurer.Load(s.GetDocument()); err != nil {
 			return eris.Wrapf(err, "decode configuration version %d", s.GetConfigVersion())
 		}
 	}
--- a/internal/configurer/decode.go
+++ b/internal/configurer/decode.go
@@ -72,6 +72,17 @@
 	return cfg, nil
 }
 
+// Load reads a document that was accepted before. It is not validated again: later rules may be stricter, and an accepted
+// version stays in force.
+func Load(data []byte) (*Config, error) {
+	cfg := &Config{}
+	if err := json.Unmarshal(data, cfg); err != nil {
+		return nil, invalid("", "%v", err)
+	}
+	fillArrays(cfg)
+	return cfg, nil
+}
+
 // fillArrays replaces missing arrays by empty ones: the canonical form would otherwise hold null, which is refused when it
 // is read again.
 func fillArrays(cfg *Config) {
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -28,6 +28,13 @@
 	if err := CheckPatch(patch); err != nil {
 		return nil, nil, err
 	}
+	return merge(document, patch, Decode)
+}
+
+// Merge applies a patch that was accepted before. Neither the patch nor the result is validated.
+func Merge(document, patch []byte) (*Config, []byte, error) { return merge(document, patch, Load) }
+
+func merge(document, patch []byte, read func([]byte) (*Config, error)) (*Config, []byte, error) {
 	if len(document) == 0 {
 		document = []byte("{}")
 	}
@@ -35,7 +42,7 @@
 	if err != nil {
 		return nil, nil, invalid("", "cannot merge: %v", err)
 	}
-	cfg, err := Decode(merged)
+	cfg, err := read(merged)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -24,9 +24,10 @@
 		return nil, eris.Wrap(err, "decode command")
 	}
 	cmd := req.GetCommand()
-	switch cmd.GetBody().(type) {
-	case *controllerpb.Command_PatchConfig, *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder,
-		*controllerpb.Command_WithdrawOrder:
+	switch body := cmd.GetBody().(type) {
+	case *controllerpb.Command_PatchConfig:
+		s.Machine.Check(body.PatchConfig)
+	case *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder, *controllerpb.Command_WithdrawOrder:
 	default:
 		failure := marshaller.EncodeFailure(&marshaller.MalformedCommandError{Reason: "clients may not send this command"})
 		return proto.Marshal(&controllerpb.SubmitReply{Result: &controllerpb.Result{Failure: failure}})
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -68,7 +68,7 @@
 		if len(document) == 0 {
 			return
 		}
-		cfg, err := configurer.Decode(document)
+		cfg, err := configurer.Load(document)
 		if err != nil {
 			klog.Errorf("heartbeater: cannot use configuration version=%d reason=%q", version, err)
 			return
