server: read on past the limit for a short time before the refusal

Change: the rest of such a body is read and dropped for at most 2 s. Conclusion: a body that is too large gets its clear error.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -22,6 +22,7 @@
 	length := k.c.Request.Header.ContentLength()
 	if length > limit {
 		k.c.SetConnectionClose()
+		discard(k.c.RequestBodyStream())
 		return nil, nil, tooLarge(limit)
 	}
 	reserved := int64(length)
@@ -47,6 +48,7 @@
 	case err != nil:
 		f = &responder.Failure{Status: http.StatusBadRequest, Reason: "body_incomplete", Message: "the body could not be read: " + err.Error()}
 	case len(body) > limit:
+		discard(k.c.RequestBodyStream())
 		f = tooLarge(limit)
 	}
 	if f != nil {
@@ -95,6 +97,18 @@
 	return io.ReadAll(io.LimitReader(r, int64(limit)+1))
 }
 
+// discardTime bounds the reading of a body that is too large.
+const discardTime = 2 * time.Second
+
+// discard reads the rest of a body for a short time and drops it. A caller that is still writing when the connection is
+// closed sees a reset instead of the answer.
+func discard(r io.Reader) {
+	if r == nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, &timedReader{r: r, until: time.Now().Add(discardTime)})
+}
+
 func tooLarge(limit int) *responder.Failure {
 	return &responder.Failure{
 		Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large",
