--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -36,13 +36,20 @@
 	ready := s.lead != nil
 	s.mu.Unlock()
 	if !ready {
+		countCommands.Add("redirected", 1)
 		return proto.Marshal(&controllerpb.SubmitReply{Redirect: s.redirect("not the leader")})
 	}
 	result, err := s.propose(ctx, cmd)
 	if err != nil {
+		countCommands.Add("uncertain", 1)
 		// The command may still commit. Commands are idempotent, so that the client sends it again.
 		return proto.Marshal(&controllerpb.SubmitReply{Redirect: s.redirect(err.Error())})
 	}
+	if code := result.GetFailure().GetCode(); code != "" {
+		countCommands.Add(code, 1)
+	} else {
+		countCommands.Add("applied", 1)
+	}
 	return proto.Marshal(&controllerpb.SubmitReply{Result: result})
 }
 
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -57,6 +57,7 @@
 	}
 	lead, reason := s.leading(ctx)
 	if lead == nil {
+		countHeartbeats.Add("redirected", 1)
 		return proto.Marshal(&controllerpb.HeartbeatReply{Redirect: s.redirect(reason)})
 	}
 	incarnation, superseded, err := s.admit(ctx, hb)
@@ -64,12 +65,15 @@
 	case err != nil:
 		return proto.Marshal(&controllerpb.HeartbeatReply{Redirect: s.redirect(err.Error())})
 	case superseded:
+		countHeartbeats.Add("superseded", 1)
 		return proto.Marshal(&controllerpb.HeartbeatReply{Superseded: true, Term: lead.term, Leader: s.HostID})
 	}
 	reply, err := s.answer(lead, hb, incarnation)
 	if err != nil {
+		countHeartbeats.Add("stale", 1)
 		return nil, err
 	}
+	countHeartbeats.Add("answered", 1)
 	return proto.Marshal(reply)
 }
 
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,14 @@
 	proposeTimeout = 2 * time.Second
 )
 
+// Metrics of the control service.
+var (
+	countHeartbeats  = expvar.NewMap("controller_heartbeats")
+	countCommands    = expvar.NewMap("controller_commands")
+	countLeaderships = expvar.NewInt("controller_leaderships")
+	countGrants      = expvar.NewInt("controller_grants")
+)
+
 // Service answers heartbeats, commands and queries on a host that holds the replicated log. Only the leader answers; the
 // others name it. Set the exported fields before Run.
 type Service struct {
@@ -200,6 +209,7 @@
 	}
 	now := s.now()
 	version, _, _ := s.Machine.Config()
+	countLeaderships.Add(1)
 	s.lead = &leadership{
 		term:     term,
 		leases:   leaser.New(now, leaser.Options{TTL: LeaseTTL + leaseMargin, Settle: settleFor}),
@@ -286,6 +296,7 @@
 			}
 		})
 		if started {
+			countGrants.Add(1)
 			klog.Infof("controller: granting role=%s host=%s previous_epoch=%d term=%d", g.Role, g.Host, g.Previous, lead.term)
 		}
 	}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -47,6 +48,12 @@
 	retryDelay = 50 * time.Millisecond
 )
 
+// Metrics of the agent.
+var (
+	countBeats    = expvar.NewMap("heartbeater_heartbeats")
+	configVersion = expvar.NewInt("heartbeater_config_version")
+)
+
 // Network carries exchanges; *transporter.Transport implements it.
 type Network interface {
 	Call(ctx context.Context, addr, method string, req, resp proto.Message) error
@@ -238,14 +245,17 @@
 	resp := &controllerpb.HeartbeatReply{}
 	sent := time.Now()
 	if err := a.Network.Call(ctx, addr, MethodHeartbeat, req, resp); err != nil {
+		countBeats.Add("failed", 1)
 		klog.V(1).Infof("heartbeater: no answer addr=%s reason=%q", addr, err)
 		a.forgetLeader(addr)
 		return false, ""
 	}
 	if r := resp.GetRedirect(); r != nil {
+		countBeats.Add("redirected", 1)
 		a.forgetLeader(addr)
 		return false, r.GetAddr()
 	}
+	countBeats.Add("answered", 1)
 	a.accept(addr, sent, resp)
 	return true, ""
 }
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -75,6 +75,7 @@
 		}
 		klog.Infof("heartbeater: configuration in force host=%s version=%d previous=%d", a.HostID, version, a.version)
 		a.version, a.document, a.config = version, document, cfg
+		configVersion.Set(int64(version))
 		for _, fn := range a.subscribers {
 			a.enqueue(func() { fn(version, cfg) })
 		}
