--- a/cmd/dragonflycroft/main.go
+++ b/cmd/dragonflycroft/main.go
@@ -41,6 +41,7 @@
 type cli struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
 	Version versionCommand `cmd:"" help:"Print the version."`
+	Replay  replayCommand  `cmd:"" help:"Replay recorded traces on virtual time and compare the measures."`
 	Demo    demoCommand    `cmd:"" help:"Run three entry hosts and stand-in endpoints in one process with a mixed flood."`
 	Config  configCommand  `cmd:"" help:"Read or change the configuration."`
 	Members membersCommand `cmd:"" help:"Read or change the control hosts."`
