node: make the library embeddable from outside the module

Cause: a program outside this module could not build the control part, whose types are internal. Conclusion: the command holds no construction of its own.

--- a/cmd/dragonflycroft/serve.go
+++ b/cmd/dragonflycroft/serve.go
@@ -4,25 +4,18 @@
 	"context"
 	"crypto/rand"
 	"flag"
-	"maps"
 	"net"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft"
-	"github.com/dragonflycroft/dragonflycroft/internal/administrator"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
-	"github.com/dragonflycroft/dragonflycroft/internal/lister"
-	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
-	"github.com/dragonflycroft/dragonflycroft/internal/participant"
 	"github.com/dragonflycroft/dragonflycroft/internal/resumer"
 	"github.com/dragonflycroft/dragonflycroft/internal/runner"
-	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
 // serveCommand holds the settings of an entry host. They are texts, so that every wrong one is reported at once.
@@ -88,7 +81,7 @@
 type settings struct {
 	node        *dragonflycroft.Node
 	controllers map[string]string
-	operators   []administrator.Operator
+	operators   map[string]string
 	trial       *configurer.Config
 }
 
@@ -107,11 +100,8 @@
 		}
 	}
 	out := &settings{controllers: c.pairs("control-hosts", s.ControlHosts)}
-	tokens := c.pairs("operator-tokens", s.OperatorTokens)
-	c.digests("operator-tokens", tokens)
-	for _, name := range slices.Sorted(maps.Keys(tokens)) {
-		out.operators = append(out.operators, administrator.Operator{Name: name, TokenSHA256: tokens[name]})
-	}
+	out.operators = c.pairs("operator-tokens", s.OperatorTokens)
+	c.digests("operator-tokens", out.operators)
 	s.checkControl(c, out)
 	if n := c.number("verbosity", s.Verbosity, 0); n > 4 {
 		c.add("verbosity", "is %d; it must be at most 4", n)
@@ -189,7 +179,7 @@
 		c.add("body-memory", "is smaller than --max-body")
 	}
 	if s.HostList != "" {
-		n.HostList = &lister.HTTPSource{Addr: s.HostList, Timeouts: n.Endpoint}
+		n.UseHostList(s.HostList)
 	}
 	return n
 }
@@ -207,19 +197,13 @@
 	}
 	defer klog.Flush()
 	node := parsed.node
-	node.NewControl = func(t *transporter.Transport) (dragonflycroft.Control, error) {
-		if parsed.trial != nil {
-			klog.Warningf("node: trial host=%s reason=%q", s.HostID, "configuration, roles and orders are held in memory by this process alone")
-			return localcontroller.New(parsed.trial).Host(s.HostID, t.Addr()), nil
-		}
-		p := participant.New(t, participant.Options{
-			HostID: s.HostID, Zone: s.Zone, CallersAddr: s.CallerListen, Controllers: parsed.controllers,
-			DataDir: s.DataDir, Bootstrap: s.Bootstrap,
+	if parsed.trial != nil {
+		node.UseTrialControl(parsed.trial)
+	} else {
+		node.UseReplicatedControl(dragonflycroft.ReplicatedControl{
+			Controllers: parsed.controllers, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
+			OperatorAddr: s.OperatorListen, OperatorTokens: parsed.operators,
 		})
-		if s.OperatorListen != "" {
-			node.Operators = &administrator.Administrator{ListenAddr: s.OperatorListen, Operators: parsed.operators, Control: p.Client()}
-		}
-		return p, nil
 	}
 	return runUntilSignal(node.Run, node.Abort)
 }
