server: answer a refusal only once the caller can read it

Cause: a caller that still sent its body when it was refused as unready, without a key, a tier or a route saw a reset instead of the answer, as with bodies above the limit; a stalled body held the reading for the whole read timeout. Change: every refusal of an unread body reads on for at most 2 s, with a pause of at most 2 s, and gives its memory back first.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
+
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
@@ -21,8 +23,7 @@
 	limit := s.maxBody()
 	length := k.c.Request.Header.ContentLength()
 	if length > limit {
-		k.c.SetConnectionClose()
-		discard(k.c.RequestBodyStream())
+		discard(k.c)
 		return nil, nil, tooLarge(limit)
 	}
 	reserved := int64(length)
@@ -48,12 +49,11 @@
 	case err != nil:
 		f = &responder.Failure{Status: http.StatusBadRequest, Reason: "body_incomplete", Message: "the body could not be read: " + err.Error()}
 	case len(body) > limit:
-		discard(k.c.RequestBodyStream())
 		f = tooLarge(limit)
 	}
 	if f != nil {
 		giveBack(reserved)
-		k.c.SetConnectionClose()
+		discard(k.c)
 		return nil, nil, f
 	}
 	if surplus := reserved - int64(len(body)); surplus > 0 {
@@ -97,16 +97,18 @@
 	return io.ReadAll(io.LimitReader(r, int64(limit)+1))
 }
 
-// discardTime bounds the reading of a body that is too large.
+// discardTime bounds the reading of a body that is refused, and each pause in it.
 const discardTime = 2 * time.Second
 
-// discard reads the rest of a body for a short time and drops it. A caller that is still writing when the connection is
-// closed sees a reset instead of the answer.
-func discard(r io.Reader) {
-	if r == nil {
+// discard reads the rest of a refused body for a short time and drops it, and lets the connection end with the answer. A
+// caller that is still writing when the connection is closed sees a reset instead of the answer.
+func discard(c *app.RequestContext) {
+	if c.Request.Header.ContentLength() == 0 {
 		return
 	}
-	_, _ = io.Copy(io.Discard, &timedReader{r: r, until: time.Now().Add(discardTime)})
+	c.SetConnectionClose()
+	_ = c.GetConn().SetReadTimeout(discardTime)
+	_, _ = io.Copy(io.Discard, &timedReader{r: c.RequestBodyStream(), until: time.Now().Add(discardTime)})
 }
 
 func tooLarge(limit int) *responder.Failure {
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -31,7 +31,7 @@
 func (s *Server) serveChat(k *call) {
 	req := describer.Request{Kind: answerer.KindChat, Idempotent: true}
 	if f := k.common(&req); f != nil {
-		k.c.SetConnectionClose()
+		discard(k.c)
 		s.fail(k.c, f)
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -212,10 +212,7 @@
 			c.SetConnectionClose()
 		}
 		refuse := func(f *responder.Failure) {
-			// The body stays unread, so that the connection cannot carry another request.
-			if c.Request.Header.ContentLength() != 0 {
-				c.SetConnectionClose()
-			}
+			discard(c)
 			s.fail(c, f)
 		}
 		index := s.lookup()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -190,25 +190,23 @@
 }
 
 // slowReader sends a byte at a time.
-type slowReader struct{ ctx context.Context }
+type slowReader struct{ left int }
 
 func (s *slowReader) Read(p []byte) (int, error) {
-	select {
-	case <-s.ctx.Done():
+	if s.left == 0 {
 		return 0, io.EOF
-	case <-time.After(5 * time.Millisecond):
-		p[0] = 'x'
-		return 1, nil
 	}
+	s.left--
+	time.Sleep(5 * time.Millisecond)
+	p[0] = 'x'
+	return 1, nil
 }
 
 // Guards against a body that holds its reserved memory for as long as its sender likes.
 func TestSlowBody(t *testing.T) {
 	before := bodyBytes.Value()
 	_, url := start(t, &Server{BodyTimeout: 20 * time.Millisecond})
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", &slowReader{ctx}, nil)
+	resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", &slowReader{left: 40}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -218,6 +216,21 @@
 	}
 }
 
+// Guards against a caller that sees a reset instead of the reason, because it was still sending its body.
+func TestRefusalOfLargeBodies(t *testing.T) {
+	_, url := start(t, &Server{Accepting: func() string { return "it is stopping" }})
+	for range 20 {
+		resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader(chat(4<<20)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(HeaderOutcome) != "not_run" {
+			t.Fatalf("%v", resp)
+		}
+	}
+}
+
 // Guards against a fault in one request that ends the others.
 func TestPanic(t *testing.T) {
 	_, url := start(t, &Server{Accepting: func() string { panic("fault") }})
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -14,7 +14,7 @@
 func (s *Server) serveService(k *call) {
 	req, f := k.serviceRequest()
 	if f != nil {
-		k.c.SetConnectionClose()
+		discard(k.c)
 		s.fail(k.c, f)
 		return
 	}
