--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"strings"
 	"sync"
 	"time"
@@ -17,9 +18,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 	"github.com/dragonflycroft/dragonflycroft/internal/waker"
 )
@@ -44,6 +45,14 @@
 	proposeTimeout = 2 * time.Second
 )
 
+// Metrics of the control service.
+var (
+	countHeartbeats  = expvar.NewMap("controller_heartbeats")
+	countCommands    = expvar.NewMap("controller_commands")
+	countLeaderships = expvar.NewInt("controller_leaderships")
+	countGrants      = expvar.NewInt("controller_grants")
+)
+
 // Service answers heartbeats, commands and queries on a host that holds the replicated log. Only the leader answers; the
 // others name it. Set the exported fields before Run.
 type Service struct {
@@ -187,7 +196,7 @@
 	begin := &controllerpb.Command{Term: term, Body: &controllerpb.Command_BeginTerm{BeginTerm: &controllerpb.BeginTerm{}}}
 	result, err := s.propose(ctx, begin)
 	if err == nil {
-		err = translator.DecodeFailure(result.GetFailure())
+		err = marshaller.DecodeFailure(result.GetFailure())
 	}
 	if err != nil {
 		klog.Warningf("controller: cannot begin term=%d reason=%q", term, err)
@@ -200,6 +209,7 @@
 	}
 	now := s.now()
 	version, _, _ := s.Machine.Config()
+	countLeaderships.Add(1)
 	s.lead = &leadership{
 		term:     term,
 		leases:   leaser.New(now, leaser.Options{TTL: LeaseTTL + leaseMargin, Settle: settleFor}),
@@ -268,7 +278,7 @@
 	}
 }
 
-func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]translator.Assignment, members []Member) {
+func (s *Service) grantRoles(ctx context.Context, lead *leadership, now time.Duration, wanted []string, roles map[string]marshaller.Assignment, members []Member) {
 	var hosts []leaser.Host
 	for _, m := range members {
 		if lead.detector.Eligible(now, detector.Process{Host: m.Host, Incarnation: m.Incarnation}) {
@@ -286,13 +296,14 @@
 			}
 		})
 		if started {
+			countGrants.Add(1)
 			klog.Infof("controller: granting role=%s host=%s previous_epoch=%d term=%d", g.Role, g.Host, g.Previous, lead.term)
 		}
 	}
 }
 
 // stepPermits moves the shed level; it returns true when the level changed.
-func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]translator.Assignment) bool {
+func (s *Service) stepPermits(lead *leadership, now time.Duration, cfg *configurer.Config, roles map[string]marshaller.Assignment) bool {
 	if cfg == nil {
 		return false
 	}
@@ -315,7 +326,7 @@
 }
 
 // wakeHolders wakes the holders of pool roles.
-func (s *Service) wakeHolders(ctx context.Context, members []Member, roles map[string]translator.Assignment) {
+func (s *Service) wakeHolders(ctx context.Context, members []Member, roles map[string]marshaller.Assignment) {
 	holders := map[string]bool{}
 	for role, a := range roles {
 		if isPoolRole(role) {
@@ -370,7 +381,7 @@
 		defer cancel()
 		result, err := s.propose(ctx, cmd)
 		if err == nil {
-			err = translator.DecodeFailure(result.GetFailure())
+			err = marshaller.DecodeFailure(result.GetFailure())
 		}
 		s.mu.Lock()
 		delete(lead.inFlight, name)
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -16,7 +17,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
-	"github.com/dragonflycroft/dragonflycroft/internal/translator"
+	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
+	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -37,12 +39,21 @@
 	ExchangeTimeout = 300 * time.Millisecond
 	// expiryInterval is how often lapsed leases are reported; RoleValid itself is exact.
 	expiryInterval = 25 * time.Millisecond
+	// rejoinDelay is the pause of a process whose host id another process has taken, so that two processes with one id by
+	// mistake do not replace each other at every heartbeat.
+	rejoinDelay = 5 * time.Second
 	// maxWakes bounds the requests for a heartbeat that wait.
 	maxWakes = 64
 	// retryDelay is the pause after all control hosts have failed to answer.
 	retryDelay = 50 * time.Millisecond
 )
 
+// Metrics of the agent.
+var (
+	countBeats    = expvar.NewMap("heartbeater_heartbeats")
+	configVersion = expvar.NewInt("heartbeater_config_version")
+)
+
 // Network carries exchanges; *transporter.Transport implements it.
 type Network interface {
 	Call(ctx context.Context, addr, method string, req, resp proto.Message) error
@@ -72,18 +83,18 @@
 	leader      string
 	leaderAddr  string
 	term        uint64
+	rejoinAt    time.Time
 
 	version        uint64
 	document       []byte
 	config         *configurer.Config
 	confirmedAt    time.Time
 	relayedAt      time.Time
-	members        []translator.Member
+	members        []marshaller.Member
 	membersVersion uint64
 
-	holders  map[string]translator.Assignment
-	held     map[string]lease
-	ended    map[string]uint64
+	holders  map[string]marshaller.Assignment
+	leases   *tenant.Leases
 	draining bool
 	leaving  bool
 	shed     shedState
@@ -91,7 +102,7 @@
 	subscribers []func(uint64, *configurer.Config)
 	onRole      []func(string, uint64, bool)
 	onShed      []func(int, int, time.Duration)
-	onMembers   []func([]translator.Member)
+	onMembers   []func([]marshaller.Member)
 	calls       []func()
 	pending     chan struct{}
 	wake        chan chan bool
@@ -100,17 +111,11 @@
 	initOnce    sync.Once
 }
 
-// lease is a role held until a time of this host's monotonic clock.
-type lease struct {
-	epoch uint64
-	until time.Time
-}
-
 func (a *Agent) init() {
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
 		a.joined = make(chan struct{})
-		a.holders, a.held, a.ended = map[string]translator.Assignment{}, map[string]lease{}, map[string]uint64{}
+		a.holders, a.leases = map[string]marshaller.Assignment{}, tenant.New()
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
 		a.wake = make(chan chan bool, maxWakes)
@@ -150,7 +155,7 @@
 	a.heartbeatLoop(ctx)
 	wg.Wait()
 	a.mu.Lock()
-	a.endAll()
+	a.report(a.leases.EndAll())
 	a.mu.Unlock()
 	a.runCalls()
 	close(a.done)
@@ -204,7 +209,7 @@
 func (a *Agent) interval() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.relayed(time.Now()) && len(a.held) == 0 {
+	if a.relayed(time.Now()) && len(a.leases.Held()) == 0 {
 		return RelayedInterval
 	}
 	return HeartbeatInterval
@@ -212,6 +217,12 @@
 
 // beat sends one heartbeat to the leader, or to the next control host when it does not answer.
 func (a *Agent) beat(ctx context.Context) bool {
+	a.mu.Lock()
+	paused := time.Now().Before(a.rejoinAt)
+	a.mu.Unlock()
+	if paused {
+		return false
+	}
 	tried := map[string]bool{}
 	for _, addr := range a.targets() {
 		for addr != "" && !tried[addr] && ctx.Err() == nil {
@@ -234,14 +245,17 @@
 	resp := &controllerpb.HeartbeatReply{}
 	sent := time.Now()
 	if err := a.Network.Call(ctx, addr, MethodHeartbeat, req, resp); err != nil {
+		countBeats.Add("failed", 1)
 		klog.V(1).Infof("heartbeater: no answer addr=%s reason=%q", addr, err)
 		a.forgetLeader(addr)
 		return false, ""
 	}
 	if r := resp.GetRedirect(); r != nil {
+		countBeats.Add("redirected", 1)
 		a.forgetLeader(addr)
 		return false, r.GetAddr()
 	}
+	countBeats.Add("answered", 1)
 	a.accept(addr, sent, resp)
 	return true, ""
 }
@@ -279,18 +293,18 @@
 		Control: a.Control, Seq: a.seq, ConfigVersion: a.version, Draining: a.draining, Leaving: a.leaving,
 		MembersVersion: a.membersVersion, Relayed: a.relayed(now), IntervalMs: HeartbeatInterval.Milliseconds(),
 	}
-	if hb.Relayed && len(a.held) == 0 {
+	if hb.Relayed && len(a.leases.Held()) == 0 {
 		hb.IntervalMs = RelayedInterval.Milliseconds()
 	}
-	for role, l := range a.held {
-		if now.Before(l.until) {
-			hb.Held = append(hb.Held, &controllerpb.HeldRole{Role: role, Epoch: l.epoch})
+	for role, l := range a.leases.Held() {
+		if now.Before(l.Until) {
+			hb.Held = append(hb.Held, &controllerpb.HeldRole{Role: role, Epoch: l.Epoch})
 		}
 	}
-	for role, epoch := range a.ended {
+	for role, epoch := range a.leases.Ended() {
 		hb.Released = append(hb.Released, &controllerpb.HeldRole{Role: role, Epoch: epoch})
 	}
-	hb.Reports = a.shed.reports(now, a.held)
+	hb.Reports = a.shed.reports(now, a.leases.Held())
 	return hb
 }
 
@@ -304,8 +318,8 @@
 	}
 	if r.GetSuperseded() {
 		klog.Errorf("heartbeater: another process runs under this host id host=%s incarnation=%d", a.HostID, a.incarnation)
-		a.endAll()
-		a.nonce, a.incarnation = rand.Uint64(), 0
+		a.report(a.leases.EndAll())
+		a.nonce, a.incarnation, a.rejoinAt = rand.Uint64(), 0, time.Now().Add(rejoinDelay)
 		return
 	}
 	a.term, a.leader, a.leaderAddr = r.GetTerm(), r.GetLeader(), addr
@@ -335,21 +349,21 @@
 	if r.GetMembersVersion() == a.membersVersion {
 		return
 	}
-	byHost := make(map[string]translator.Member, len(a.members)+len(r.GetMembers()))
+	byHost := make(map[string]marshaller.Member, len(a.members)+len(r.GetMembers()))
 	if !r.GetMembersFull() {
 		for _, m := range a.members {
 			byHost[m.Host] = m
 		}
 	}
 	for _, p := range r.GetMembers() {
-		m := translator.MemberOf(p)
+		m := marshaller.MemberOf(p)
 		byHost[m.Host] = m
 		if m.Removed {
 			delete(byHost, m.Host)
 		}
 	}
 	a.membersVersion = r.GetMembersVersion()
-	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y translator.Member) int { return strings.Compare(x.Host, y.Host) })
+	a.members = slices.SortedFunc(maps.Values(byHost), func(x, y marshaller.Member) int { return strings.Compare(x.Host, y.Host) })
 	members := a.members
 	for _, fn := range a.onMembers {
 		a.enqueue(func() { fn(members) })
@@ -370,17 +384,17 @@
 }
 
 // Owner returns the name of this process in the ledger and in request ids, HOST.INCARNATION.
-func (a *Agent) Owner() string { return translator.Owner(a.HostID, a.Incarnation()) }
+func (a *Agent) Owner() string { return marshaller.Owner(a.HostID, a.Incarnation()) }
 
 // Members returns the live members, sorted by host.
-func (a *Agent) Members() []translator.Member {
+func (a *Agent) Members() []marshaller.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.members
 }
 
 // OnMembers registers a function that is called with each new list of members.
-func (a *Agent) OnMembers(fn func([]translator.Member)) {
+func (a *Agent) OnMembers(fn func([]marshaller.Member)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.onMembers = append(a.onMembers, fn)
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -68,13 +68,14 @@
 		if len(document) == 0 {
 			return
 		}
-		cfg, err := configurer.Decode(document)
+		cfg, err := configurer.Load(document)
 		if err != nil {
 			klog.Errorf("heartbeater: cannot use configuration version=%d reason=%q", version, err)
 			return
 		}
 		klog.Infof("heartbeater: configuration in force host=%s version=%d previous=%d", a.HostID, version, a.version)
 		a.version, a.document, a.config = version, document, cfg
+		configVersion.Set(int64(version))
 		for _, fn := range a.subscribers {
 			a.enqueue(func() { fn(version, cfg) })
 		}
