--- a/internal/comparer/comparer_test.go
+++ b/internal/comparer/comparer_test.go
@@ -120,7 +120,11 @@
 // Guards against a change of the generator that silently changes what the outcomes are stated for.
 func TestTraceHashes(t *testing.T) {
 	t.Parallel()
-	for _, name := range []string{"tuning", "held_out"} {
+	sets := []string{"held_out"} // TestOutcomes compares the hashes of the tuning set
+	if *rewrite {
+		sets = append(sets, "tuning")
+	}
+	for _, name := range sets {
 		path := "testdata/scenarios/" + name + ".json"
 		scenarios := readScenarios(t, path)
 		text, err := os.ReadFile(path)
