scenariorunner: split off launcher and relayer

Change: launcher starts hosts and stand-ins, relayer forwards and drops, scenariorunner keeps scripts, steps and checks.

--- a/internal/scenariorunner/relay.go
+++ b/internal/relayer/relayer.go
@@ -1,4 +1,5 @@
-package scenariorunner
+// Package relayer forwards TCP connections to one host and drops what passes when a failure is brought about.
+package relayer
 
 import (
 	"net"
@@ -8,8 +9,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// relay forwards TCP connections to one host and can drop what passes without closing anything.
-type relay struct {
+// Relay forwards TCP connections to one host and can drop what passes without closing anything.
+type Relay struct {
 	listener net.Listener
 	target   string
 	wg       sync.WaitGroup
@@ -27,17 +28,18 @@
 	muted    bool
 }
 
-func newRelay(listen, target string) (*relay, error) {
+// New listens and forwards to target until Close.
+func New(listen, target string) (*Relay, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, eris.Wrapf(err, "relay for %s", target)
 	}
-	r := &relay{listener: l, target: target, links: make(map[*link]struct{}), blocked: make(map[string]bool)}
+	r := &Relay{listener: l, target: target, links: make(map[*link]struct{}), blocked: make(map[string]bool)}
 	r.wg.Go(r.accept)
 	return r, nil
 }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		down, err := r.listener.Accept()
 		if err != nil {
@@ -47,7 +49,7 @@
 	}
 }
 
-func (r *relay) serve(down net.Conn) {
+func (r *Relay) serve(down net.Conn) {
 	source, _, _ := net.SplitHostPort(down.RemoteAddr().String())
 	// A blocked source gets a connection that answers nothing, as through a partition that drops packets.
 	up, err := net.DialTimeout("tcp", r.target, time.Second)
@@ -68,7 +70,7 @@
 	r.mu.Unlock()
 }
 
-func (r *relay) pipe(l *link, dst, src net.Conn) {
+func (r *Relay) pipe(l *link, dst, src net.Conn) {
 	defer func() {
 		// A silent link does not pass on that one end has closed.
 		if !r.drops(l) {
@@ -91,14 +93,14 @@
 	}
 }
 
-func (r *relay) drops(l *link) bool {
+func (r *Relay) drops(l *link) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return l.muted || r.blocked["*"] || r.blocked[l.source]
 }
 
-// block drops all bytes from and to a source until unblock; what was dropped stays lost.
-func (r *relay) block(source string) {
+// Block drops all bytes from and to a source until Unblock; what was dropped stays lost.
+func (r *Relay) Block(source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.blocked[source] = true
@@ -109,15 +111,15 @@
 	}
 }
 
-// unblock lets new connections of a source pass. Old ones stay silent, since bytes are missing from them.
-func (r *relay) unblock(source string) {
+// Unblock lets new connections of a source pass. Old ones stay silent, since bytes are missing from them.
+func (r *Relay) Unblock(source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.blocked, source)
 }
 
-// muteOpen makes the open connections silent for good.
-func (r *relay) muteOpen() {
+// MuteOpen makes the open connections silent for good.
+func (r *Relay) MuteOpen() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.links {
@@ -125,7 +127,8 @@
 	}
 }
 
-func (r *relay) close() {
+// Close ends all connections and waits.
+func (r *Relay) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	for l := range r.links {
--- a/internal/scenariorunner/checks.go
+++ b/internal/scenariorunner/checks.go
@@ -41,7 +41,7 @@
 // check compares the records of the stand-ins with what the callers were told.
 func (r *Runner) check() *Report {
 	report := &Report{Outcomes: make(map[string]int)}
-	dispatches, executions := r.cluster.records.Dispatches(), r.cluster.records.Executions()
+	dispatches, executions := r.cluster.Records.Dispatches(), r.cluster.Records.Executions()
 	for _, n := range dispatches {
 		if n > 1 {
 			report.DispatchedTwice++
@@ -52,7 +52,7 @@
 			report.OrderRunTwice++
 		}
 	}
-	lowest := r.cluster.config.Tiers[len(r.cluster.config.Tiers)-1].Name
+	lowest := r.cluster.Config.Tiers[len(r.cluster.Config.Tiers)-1].Name
 	ranKeys := executions
 	for _, l := range r.loads {
 		l.mu.Lock()
--- a/internal/scenariorunner/runner.go
+++ b/internal/scenariorunner/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/launcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 )
 
@@ -24,7 +25,7 @@
 	// Logf receives one line per step.
 	Logf func(format string, args ...any)
 
-	cluster  *cluster
+	cluster  *launcher.Cluster
 	loads    map[string]*load
 	versions map[string]uint64
 	leaving  map[string]leavingMark
@@ -74,7 +75,7 @@
 	r.leaving = make(map[string]leavingMark)
 	defer func() {
 		if r.cluster != nil {
-			r.cluster.close()
+			r.cluster.Close()
 		}
 	}()
 	for _, s := range steps {
@@ -106,40 +107,40 @@
 	if err != nil {
 		return err
 	}
-	c := &cluster{
-		binary: r.Binary, dir: r.Dir, config: config, records: &standin.Records{},
-		engines: make(map[string]*standin.Engine), service: make(map[string]*standin.Service),
-		list: &standin.HostList{ListenAddr: "127.0.0.1:0", Lag: time.Second},
+	c := &launcher.Cluster{
+		Binary: r.Binary, Dir: r.Dir, Config: config, Records: &standin.Records{},
+		Engines: make(map[string]*standin.Engine), Services: make(map[string]*standin.Service),
+		List: &standin.HostList{ListenAddr: "127.0.0.1:0", Lag: time.Second},
 	}
 	r.cluster = c
-	if err := c.list.Start(); err != nil {
+	if err := c.List.Start(); err != nil {
 		return err
 	}
-	if err := c.startEndpoints(time.Second, 2*time.Second); err != nil {
+	if err := c.StartEndpoints(time.Second, 2*time.Second); err != nil {
 		return err
 	}
 	for i := range hosts {
-		h, err := c.newHost(i, i < voters, i < voters)
+		h, err := c.NewHost(i, i < voters, i < voters)
 		if err != nil {
 			return err
 		}
-		c.hosts = append(c.hosts, h)
+		c.Hosts = append(c.Hosts, h)
 	}
-	for _, h := range c.hosts {
-		if err := c.start(h); err != nil {
+	for _, h := range c.Hosts {
+		if err := c.Start(h); err != nil {
 			return err
 		}
 	}
-	if err := c.bootstrap(ctx); err != nil {
+	if err := c.Bootstrap(ctx); err != nil {
 		return err
 	}
 	return r.waitAll(ctx)
 }
 
 func (r *Runner) waitAll(ctx context.Context) error {
-	for _, h := range r.cluster.hosts {
-		if h.running() && !h.stopping {
-			if err := r.cluster.waitReady(ctx, h); err != nil {
+	for _, h := range r.cluster.Hosts {
+		if h.Running() && !h.Stopping {
+			if err := r.cluster.WaitReady(ctx, h); err != nil {
 				return err
 			}
 		}
@@ -199,20 +200,20 @@
 	if r.cluster == nil {
 		return
 	}
-	for _, h := range r.cluster.hosts {
-		if !h.running() {
+	for _, h := range r.cluster.Hosts {
+		if !h.Running() {
 			continue
 		}
-		v, err := r.cluster.version(ctx, h)
+		v, err := r.cluster.Version(ctx, h)
 		if err != nil || v == 0 {
 			// A host that is paused, or that has just started and confirmed nothing, acts on no version.
 			continue
 		}
-		if v < r.versions[h.id] {
+		if v < r.versions[h.ID] {
 			r.reverted++
-			r.Logf("%s went from version %d to %d", h.id, r.versions[h.id], v)
+			r.Logf("%s went from version %d to %d", h.ID, r.versions[h.ID], v)
 		}
-		r.versions[h.id] = v
+		r.versions[h.ID] = v
 	}
 }
 
@@ -220,7 +221,7 @@
 func (r *Runner) markLeaving() {
 	for name, mark := range r.leaving {
 		if !mark.taken && time.Since(mark.since) > 5*time.Second {
-			mark.taken, mark.count = true, r.cluster.records.ByEndpoint()[name]
+			mark.taken, mark.count = true, r.cluster.Records.ByEndpoint()[name]
 			r.leaving[name] = mark
 		}
 	}
@@ -230,7 +231,7 @@
 	breaches := 0
 	for name, mark := range r.leaving {
 		if mark.taken {
-			breaches += r.cluster.records.ByEndpoint()[name] - mark.count
+			breaches += r.cluster.Records.ByEndpoint()[name] - mark.count
 		}
 	}
 	return breaches
--- a/internal/scenariorunner/steps.go
+++ b/internal/scenariorunner/steps.go
@@ -8,19 +8,19 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/launcher"
 )
 
-func (r *Runner) eachHost(s Step, f func(h *host) error) error {
+func (r *Runner) eachHost(s Step, f func(h *launcher.Host) error) error {
 	if len(s.Args) == 0 {
 		return errors.New("a host is missing")
 	}
 	for _, name := range s.Args {
-		h, err := r.cluster.host(name)
+		h, err := r.cluster.Host(name)
 		if err != nil {
 			return err
 		}
@@ -33,11 +33,11 @@
 
 // stepKill kills the named hosts, or with holder=ROLE the one that holds a role.
 func (r *Runner) stepKill(ctx context.Context, s Step) error {
-	return r.eachHolder(ctx, s, (*host).kill)
+	return r.eachHolder(ctx, s, (*launcher.Host).Kill)
 }
 
 // eachHolder is eachHost with the holder of the role that the step names, if any.
-func (r *Runner) eachHolder(ctx context.Context, s Step, f func(h *host) error) error {
+func (r *Runner) eachHolder(ctx context.Context, s Step, f func(h *launcher.Host) error) error {
 	if role := s.text("holder", ""); role != "" {
 		name, err := r.holderOf(ctx, role)
 		if err != nil {
@@ -50,15 +50,15 @@
 
 // holderOf asks the hosts in turn who holds a role.
 func (r *Runner) holderOf(ctx context.Context, role string) (string, error) {
-	for _, h := range r.cluster.hosts {
-		if !h.running() {
+	for _, h := range r.cluster.Hosts {
+		if !h.Running() {
 			continue
 		}
-		service := connector.NewService(h.id, h.operator, connector.Timeouts{
+		service := connector.NewService(h.ID, h.OperatorAddr, connector.Timeouts{
 			Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second,
 		})
 		response, err := service.Do(ctx, connector.Call{
-			Method: http.MethodGet, Path: "/v1/status", Header: map[string]string{"Authorization": "Bearer " + operatorToken},
+			Method: http.MethodGet, Path: "/v1/status", Header: map[string]string{"Authorization": "Bearer " + launcher.OperatorToken},
 		}, func() {})
 		if err != nil {
 			continue
@@ -79,50 +79,49 @@
 }
 
 func (r *Runner) stepStart(ctx context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error {
-		if err := r.cluster.start(h); err != nil {
+	return r.eachHost(s, func(h *launcher.Host) error {
+		if err := r.cluster.Start(h); err != nil {
 			return err
 		}
 		// A restarted process has to confirm a version before it acts on one.
-		delete(r.versions, h.id)
+		delete(r.versions, h.ID)
 		if s.text("wait", "yes") == "no" {
 			return nil
 		}
-		return r.cluster.waitReady(ctx, h)
+		return r.cluster.WaitReady(ctx, h)
 	})
 }
 
 // stepStop asks a host to stop as planned and checks that it cut off nothing.
 func (r *Runner) stepStop(ctx context.Context, s Step) error {
-	return r.eachHolder(ctx, s, func(h *host) error {
-		h.stopping = true
-		if err := h.signal(syscall.SIGTERM); err != nil {
+	return r.eachHolder(ctx, s, func(h *launcher.Host) error {
+		h.Stopping = true
+		if err := h.Signal(syscall.SIGTERM); err != nil {
 			return err
 		}
-		<-h.exited
-		if h.exitErr != nil {
+		if err := h.Wait(); err != nil {
 			r.cutOff++
-			r.Logf("%s: planned stop ended with %v", h.id, h.exitErr)
+			r.Logf("%s: planned stop ended with %v", h.ID, err)
 		}
 		return nil
 	})
 }
 
 func (r *Runner) stepPause(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error { return h.signal(syscall.SIGSTOP) })
+	return r.eachHost(s, func(h *launcher.Host) error { return h.Signal(syscall.SIGSTOP) })
 }
 
 func (r *Runner) stepResume(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error { return h.signal(syscall.SIGCONT) })
+	return r.eachHost(s, func(h *launcher.Host) error { return h.Signal(syscall.SIGCONT) })
 }
 
 // stepCut isolates hosts from all other hosts by dropping bytes in both directions without closing connections.
 func (r *Runner) stepCut(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error {
-		h.relay.block("*")
-		for _, other := range r.cluster.hosts {
+	return r.eachHost(s, func(h *launcher.Host) error {
+		h.Relay.Block("*")
+		for _, other := range r.cluster.Hosts {
 			if other != h {
-				other.relay.block(h.ip)
+				other.Relay.Block(h.IP)
 			}
 		}
 		return nil
@@ -130,10 +129,10 @@
 }
 
 func (r *Runner) stepHeal(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error {
-		h.relay.unblock("*")
-		for _, other := range r.cluster.hosts {
-			other.relay.unblock(h.ip)
+	return r.eachHost(s, func(h *launcher.Host) error {
+		h.Relay.Unblock("*")
+		for _, other := range r.cluster.Hosts {
+			other.Relay.Unblock(h.IP)
 		}
 		return nil
 	})
@@ -141,208 +140,28 @@
 
 // stepMute makes all open connections between the hosts silent for good.
 func (r *Runner) stepMute(_ context.Context, _ Step) error {
-	for _, h := range r.cluster.hosts {
-		h.relay.muteOpen()
+	for _, h := range r.cluster.Hosts {
+		h.Relay.MuteOpen()
 	}
 	return nil
 }
 
 // stepWipe deletes the data folder of a host that does not run.
 func (r *Runner) stepWipe(_ context.Context, s Step) error {
-	return r.eachHost(s, func(h *host) error {
-		if h.running() {
-			return fmt.Errorf("%s is running", h.id)
+	return r.eachHost(s, func(h *launcher.Host) error {
+		if h.Running() {
+			return fmt.Errorf("%s is running", h.ID)
 		}
-		return os.RemoveAll(h.dataDir)
+		return os.RemoveAll(h.DataDir)
 	})
 }
 
-// stepJoin starts a new control host, adds it as a learner in place of a lost one, and promotes it.
-func (r *Runner) stepJoin(ctx context.Context, s Step) error {
-	h, err := r.cluster.newHost(len(r.cluster.hosts), true, false)
-	if err != nil {
-		return err
-	}
-	r.cluster.hosts = append(r.cluster.hosts, h)
-	if err := r.cluster.start(h); err != nil {
-		return err
-	}
-	via, err := r.cluster.host(s.text("via", "host-1"))
-	if err != nil {
-		return err
-	}
-	body, _ := json.Marshal(map[string]string{"action": "add", "id": h.id, "addr": h.peerAdvertised})
-	if err := r.operator(ctx, via, http.MethodPost, "/v1/members", body); err != nil {
-		return err
-	}
-	if lost := s.text("replaces", ""); lost != "" {
-		if err := r.operator(ctx, via, http.MethodDelete, "/v1/members/"+lost, nil); err != nil {
-			return err
-		}
-	}
-	body, _ = json.Marshal(map[string]string{"action": "promote", "id": h.id})
-	if err := r.operator(ctx, via, http.MethodPost, "/v1/members", body); err != nil {
-		return err
-	}
-	return r.cluster.waitReady(ctx, h)
-}
-
-// operator repeats an operator's call until it succeeds; a learner that is not caught up is refused at first.
-func (r *Runner) operator(ctx context.Context, h *host, method, path string, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	service := connector.NewService(h.id, h.operator, connector.Timeouts{
-		Connect: time.Second, FirstByte: 10 * time.Second, Gap: 10 * time.Second,
-	})
-	for {
-		response, err := service.Do(ctx, connector.Call{
-			Method: method, Path: path, Body: body,
-			Header: map[string]string{"Authorization": "Bearer " + operatorToken, "Content-Type": "application/json"},
-		}, func() {})
-		if err == nil && response.Status/100 == 2 {
-			return nil
-		}
-		if err == nil {
-			err = fmt.Errorf("status %d: %s", response.Status, response.Body)
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%s %s: %w", method, path, err)
-		case <-time.After(200 * time.Millisecond):
-		}
-	}
-}
-
-// currentVersion is the highest version that any host acts on.
-func (r *Runner) currentVersion(ctx context.Context) uint64 {
-	var highest uint64
-	for _, h := range r.cluster.hosts {
-		if h.running() {
-			if v, err := r.cluster.version(ctx, h); err == nil {
-				highest = max(highest, v)
-			}
-		}
-	}
-	return highest
-}
-
-// stepPatch sends n patches one after the other, or one patch twice with resend=yes.
-func (r *Runner) stepPatch(ctx context.Context, s Step) error {
-	n, err := s.number("n", 1)
-	if err != nil {
-		return err
-	}
-	hosts, err := r.cluster.selectHosts(s.text("hosts", "all"))
-	if err != nil {
-		return err
-	}
-	base := r.currentVersion(ctx)
-	for i := range n {
-		id := fmt.Sprintf("%s-%d", s.text("id", "patch"), i)
-		body := fmt.Appendf(nil, `{"limits":{"max_waiting":%d}}`, 40000+i)
-		version, err := r.patchUntilAnswered(ctx, hosts, i, id, base, body)
-		if err != nil {
-			return err
-		}
-		if s.text("resend", "no") == "yes" {
-			again, err := r.patchUntilAnswered(ctx, hosts, i+1, id, base, body)
-			if err != nil {
-				return err
-			}
-			if again != version {
-				return fmt.Errorf("patch %s sent again: version %d, first version %d", id, again, version)
-			}
-		}
-		base = version
-	}
-	return nil
-}
-
-// patchUntilAnswered sends a patch again under its id, each time to another host, until one of them answers.
-func (r *Runner) patchUntilAnswered(ctx context.Context, hosts []*host, first int, id string, base uint64, body []byte) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for attempt := 0; ; attempt++ {
-		h := hosts[(first+attempt)%len(hosts)]
-		response, err := r.cluster.patch(ctx, h, id, base, body)
-		if err == nil && response.Status == http.StatusOK {
-			var answer struct {
-				Version uint64 `json:"version"`
-			}
-			return answer.Version, json.Unmarshal(response.Body, &answer)
-		}
-		if err == nil && response.Status < http.StatusInternalServerError {
-			return 0, fmt.Errorf("patch %s refused: status %d: %s", id, response.Status, response.Body)
-		}
-		select {
-		case <-ctx.Done():
-			return 0, errors.Join(ctx.Err(), err)
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-}
-
-// stepRace sends different patches under the same version number to all hosts at once; exactly one must be accepted.
-func (r *Runner) stepRace(ctx context.Context, s Step) error {
-	base := r.currentVersion(ctx)
-	hosts, err := r.cluster.selectHosts(s.text("hosts", "all"))
-	if err != nil {
-		return err
-	}
-	var wg sync.WaitGroup
-	statuses := make([]int, len(hosts))
-	for i, h := range hosts {
-		wg.Go(func() {
-			body := fmt.Appendf(nil, `{"limits":{"max_waiting":%d}}`, 30000+i)
-			response, err := r.cluster.patch(ctx, h, fmt.Sprintf("%s-%d", s.text("id", "race"), i), base, body)
-			if err == nil {
-				statuses[i] = response.Status
-			}
-		})
-	}
-	wg.Wait()
-	accepted := 0
-	for _, status := range statuses {
-		switch status {
-		case http.StatusOK:
-			accepted++
-		case http.StatusConflict, http.StatusPreconditionFailed:
-		default:
-			return fmt.Errorf("racing patches: statuses %v", statuses)
-		}
-	}
-	if accepted != 1 {
-		return fmt.Errorf("racing patches: %d accepted, want 1 (statuses %v)", accepted, statuses)
-	}
-	return nil
-}
-
-// stepVersion waits until every running host acts on the highest version.
-func (r *Runner) stepVersion(ctx context.Context, _ Step) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	want := r.currentVersion(ctx)
-	for _, h := range r.cluster.hosts {
-		for h.running() {
-			v, err := r.cluster.version(ctx, h)
-			if err == nil && v >= want {
-				break
-			}
-			if ctx.Err() != nil {
-				return fmt.Errorf("%s acts on version %d, want %d: %w", h.id, v, want, ctx.Err())
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
-	}
-	return nil
-}
-
 // stepEngine changes a stand-in engine: crash, slow FACTOR, silent, normal, mute or reset.
 func (r *Runner) stepEngine(_ context.Context, s Step) error {
 	if len(s.Args) < 2 {
 		return errors.New("usage: engine NAME crash|slow|silent|normal|mute|reset")
 	}
-	for name, engine := range r.cluster.engines {
+	for name, engine := range r.cluster.Engines {
 		if s.Args[0] != "all" && s.Args[0] != name {
 			continue
 		}
@@ -374,7 +193,7 @@
 // stepLeave marks endpoints as leaving in the platform's list.
 func (r *Runner) stepLeave(_ context.Context, s Step) error {
 	for _, name := range s.Args {
-		r.cluster.list.Set(name, "leaving")
+		r.cluster.List.Set(name, "leaving")
 		r.leaving[name] = leavingMark{since: time.Now()}
 	}
 	return nil
@@ -404,7 +223,7 @@
 	}
 	l.mu.Unlock()
 	crashes := 0
-	for _, e := range r.cluster.engines {
+	for _, e := range r.cluster.Engines {
 		crashes += e.Crashes()
 	}
 	counts["crashes"] = crashes
--- a/internal/scenariorunner/workload.go
+++ b/internal/scenariorunner/workload.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/launcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 )
 
@@ -67,10 +68,10 @@
 	key         string
 	crash       bool
 	same        bool
-	hosts       []*host
+	hosts       []*launcher.Host
 }
 
-func (s Step) workload(c *cluster) (*workload, error) {
+func (s Step) workload(c *launcher.Cluster) (*workload, error) {
 	w := &workload{
 		name: s.text("name", "load"), tier: s.text("tier", "counter"), workspace: s.text("workspace", "counter-desk"),
 		body: s.text("body", s.text("name", "load")), key: s.text("key", ""), order: s.text("kind", "chat") == "order",
@@ -85,7 +86,7 @@
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, err
 	}
-	hosts, err := c.selectHosts(s.text("hosts", "all"))
+	hosts, err := c.SelectHosts(s.text("hosts", "all"))
 	if err != nil {
 		return nil, err
 	}
@@ -111,8 +112,8 @@
 	l.wg.Wait()
 }
 
-func (w *workload) send(ctx context.Context, i int, h *host) result {
-	r := result{load: w.name, order: w.order, host: h.id, tier: w.tier}
+func (w *workload) send(ctx context.Context, i int, h *launcher.Host) result {
+	r := result{load: w.name, order: w.order, host: h.ID, tier: w.tier}
 	header := map[string]string{
 		"Authorization": "Bearer example-" + w.workspace + "-staff",
 		"Content-Type":  "application/json",
@@ -128,7 +129,7 @@
 		// An order that is sent again under its key has the same body.
 		call.Body = fmt.Appendf(nil, `{"order":"%s-%d"}`, cmp.Or(w.key, w.name), i)
 	}
-	service := connector.NewService(h.id, h.caller, connector.Timeouts{
+	service := connector.NewService(h.ID, h.CallerAddr, connector.Timeouts{
 		Connect: 5 * time.Second, FirstByte: 3 * time.Minute, Gap: 3 * time.Minute,
 	})
 	response, err := service.Do(ctx, call, func() {})
