scheduler: move timers into a package of their own

Change: timekeeper owns the timers and the order of those of equal time. Requests and timers number themselves apart; only the order within each counts.

--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -236,7 +236,7 @@
 	if len(e.pins) == 1 {
 		s.pinned = append(s.pinned, e)
 	}
-	r.expiry = s.at(s.now+affinityWait, func() {
+	r.expiry = s.timers.At(s.now+affinityWait, func() {
 		r.expiry = nil
 		s.reassign(r)
 	})
@@ -264,7 +264,7 @@
 		return
 	}
 	r.pinned = nil
-	s.stop(r.expiry)
+	s.timers.Stop(r.expiry)
 	r.expiry = nil
 	e.pins = slices.DeleteFunc(e.pins, func(o *request) bool { return o == r })
 	if len(e.pins) == 0 {
@@ -313,7 +313,7 @@
 	}
 	s.accounts.Charge(r.tier.Order, r.d.Workspace, r.d.Caller, r.charged)
 	s.shares.Serve(s.now, r.tier.Order, float64(r.tokens), r.charged)
-	r.expiry = s.at(s.now+s.opts.GrantTTL+grantMargin, func() { s.expire(r) })
+	r.expiry = s.timers.At(s.now+s.opts.GrantTTL+grantMargin, func() { s.expire(r) })
 	s.emit(Grant{Host: r.host, RequestID: r.id, Endpoint: e.Name, TTL: s.opts.GrantTTL})
 	reason := fmt.Sprintf("waited %dms, prefill %d of %d tokens, first token predicted in %dms",
 		(s.now - r.arrived).Milliseconds(), uncached, r.d.PromptTokens, first.Milliseconds())
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
 	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
 	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+	"github.com/dragonflycroft/dragonflycroft/internal/timekeeper"
 )
 
 type state int
@@ -69,7 +70,7 @@
 	long     bool // counts as a long prefill at the endpoint
 	queued   int  // prompt tokens queued at the endpoint when it started
 	charged  float64
-	expiry   *ranker.Node[timer]
+	expiry   *timekeeper.Handle
 	reported bool // the host reported it as waiting while its grant was open
 	orphan   bool // its host is lost
 	alone    bool
@@ -325,7 +326,7 @@
 
 // release returns what a granted or running request occupies.
 func (s *Scheduler) release(r *request) {
-	s.stop(r.expiry)
+	s.timers.Stop(r.expiry)
 	r.expiry = nil
 	e := r.endpoint
 	if e == nil {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -50,7 +50,7 @@
 }
 
 func (s *Scheduler) run(r *request) {
-	s.stop(r.expiry)
+	s.timers.Stop(r.expiry)
 	r.expiry = nil
 	r.state, r.startedAt, r.progressed = running, s.now, s.now
 	r.queued = r.endpoint.Pending
@@ -275,7 +275,7 @@
 	}
 	r.orphan = false
 	if r.state == running && r.endpoint != nil && r.endpoint.Name == run.Endpoint {
-		s.stop(r.expiry)
+		s.timers.Stop(r.expiry)
 		r.expiry = nil
 		return
 	}
@@ -316,8 +316,8 @@
 			r.orphan, r.reported = true, false
 		case running:
 			r.orphan = true
-			s.stop(r.expiry)
-			r.expiry = s.at(s.now+orphanTime, func() {
+			s.timers.Stop(r.expiry)
+			r.expiry = s.timers.At(s.now+orphanTime, func() {
 				r.expiry = nil
 				s.drop(r)
 			})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,8 +10,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/placer"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
-	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
 	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+	"github.com/dragonflycroft/dragonflycroft/internal/timekeeper"
 	"github.com/dragonflycroft/dragonflycroft/internal/tracker"
 )
 
@@ -95,7 +95,7 @@
 	gap        float64 // seconds between tokens, over the pool
 	book       *shedder.Book[*request]
 	quarantine *quarantiner.Quarantine
-	timers     *ranker.Heap[timer]
+	timers     *timekeeper.Timers
 
 	closedBelow int
 	closed      bool
@@ -131,7 +131,7 @@
 		lengths:    estimator.NewLengths(),
 		book:       shedder.NewBook[*request](),
 		quarantine: quarantiner.New(defaultQuarantine),
-		timers:     ranker.New(lessTimer),
+		timers:     timekeeper.New(),
 		permits:    make(map[int]time.Duration),
 		asked:      make(map[int]time.Duration),
 	}
@@ -144,17 +144,17 @@
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	if !s.began {
 		s.began, s.now, s.listBy = true, now, now+s.opts.ListWait
-		s.at(now+s.opts.GrantTTL+grantMargin, func() {
+		s.timers.At(now+s.opts.GrantTTL+grantMargin, func() {
 			s.table.EndWarmup(s.now)
 			s.accounted = s.accounted || len(s.opts.Hosts) == 0
 		})
 		// Runs of a host that never reports stay possible for as long as those of a lost host are counted.
-		s.at(now+orphanTime, func() { s.accounted = true })
+		s.timers.At(now+orphanTime, func() { s.accounted = true })
 	}
 	s.now = max(s.now, now)
 	s.actions = nil
 	s.table.Advance(s.now)
-	s.runTimers()
+	s.timers.Run(s.now)
 	s.apply(ev)
 	s.review()
 	s.shed(ev)
@@ -213,30 +213,3 @@
 		Verb: verb, RequestID: r.id, Tier: r.d.Tier, Workspace: r.d.Workspace, Endpoint: endpoint, Reason: reason,
 	})
 }
-
-// timer runs a function at a time. Timers of equal time run in the order of their creation.
-type timer struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-func lessTimer(a, b timer) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
-
-func (s *Scheduler) at(t time.Duration, run func()) *ranker.Node[timer] {
-	s.nextSeq++
-	return s.timers.Push(timer{t, s.nextSeq, run})
-}
-
-func (s *Scheduler) runTimers() {
-	for n := s.timers.Min(); n != nil && n.Value.at <= s.now; n = s.timers.Min() {
-		s.timers.Remove(n)
-		n.Value.run()
-	}
-}
-
-func (s *Scheduler) stop(n *ranker.Node[timer]) {
-	if n != nil {
-		s.timers.Remove(n)
-	}
-}
