scheduler: move the shed level and its permits into a package of their own

Change: gatekeeper owns the level, the permits, the requests for them, and the pace of cancels and confirmations. The first configuration no longer sets a level while all tiers are open, since it was never read.

--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -49,7 +49,7 @@
 		if n := t.ages.Min(); n != nil {
 			oldest = s.now - n.Value.arrived
 		}
-		s.shares.Backlog(t.Order, t.waiting > 0 && !s.tierClosed(t.Order), oldest)
+		s.shares.Backlog(t.Order, t.waiting > 0 && !s.gate.Closed(t.Order), oldest)
 	}
 	s.placer.Open = s.headroomOpen()
 	if aged, ok := s.shares.Aged(); ok && s.dispatchOldest(aged) {
@@ -247,7 +247,7 @@
 func (s *Scheduler) dispatchPinned() {
 	for _, e := range slices.Clone(s.pinned) {
 		for _, r := range slices.Clone(e.pins) {
-			if s.tierClosed(r.tier.Order) || (s.tiers[0].urgent && s.tiers[0].waiting > 0 && !s.headroomOpen()) {
+			if s.gate.Closed(r.tier.Order) || (s.tiers[0].urgent && s.tiers[0].waiting > 0 && !s.headroomOpen()) {
 				continue
 			}
 			if j := s.job(r); len(j.Near) == 0 && s.placer.Fits(s.now, j, e.Endpoint) {
@@ -337,7 +337,7 @@
 			continue
 		}
 		for _, t := range s.tiers {
-			for !s.tierClosed(t.Order) && s.placeSuspect(l, t.Order, limit) {
+			for !s.gate.Closed(t.Order) && s.placeSuspect(l, t.Order, limit) {
 			}
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/estimator"
+	"github.com/dragonflycroft/dragonflycroft/internal/gatekeeper"
 	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/placer"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
@@ -97,15 +98,9 @@
 	quarantine *quarantiner.Quarantine
 	timers     *timekeeper.Timers
 
-	closedBelow int
-	closed      bool
-	closedAt    time.Duration
-	nextCancel  time.Duration
-	confirmed   int
-	permits     map[int]time.Duration
-	asked       map[int]time.Duration
-	nextReview  time.Duration
-	nextSweep   time.Duration
+	gate       *gatekeeper.Gate
+	nextReview time.Duration
+	nextSweep  time.Duration
 }
 
 // New returns a scheduler without any knowledge. Until entry hosts have reported their runs, endpoints count as busy.
@@ -132,8 +127,7 @@
 		book:       shedder.NewBook[*request](),
 		quarantine: quarantiner.New(defaultQuarantine),
 		timers:     timekeeper.New(),
-		permits:    make(map[int]time.Duration),
-		asked:      make(map[int]time.Duration),
+		gate:       gatekeeper.New(),
 	}
 	s.placer = placer.Placer{Table: s.table, Prefixes: s.prefixes}
 	return s
@@ -200,9 +194,9 @@
 		s.listed = true
 		s.listHosts(e)
 	case TiersClosed:
-		s.closeTiers(e.Below)
+		s.gate.Close(s.now, e.Below, s.lowest())
 	case ShedPermitted:
-		s.permits[e.Tier] = max(s.permits[e.Tier], s.now+e.For)
+		s.gate.Permit(s.now, e.Tier, e.For)
 	}
 }
 
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -95,9 +95,6 @@
 			r.tier.active++
 		}
 	}
-	if len(old) == 0 && len(s.tiers) > 0 && !s.closed {
-		s.closedBelow = s.lowest()
-	}
 }
 
 func (s *Scheduler) configureWorkspaces(list []configurer.Workspace) {
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -5,41 +5,18 @@
 	"time"
 )
 
-const (
-	// askInterval is the time between repeated requests for a permit to shed.
-	askInterval = time.Second
-	// askMemory is how long a request for a permit stands without being repeated.
-	askMemory = 3 * time.Second
-	// drainTime lets runs of a closed tier end by themselves before they are cancelled, since their prefill would be
-	// wasted.
-	drainTime = 3 * time.Second
-	// cancelInterval is the time between searches for runs to cancel.
-	cancelInterval = 100 * time.Millisecond
-	// minRetry and maxRetry bound the advice of when to try again.
-	minRetry, maxRetry = time.Second, time.Minute
-)
-
-// closeTiers sets the level below which tiers take no new work.
-func (s *Scheduler) closeTiers(below int) {
-	closed := below < s.lowest()
-	if closed && (!s.closed || below != s.closedBelow) {
-		s.closedAt = s.now
-	}
-	s.closed, s.closedBelow, s.confirmed = closed, below, -1
-}
-
-func (s *Scheduler) tierClosed(order int) bool { return s.closed && order > s.closedBelow }
+// minRetry and maxRetry bound the advice of when to try again.
+const minRetry, maxRetry = time.Second, time.Minute
 
-// mayShed reports whether requests of a tier may be given up: the lowest tier always, any other while a permit is in
-// force.
-func (s *Scheduler) mayShed(order int) bool { return order == s.lowest() || s.now < s.permits[order] }
+// mayShed reports whether requests of a tier may be given up.
+func (s *Scheduler) mayShed(order int) bool { return s.gate.MayShed(s.now, order, s.lowest()) }
 
 // shed empties closed tiers, the lowest first, and gives up work that there is no room for.
 func (s *Scheduler) shed(ev Event) {
 	if len(s.tiers) == 0 {
 		return
 	}
-	if s.closed {
+	if s.gate.Raised() {
 		_, tick := ev.(Tick)
 		s.emptyClosed(tick)
 	}
@@ -58,19 +35,17 @@
 	below := s.lowest()
 	for i := len(s.tiers) - 1; i >= 0; i-- {
 		t := s.tiers[i]
-		if !s.tierClosed(t.Order) || !s.empty(t) {
+		if !s.gate.Closed(t.Order) || !s.empty(t) {
 			break
 		}
 		below = t.Order - 1
 	}
-	below = max(below, s.closedBelow)
 	// Until the hosts have reported, a new holder does not know which runs of closed tiers there are.
 	if !s.accounted {
 		return
 	}
-	if below < s.lowest() && (tick || below != s.confirmed) {
-		s.confirmed = below
-		s.emit(ConfirmClosed{Below: below})
+	if level, ok := s.gate.Confirm(below, s.lowest(), tick); ok {
+		s.emit(ConfirmClosed{Below: level})
 	}
 }
 
@@ -86,8 +61,7 @@
 	for t.waiting > 0 {
 		s.refuse(t.ages.Min().Value, RefuseOverload, s.retryAfter())
 	}
-	if t.active > 0 && s.now >= max(s.closedAt+drainTime, s.nextCancel) {
-		s.nextCancel = s.now + cancelInterval
+	if t.active > 0 && s.gate.CancelDue(s.now) {
 		for _, r := range s.sortedRequests(func(r *request) bool { return r.tier == t && r.state == running && !r.cancel }) {
 			r.cancel = true
 			s.emit(CancelRun{Host: r.host, RequestID: r.id, Reason: "tier closed"})
@@ -128,16 +102,11 @@
 	}
 }
 
-// askPermit asks to shed a tier. The control leader goes by the last request and permits the tiers below it on the way,
-// so a request for a more urgent tier stands.
+// askPermit asks to shed a tier.
 func (s *Scheduler) askPermit(order int) {
-	for o, last := range s.asked {
-		if o == order && s.now-last < askInterval || o < order && s.now-last < askMemory {
-			return
-		}
+	if s.gate.Ask(s.now, order) {
+		s.emit(AskShedPermit{Tier: order})
 	}
-	s.asked[order] = s.now
-	s.emit(AskShedPermit{Tier: order})
 }
 
 // retryAfter estimates when the work that waits now has been served.
