scheduler: move the groups of equal requests into a package of their own

Change: grouper owns which requests of a fingerprint wait, run and are held. The check of totals reads the same facts through its accessors.

--- /dev/null
+++ b/internal/grouper/grouper_test.go
@@ -0,0 +1,62 @@
+package grouper_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/grouper"
+)
+
+// TestWaiting guards against a lost order of arrival and against groups that are kept without members or dropped with some.
+func TestWaiting(t *testing.T) {
+	groups := grouper.New[string]()
+	if groups.Get("k").Waiting() != nil || groups.Get("k").Running() != nil {
+		t.Error("an unknown group has members")
+	}
+	g := groups.Ensure("k")
+	g.Wait("a")
+	b := g.Wait("b")
+	g.Wait("c")
+	g.Leave(b)
+	g.Leave(b)
+	g.Leave(nil)
+	if diff := cmp.Diff([]string{"a", "c"}, g.Waiting()); diff != "" {
+		t.Error(diff)
+	}
+	groups.Prune("k")
+	if groups.Ensure("k") != g {
+		t.Error("a group with waiting members was dropped")
+	}
+	run := groups.Ensure("run")
+	run.Start("r")
+	groups.Prune("run")
+	if groups.Get("run") != run {
+		t.Error("a group with a running member was dropped")
+	}
+	run.End("r")
+	groups.Prune("run")
+	if groups.Get("run") != nil {
+		t.Error("an empty group is kept")
+	}
+}
+
+// TestNext guards against freeing all held members while one runs, and against members held for ever once none runs.
+func TestNext(t *testing.T) {
+	g := grouper.New[int]().Ensure("k")
+	for m := range 7 {
+		g.Hold(m)
+	}
+	g.Free(1)
+	g.Free(9)
+	g.Start(10)
+	g.Start(11)
+	g.End(10)
+	if diff := cmp.Diff([]int{0, 2, 3, 4}, g.Next()); diff != "" {
+		t.Error(diff)
+	}
+	g.End(11)
+	if got := len(g.Next()); got != 6 || g.Held() != 6 {
+		t.Errorf("%d of %d held members are freed after the last run", got, g.Held())
+	}
+}
--- a/internal/scheduler/check_test.go
+++ b/internal/scheduler/check_test.go
@@ -42,9 +42,9 @@
 	if waits != s.waiting || wanted != s.wanted || longs != s.placer.Longs {
 		return fmt.Errorf("totals %d %d %d, requests give %d %d %d", s.waiting, s.wanted, s.placer.Longs, waits, wanted, longs)
 	}
-	for fp, p := range s.prints {
-		if len(p.held) > 0 && len(p.active) == 0 {
-			return fmt.Errorf("%d requests with fingerprint %s are held, and none runs", len(p.held), fp)
+	for fp, p := range s.prints.All() {
+		if p.Held() > 0 && len(p.Running()) == 0 {
+			return fmt.Errorf("%d requests with fingerprint %s are held, and none runs", p.Held(), fp)
 		}
 	}
 	alone := 0
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -274,14 +274,14 @@
 
 // freshEndpoints returns the endpoints that run a fingerprint of which no run has finished yet.
 func (s *Scheduler) freshEndpoints(r *request) []*tracker.Endpoint {
-	p := s.prints[r.d.Fingerprint]
-	if p == nil || len(p.active) == 0 {
+	active := s.prints.Get(r.d.Fingerprint).Running()
+	if len(active) == 0 {
 		return nil
 	}
 	if v, _ := s.quarantine.Verdict(s.now, r.d.Fingerprint); v != quarantiner.Fresh {
 		return nil
 	}
-	return p.endpointsOf()
+	return endpointsOf(active)
 }
 
 // headroomOpen reports whether the most urgent work is flooded itself; headroom for it would then only keep the other
@@ -349,7 +349,7 @@
 		return false
 	}
 	r := entry.Value
-	if p := s.prints[r.d.Fingerprint]; p != nil && len(p.active) > 0 {
+	if len(s.prints.Get(r.d.Fingerprint).Running()) > 0 {
 		s.holdTwin(r)
 		return true
 	}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -168,10 +168,8 @@
 
 // reassignPrint applies a change of what is known of a fingerprint to its waiting requests.
 func (s *Scheduler) reassignPrint(fp string) {
-	if p := s.prints[fp]; p != nil {
-		for _, r := range p.waiting() {
-			s.reassign(r)
-		}
+	for _, r := range s.prints.Get(fp).Waiting() {
+		s.reassign(r)
 	}
 }
 
@@ -237,10 +235,10 @@
 	return c.reserved
 }
 
-// endpointsOf returns the distinct endpoints that run a fingerprint.
-func (f *fingerprint) endpointsOf() []*tracker.Endpoint {
+// endpointsOf returns the distinct endpoints of some requests.
+func endpointsOf(active []*request) []*tracker.Endpoint {
 	var found []*tracker.Endpoint
-	for _, r := range f.active {
+	for _, r := range active {
 		if r.endpoint != nil && !slices.Contains(found, r.endpoint.Endpoint) {
 			found = append(found, r.endpoint.Endpoint)
 		}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/grouper"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
 	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
@@ -28,9 +29,6 @@
 // maxCountedTokens bounds what is believed of a single request, so that sums stay within their range.
 const maxCountedTokens = 1 << 24
 
-// freedPerRun is the number of held requests that may take the place of an ended run.
-const freedPerRun = 4
-
 // defaultDeadline orders requests without a deadline of their own among those of the same caller. Since it is finite,
 // they do not starve behind requests with deadlines.
 const defaultDeadline = time.Minute
@@ -60,8 +58,8 @@
 	pinned *endpoint
 	// unpinned requests have waited for an endpoint once.
 	unpinned bool
-	// older and newer link the waiting requests of one fingerprint.
-	older, newer *request
+	// spot is the place among the waiting requests of the same fingerprint.
+	spot *grouper.Place
 
 	endpoint *endpoint
 	booked   int  // tokens booked at the endpoint
@@ -81,45 +79,6 @@
 	seen       int // output tokens so far
 }
 
-// fingerprint follows the requests with one fingerprint.
-type fingerprint struct {
-	active      []*request // granted or running
-	first, last *request   // waiting, linked by newer and older
-	held        []*request // wait until a run of the fingerprint ends, the first held first
-}
-
-func (f *fingerprint) push(r *request) {
-	if r.older = f.last; f.last != nil {
-		f.last.newer = r
-	} else {
-		f.first = r
-	}
-	f.last = r
-}
-
-func (f *fingerprint) remove(r *request) {
-	if r.older != nil {
-		r.older.newer = r.newer
-	} else if f.first == r {
-		f.first = r.newer
-	}
-	if r.newer != nil {
-		r.newer.older = r.older
-	} else if f.last == r {
-		f.last = r.older
-	}
-	r.older, r.newer = nil, nil
-}
-
-// waiting returns the waiting requests in the order in which they began to wait.
-func (f *fingerprint) waiting() []*request {
-	var list []*request
-	for r := f.first; r != nil; r = r.newer {
-		list = append(list, r)
-	}
-	return list
-}
-
 func sorted(set map[*request]struct{}) []*request {
 	list := make([]*request, 0, len(set))
 	for r := range set {
@@ -141,21 +100,6 @@
 	return list
 }
 
-func (s *Scheduler) print(fp string) *fingerprint {
-	p := s.prints[fp]
-	if p == nil {
-		p = &fingerprint{}
-		s.prints[fp] = p
-	}
-	return p
-}
-
-func (s *Scheduler) dropPrint(fp string) {
-	if p := s.prints[fp]; p != nil && len(p.active) == 0 && p.first == nil {
-		delete(s.prints, fp)
-	}
-}
-
 func (s *Scheduler) newRequest(host string, d Descriptor) *request {
 	s.nextSeq++
 	d.PromptTokens = min(max(d.PromptTokens, 0), maxCountedTokens)
@@ -204,7 +148,7 @@
 	owner := shedder.Owner{Tier: r.tier.Order, Workspace: r.d.Workspace, Caller: r.d.Caller}
 	r.handle = s.book.Add(owner, float64(r.tokens), s.weight(r.d.Workspace), r)
 	if r.d.Fingerprint != "" {
-		s.print(r.d.Fingerprint).push(r)
+		r.spot = s.prints.Ensure(r.d.Fingerprint).Wait(r)
 	}
 	return s.assign(r)
 }
@@ -271,20 +215,17 @@
 		r.entry = nil
 	}
 	s.unpin(r)
-	if p := s.prints[r.d.Fingerprint]; r.held && p != nil {
-		if i := slices.Index(p.held, r); i >= 0 {
-			p.held = slices.Delete(p.held, i, i+1)
-		}
+	if r.held {
+		s.prints.Get(r.d.Fingerprint).Free(r)
+		r.held = false
 	}
-	r.held = false
 }
 
 // holdTwin leaves a request out of the lanes until a run of its fingerprint ends.
 func (s *Scheduler) holdTwin(r *request) {
 	s.unassign(r)
 	r.held = true
-	p := s.print(r.d.Fingerprint)
-	p.held = append(p.held, r)
+	s.prints.Ensure(r.d.Fingerprint).Hold(r)
 }
 
 // dequeue ends the waiting of a request.
@@ -302,10 +243,9 @@
 		s.book.Remove(r.handle)
 		r.handle = nil
 	}
-	if p := s.prints[r.d.Fingerprint]; p != nil {
-		p.remove(r)
-		s.dropPrint(r.d.Fingerprint)
-	}
+	s.prints.Get(r.d.Fingerprint).Leave(r.spot)
+	r.spot = nil
+	s.prints.Prune(r.d.Fingerprint)
 }
 
 // reassign chooses the lane of a waiting request again.
@@ -344,26 +284,16 @@
 		r.tier.active--
 	}
 	s.setRunning(r.d.Workspace, -1)
-	if p := s.prints[r.d.Fingerprint]; p != nil {
-		p.active = slices.DeleteFunc(p.active, func(o *request) bool { return o == r })
-		s.freeHeld(p)
-		s.dropPrint(r.d.Fingerprint)
+	if p := s.prints.Get(r.d.Fingerprint); p != nil {
+		p.End(r)
+		for _, twin := range p.Next() {
+			s.reassign(twin)
+		}
+		s.prints.Prune(r.d.Fingerprint)
 	}
 	s.rank(e)
 }
 
-// freeHeld lets requests that waited for a run of their fingerprint be chosen again: a few after each run, so that a flood
-// of equal requests is not sorted anew each time, and all of them once nothing runs.
-func (s *Scheduler) freeHeld(p *fingerprint) {
-	n := len(p.held)
-	if len(p.active) > 0 {
-		n = min(n, freedPerRun)
-	}
-	for _, r := range slices.Clone(p.held[:n]) {
-		s.reassign(r)
-	}
-}
-
 func (s *Scheduler) endPrefill(e *endpoint, r *request) {
 	e.Pending -= r.uncached
 	r.uncached = 0
@@ -386,8 +316,7 @@
 	}
 	s.setRunning(r.d.Workspace, 1)
 	if r.d.Fingerprint != "" {
-		p := s.print(r.d.Fingerprint)
-		p.active = append(p.active, r)
+		s.prints.Ensure(r.d.Fingerprint).Start(r)
 	}
 	s.rank(e)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/estimator"
 	"github.com/dragonflycroft/dragonflycroft/internal/gatekeeper"
+	"github.com/dragonflycroft/dragonflycroft/internal/grouper"
 	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/placer"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
@@ -77,7 +78,7 @@
 	waiting   int
 	wanted    int // tokens of waiting requests
 	ended     []endedRun
-	prints    map[string]*fingerprint
+	prints    *grouper.Groups[*request] // by fingerprint
 
 	table      *tracker.Table
 	endpoints  map[string]*endpoint
@@ -114,7 +115,7 @@
 		byTier:     make(map[string]*tier),
 		synced:     make(map[string]bool),
 		requests:   make(map[string]*request),
-		prints:     make(map[string]*fingerprint),
+		prints:     grouper.New[*request](),
 		endpoints:  make(map[string]*endpoint),
 		classByKey: make(map[*tracker.Class]*class),
 		table:      tracker.New(),
