scheduler: move the events into a package of their own

Change: messenger defines the events; the scheduler keeps aliases. The actions stay, because the replay prints the names of their types: with them moved, only "scheduler.ShareSuspect" became "messenger.ShareSuspect" in its decisions.

--- a/internal/scheduler/event.go
+++ b/internal/messenger/event.go
@@ -1,4 +1,5 @@
-package scheduler
+// Package messenger defines the events that a scheduler receives.
+package messenger
 
 import (
 	"time"
