replicator: move the log in memory into a package of its own

Change: journaler owns the entries held in memory and finds the memberships in them; the replicator keeps aliases of the types of entries and members.

--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -35,14 +35,14 @@
 	}
 	for _, m := range c.members {
 		if m.ID != c.o.ID && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &peer{next: c.log.last() + 1, probing: true, since: c.now, incarnation: m.Incarnation}
+			c.peers[m.ID] = &peer{next: c.log.Last() + 1, probing: true, since: c.now, incarnation: m.Incarnation}
 		}
 	}
 }
 
 func (c *Core) appendOwn(e Entry) {
-	e.Index, e.Term = c.log.last()+1, c.state.Term
-	c.log.append(e)
+	e.Index, e.Term = c.log.Last()+1, c.state.Term
+	c.log.Append(e)
 	if e.Kind == EntryMembers {
 		c.members, c.memberAt = e.Members, e.Index
 		c.syncPeers()
@@ -58,7 +58,7 @@
 			continue
 		}
 		index, term := p.match, uint64(0)
-		if t, ok := c.log.term(index); ok {
+		if t, ok := c.log.Term(index); ok {
 			term = t
 		} else {
 			index = 0
@@ -90,7 +90,7 @@
 
 // sendAppend sends one append or chunk; it reports whether another one may follow.
 func (c *Core) sendAppend(to string, p *peer) bool {
-	if p.snapshot != nil || p.next <= c.log.baseIndex {
+	if p.snapshot != nil || p.next <= c.log.Base() {
 		c.sendChunk(to, p)
 		return false
 	}
@@ -98,12 +98,12 @@
 	if p.probing {
 		window = 1
 	}
-	if p.inflight >= window || p.next > c.log.last() {
+	if p.inflight >= window || p.next > c.log.Last() {
 		return false
 	}
 	prev := p.next - 1
-	term, _ := c.log.term(prev)
-	entries := c.log.slice(p.next, c.log.last(), c.o.MaxBatchBytes)
+	term, _ := c.log.Term(prev)
+	entries := c.log.Slice(p.next, c.log.Last(), c.o.MaxBatchBytes)
 	c.send(Message{Kind: AppendRequest, To: to, LogIndex: prev, LogTerm: term, Entries: entries, Commit: c.commit})
 	p.inflight++
 	p.sentAt = c.now
@@ -149,9 +149,9 @@
 		m.LogIndex, m.LogTerm, m.Entries = last.Index, last.Term, m.Entries[drop:]
 	}
 	if m.LogIndex >= c.commit {
-		if term, ok := c.log.term(m.LogIndex); !ok || term != m.LogTerm {
+		if term, ok := c.log.Term(m.LogIndex); !ok || term != m.LogTerm {
 			r.Reject, r.Match = true, 0
-			r.Hint, r.HintTerm = c.log.hint(r.LogIndex, m.LogTerm)
+			r.Hint, r.HintTerm = c.log.Hint(r.LogIndex, m.LogTerm)
 			c.reply(m, r)
 			return
 		}
@@ -164,12 +164,12 @@
 // take appends entries that follow a matching one, and removes only entries that conflict.
 func (c *Core) take(entries []Entry) {
 	for i, e := range entries {
-		if term, ok := c.log.term(e.Index); ok && term == e.Term {
+		if term, ok := c.log.Term(e.Index); ok && term == e.Term {
 			continue
 		}
-		truncated := e.Index <= c.log.last()
+		truncated := e.Index <= c.log.Last()
 		c.stable = min(c.stable, e.Index-1)
-		c.log.append(entries[i:]...)
+		c.log.Append(entries[i:]...)
 		if truncated || slices.ContainsFunc(entries[i:], func(e Entry) bool { return e.Kind == EntryMembers }) {
 			c.reloadMembers()
 		}
@@ -178,7 +178,7 @@
 }
 
 func (c *Core) commitTo(index uint64) {
-	c.commit = max(c.commit, min(index, c.log.last()))
+	c.commit = max(c.commit, min(index, c.log.Last()))
 }
 
 // accepts checks that an answer comes from the data folder that the membership names, and records the contact.
@@ -209,7 +209,7 @@
 		c.onRejected(p, m)
 		return
 	}
-	if m.Match > c.log.last() {
+	if m.Match > c.log.Last() {
 		return
 	}
 	if m.Match > m.LogIndex {
@@ -238,8 +238,8 @@
 		p.next = max(p.match+1, m.LogIndex)
 		return
 	}
-	hint, _ := c.log.hint(m.Hint, m.HintTerm)
-	if m.Hint < c.log.baseIndex {
+	hint, _ := c.log.Hint(m.Hint, m.HintTerm)
+	if m.Hint < c.log.Base() {
 		hint = m.Hint
 	}
 	p.next = max(p.match+1, min(hint+1, m.LogIndex))
@@ -251,7 +251,7 @@
 		switch {
 		case !m.Voter:
 		case m.ID == c.o.ID:
-			matches = append(matches, min(c.stable, c.log.last()))
+			matches = append(matches, min(c.stable, c.log.Last()))
 		default:
 			matches = append(matches, c.peers[m.ID].match)
 		}
@@ -261,7 +261,7 @@
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-len(matches)/2-1]
-	if term, ok := c.log.term(index); ok && term == c.state.Term && index > c.commit {
+	if term, ok := c.log.Term(index); ok && term == c.state.Term && index > c.commit {
 		c.commitTo(index)
 		c.afterCommit()
 	}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 )
 
 // Defaults of Options.
@@ -52,7 +54,7 @@
 	state    State
 	role     Role
 	leader   string
-	log      entryLog
+	log      journaler.Log
 	snap     Snapshot
 	commit   uint64
 	handed   uint64 // last index given out in Committed
@@ -97,15 +99,15 @@
 		o.Window = DefaultWindow
 	}
 	c := &Core{o: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), now: now, state: o.State, saved: o.State, snap: o.Snapshot}
-	c.log.reset(o.Snapshot.Index, o.Snapshot.Term)
+	c.log.Reset(o.Snapshot.Index, o.Snapshot.Term)
 	if entries := o.Entries; len(entries) > 0 {
 		if first := entries[0]; first.Index <= o.Snapshot.Index {
-			c.log.reset(first.Index, first.Term)
+			c.log.Reset(first.Index, first.Term)
 			entries = entries[1:]
 		}
-		c.log.append(slices.Clone(entries)...)
+		c.log.Append(slices.Clone(entries)...)
 	}
-	c.commit, c.handed, c.stable = o.Snapshot.Index, o.Snapshot.Index, c.log.last()
+	c.commit, c.handed, c.stable = o.Snapshot.Index, o.Snapshot.Index, c.log.Last()
 	c.o.Entries, c.o.Snapshot = nil, Snapshot{}
 	c.reloadMembers()
 	// The host may have heard a leader just before it stopped, so its vote stays withheld for one timeout.
@@ -116,7 +118,7 @@
 
 // Status returns a description of the current state.
 func (c *Core) Status() Status {
-	s := Status{Role: c.role, Term: c.state.Term, Leader: c.leader, Commit: c.commit, Last: c.log.last(), Members: c.members}
+	s := Status{Role: c.role, Term: c.state.Term, Leader: c.leader, Commit: c.commit, Last: c.log.Last(), Members: c.members}
 	if c.role == Leader {
 		s.LeaseUntil = c.leaseUntil()
 	}
@@ -329,7 +331,7 @@
 		return 0, 0, c.notLeader()
 	}
 	c.appendOwn(Entry{Kind: EntryCommand, Data: data})
-	return c.log.last(), c.state.Term, nil
+	return c.log.Last(), c.state.Term, nil
 }
 
 // Read asks for a confirmation, by a quorum, that this host still leads. The answer is in Ready.
@@ -368,7 +370,7 @@
 }
 
 func (c *Core) finishTransfer() {
-	if p := c.peers[c.target]; p != nil && p.match == c.log.last() {
+	if p := c.peers[c.target]; p != nil && p.match == c.log.Last() {
 		c.send(Message{Kind: TimeoutNow, To: c.target})
 	}
 }
@@ -391,9 +393,9 @@
 		rd.Messages = append(rd.Messages, rd.Early...)
 		rd.Early = nil
 	}
-	rd.Entries = c.log.slice(c.stable+1, c.log.last(), int(^uint(0)>>1))
+	rd.Entries = c.log.Slice(c.stable+1, c.log.Last(), int(^uint(0)>>1))
 	if c.commit > c.handed {
-		rd.Committed = c.log.slice(c.handed+1, c.commit, int(^uint(0)>>1))
+		rd.Committed = c.log.Slice(c.handed+1, c.commit, int(^uint(0)>>1))
 		c.handed = c.commit
 	}
 	return rd
@@ -401,7 +403,7 @@
 
 // Advance tells that the durable parts of the last Ready are synced.
 func (c *Core) Advance() {
-	c.stable = c.log.last()
+	c.stable = c.log.Last()
 	if c.role == Leader {
 		c.advanceCommit()
 	}
@@ -409,16 +411,16 @@
 
 // Compact records a snapshot of the state after index, which must have been applied, and drops the entries before keepFrom.
 func (c *Core) Compact(index uint64, data []byte, keepFrom uint64) Snapshot {
-	term, ok := c.log.term(index)
+	term, ok := c.log.Term(index)
 	if !ok || index <= c.snap.Index || index > c.handed {
 		return c.snap
 	}
 	c.snap = Snapshot{Index: index, Term: term, Members: c.membersAt(index), Data: data}
-	c.log.compact(min(keepFrom, index))
+	c.log.Compact(min(keepFrom, index))
 	return c.snap
 }
 
 // Durable returns the entries held, beginning with the one that the term of the next is checked against, and the state.
 func (c *Core) Durable() ([]Entry, State) {
-	return c.log.entries, c.state
+	return c.log.Entries(), c.state
 }
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -23,7 +23,7 @@
 		if m.Voter && m.ID != c.o.ID {
 			c.send(Message{
 				Kind: VoteRequest, To: m.ID, Term: term, Pre: pre, Force: force, Target: m.Incarnation,
-				LogIndex: c.log.last(), LogTerm: c.log.lastTerm(),
+				LogIndex: c.log.Last(), LogTerm: c.log.LastTerm(),
 			})
 		}
 	}
@@ -37,7 +37,7 @@
 			granted++
 		}
 	}
-	if granted < c.members.quorum() {
+	if granted < c.members.Quorum() {
 		return false
 	}
 	if c.role == PreCandidate {
@@ -49,7 +49,7 @@
 }
 
 func (c *Core) onVoteRequest(m Message) {
-	last, lastTerm := c.log.last(), c.log.lastTerm()
+	last, lastTerm := c.log.Last(), c.log.LastTerm()
 	current := m.LogTerm > lastTerm || (m.LogTerm == lastTerm && m.LogIndex >= last)
 	// A promoted learner may be asked before it has received its promotion, and its vote may be needed to commit that. So
 	// the candidate's membership decides, and it names the data folder that it means.
@@ -90,6 +90,6 @@
 	c.peers = map[string]*peer{}
 	c.syncPeers()
 	c.appendOwn(Entry{Kind: EntryNoop})
-	c.termStart = c.log.last()
+	c.termStart = c.log.Last()
 	c.beat()
 }
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -36,7 +36,7 @@
 		return 0, 0, err
 	}
 	c.appendOwn(Entry{Kind: EntryMembers, Members: next})
-	return c.log.last(), c.state.Term, nil
+	return c.log.Last(), c.state.Term, nil
 }
 
 func (c *Core) changed(change Change) (Membership, error) {
@@ -50,7 +50,7 @@
 			return nil, &ChangeError{ID: change.ID, Reason: "it is a member already"}
 		}
 		next = append(next, Member{ID: change.ID, Addr: change.Addr})
-		next.sort()
+		next.Sort()
 		return next, nil
 	}
 	if at < 0 {
@@ -66,7 +66,7 @@
 		return nil, &ChangeError{ID: change.ID, Reason: "it is a voter already"}
 	}
 	p := c.peers[change.ID]
-	if behind := c.log.last() - p.match; p.match == 0 || behind > maxPromoteLag || !c.active(p) {
+	if behind := c.log.Last() - p.match; p.match == 0 || behind > maxPromoteLag || !c.active(p) {
 		return nil, &NotCaughtUpError{ID: change.ID, Behind: behind}
 	}
 	next[at].Voter, next[at].Incarnation = true, p.incarnation
@@ -75,10 +75,8 @@
 
 // membersAt returns the membership in force after the entry at index.
 func (c *Core) membersAt(index uint64) Membership {
-	for i := len(c.log.entries) - 1; i >= 0; i-- {
-		if e := c.log.entries[i]; e.Kind == EntryMembers && e.Index <= index {
-			return e.Members
-		}
+	if m, _, ok := c.log.Members(index); ok {
+		return m
 	}
 	return c.snap.Members
 }
@@ -86,10 +84,7 @@
 // reloadMembers takes the newest membership in the log, committed or not.
 func (c *Core) reloadMembers() {
 	c.members, c.memberAt = c.snap.Members, c.snap.Index
-	for _, e := range slices.Backward(c.log.entries) {
-		if e.Kind == EntryMembers && e.Index > c.snap.Index {
-			c.members, c.memberAt = e.Members, e.Index
-			return
-		}
+	if m, index, ok := c.log.Members(c.log.Last()); ok && index > c.snap.Index {
+		c.members, c.memberAt = m, index
 	}
 }
--- a/internal/replicator/snapshot.go
+++ b/internal/replicator/snapshot.go
@@ -51,12 +51,12 @@
 	a := c.assembly
 	c.assembly = nil
 	c.snap = Snapshot{Index: a.Index, Term: a.Term, Members: slices.Clone(a.Members), Data: a.Data}
-	if term, ok := c.log.term(a.Index); ok && term == a.Term {
-		c.log.compact(a.Index)
+	if term, ok := c.log.Term(a.Index); ok && term == a.Term {
+		c.log.Compact(a.Index)
 	} else {
-		c.log.reset(a.Index, a.Term)
+		c.log.Reset(a.Index, a.Term)
 	}
-	c.stable = min(max(c.stable, a.Index), c.log.last())
+	c.stable = min(max(c.stable, a.Index), c.log.Last())
 	c.commit, c.handed = a.Index, a.Index
 	c.reloadMembers()
 	snap := c.snap
