--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/assembler"
 	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 )
 
@@ -73,7 +74,7 @@
 	askBeat   bool
 	target    string // member that is to lead next
 	targetEnd time.Duration
-	assembly  *Chunk
+	assembly  assembler.Assembly
 
 	saved State
 	out   Ready
--- a/internal/replicator/snapshot.go
+++ b/internal/replicator/snapshot.go
@@ -9,13 +9,13 @@
 	c.hear(m)
 	r := Message{Kind: SnapshotResponse, Chunk: &Chunk{Index: m.Chunk.Index}}
 	if m.Chunk.Index <= c.commit {
-		c.assembly = nil
+		c.assembly.Take()
 		r.Match = c.commit
 		c.reply(m, r)
 		return
 	}
-	if !c.collect(m.Chunk) {
-		r.Chunk.Offset = uint64(len(c.assembled(m.Chunk)))
+	if !c.assembly.Add(m.Chunk) {
+		r.Chunk.Offset = uint64(len(c.assembly.Arrived(m.Chunk)))
 		c.reply(m, r)
 		return
 	}
@@ -24,32 +24,9 @@
 	c.reply(m, r)
 }
 
-// assembled returns what has arrived of the snapshot that a chunk belongs to.
-func (c *Core) assembled(chunk *Chunk) []byte {
-	a := c.assembly
-	if a == nil || a.Index != chunk.Index || a.Term != chunk.Term || a.Total != chunk.Total {
-		return nil
-	}
-	return a.Data
-}
-
-// collect adds a chunk; it reports whether the snapshot is complete.
-func (c *Core) collect(chunk *Chunk) bool {
-	have := c.assembled(chunk)
-	if have == nil {
-		c.assembly = &Chunk{Index: chunk.Index, Term: chunk.Term, Members: chunk.Members, Total: chunk.Total, Data: []byte{}}
-	}
-	if chunk.Offset != uint64(len(have)) || uint64(len(have)+len(chunk.Data)) > chunk.Total {
-		return false
-	}
-	c.assembly.Data = append(c.assembly.Data, chunk.Data...)
-	return uint64(len(c.assembly.Data)) == chunk.Total
-}
-
 // install replaces the log by the assembled snapshot.
 func (c *Core) install() {
-	a := c.assembly
-	c.assembly = nil
+	a := c.assembly.Take()
 	c.snap = Snapshot{Index: a.Index, Term: a.Term, Members: slices.Clone(a.Members), Data: a.Data}
 	if term, ok := c.log.Term(a.Index); ok && term == a.Term {
 		c.log.Compact(a.Index)
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/assembler"
 	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 )
 
@@ -114,15 +115,8 @@
 	return true
 }
 
-// Chunk is a part of a snapshot.
-type Chunk struct {
-	Index   uint64
-	Term    uint64
-	Members Membership
-	Total   uint64
-	Offset  uint64
-	Data    []byte
-}
+// Chunk is defined by [assembler.Chunk].
+type Chunk = assembler.Chunk
 
 // Role is the part a host plays in its term.
 type Role uint8
