--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -49,7 +49,7 @@
 		if n := t.ages.Min(); n != nil {
 			oldest = s.now - n.Value.arrived
 		}
-		s.shares.Backlog(t.Order, t.waiting > 0 && !s.tierClosed(t.Order), oldest)
+		s.shares.Backlog(t.Order, t.waiting > 0 && !s.gate.Closed(t.Order), oldest)
 	}
 	s.placer.Open = s.headroomOpen()
 	if aged, ok := s.shares.Aged(); ok && s.dispatchOldest(aged) {
@@ -236,7 +236,7 @@
 	if len(e.pins) == 1 {
 		s.pinned = append(s.pinned, e)
 	}
-	r.expiry = s.at(s.now+affinityWait, func() {
+	r.expiry = s.timers.At(s.now+affinityWait, func() {
 		r.expiry = nil
 		s.reassign(r)
 	})
@@ -247,7 +247,7 @@
 func (s *Scheduler) dispatchPinned() {
 	for _, e := range slices.Clone(s.pinned) {
 		for _, r := range slices.Clone(e.pins) {
-			if s.tierClosed(r.tier.Order) || (s.tiers[0].urgent && s.tiers[0].waiting > 0 && !s.headroomOpen()) {
+			if s.gate.Closed(r.tier.Order) || (s.tiers[0].urgent && s.tiers[0].waiting > 0 && !s.headroomOpen()) {
 				continue
 			}
 			if j := s.job(r); len(j.Near) == 0 && s.placer.Fits(s.now, j, e.Endpoint) {
@@ -264,7 +264,7 @@
 		return
 	}
 	r.pinned = nil
-	s.stop(r.expiry)
+	s.timers.Stop(r.expiry)
 	r.expiry = nil
 	e.pins = slices.DeleteFunc(e.pins, func(o *request) bool { return o == r })
 	if len(e.pins) == 0 {
@@ -274,14 +274,14 @@
 
 // freshEndpoints returns the endpoints that run a fingerprint of which no run has finished yet.
 func (s *Scheduler) freshEndpoints(r *request) []*tracker.Endpoint {
-	p := s.prints[r.d.Fingerprint]
-	if p == nil || len(p.active) == 0 {
+	active := s.prints.Get(r.d.Fingerprint).Running()
+	if len(active) == 0 {
 		return nil
 	}
 	if v, _ := s.quarantine.Verdict(s.now, r.d.Fingerprint); v != quarantiner.Fresh {
 		return nil
 	}
-	return p.endpointsOf()
+	return endpointsOf(active)
 }
 
 // headroomOpen reports whether the most urgent work is flooded itself; headroom for it would then only keep the other
@@ -313,7 +313,7 @@
 	}
 	s.accounts.Charge(r.tier.Order, r.d.Workspace, r.d.Caller, r.charged)
 	s.shares.Serve(s.now, r.tier.Order, float64(r.tokens), r.charged)
-	r.expiry = s.at(s.now+s.opts.GrantTTL+grantMargin, func() { s.expire(r) })
+	r.expiry = s.timers.At(s.now+s.opts.GrantTTL+grantMargin, func() { s.expire(r) })
 	s.emit(Grant{Host: r.host, RequestID: r.id, Endpoint: e.Name, TTL: s.opts.GrantTTL})
 	reason := fmt.Sprintf("waited %dms, prefill %d of %d tokens, first token predicted in %dms",
 		(s.now - r.arrived).Milliseconds(), uncached, r.d.PromptTokens, first.Milliseconds())
@@ -337,7 +337,7 @@
 			continue
 		}
 		for _, t := range s.tiers {
-			for !s.tierClosed(t.Order) && s.placeSuspect(l, t.Order, limit) {
+			for !s.gate.Closed(t.Order) && s.placeSuspect(l, t.Order, limit) {
 			}
 		}
 	}
@@ -349,7 +349,7 @@
 		return false
 	}
 	r := entry.Value
-	if p := s.prints[r.d.Fingerprint]; p != nil && len(p.active) > 0 {
+	if len(s.prints.Get(r.d.Fingerprint).Running()) > 0 {
 		s.holdTwin(r)
 		return true
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,12 +6,14 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/estimator"
+	"github.com/dragonflycroft/dragonflycroft/internal/gatekeeper"
+	"github.com/dragonflycroft/dragonflycroft/internal/grouper"
 	"github.com/dragonflycroft/dragonflycroft/internal/limiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/placer"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/queuer"
-	"github.com/dragonflycroft/dragonflycroft/internal/ranker"
 	"github.com/dragonflycroft/dragonflycroft/internal/shedder"
+	"github.com/dragonflycroft/dragonflycroft/internal/timekeeper"
 	"github.com/dragonflycroft/dragonflycroft/internal/tracker"
 )
 
@@ -76,7 +78,7 @@
 	waiting   int
 	wanted    int // tokens of waiting requests
 	ended     []endedRun
-	prints    map[string]*fingerprint
+	prints    *grouper.Groups[*request] // by fingerprint
 
 	table      *tracker.Table
 	endpoints  map[string]*endpoint
@@ -95,17 +97,11 @@
 	gap        float64 // seconds between tokens, over the pool
 	book       *shedder.Book[*request]
 	quarantine *quarantiner.Quarantine
-	timers     *ranker.Heap[timer]
-
-	closedBelow int
-	closed      bool
-	closedAt    time.Duration
-	nextCancel  time.Duration
-	confirmed   int
-	permits     map[int]time.Duration
-	asked       map[int]time.Duration
-	nextReview  time.Duration
-	nextSweep   time.Duration
+	timers     *timekeeper.Timers
+
+	gate       *gatekeeper.Gate
+	nextReview time.Duration
+	nextSweep  time.Duration
 }
 
 // New returns a scheduler without any knowledge. Until entry hosts have reported their runs, endpoints count as busy.
@@ -119,7 +115,7 @@
 		byTier:     make(map[string]*tier),
 		synced:     make(map[string]bool),
 		requests:   make(map[string]*request),
-		prints:     make(map[string]*fingerprint),
+		prints:     grouper.New[*request](),
 		endpoints:  make(map[string]*endpoint),
 		classByKey: make(map[*tracker.Class]*class),
 		table:      tracker.New(),
@@ -131,9 +127,8 @@
 		lengths:    estimator.NewLengths(),
 		book:       shedder.NewBook[*request](),
 		quarantine: quarantiner.New(defaultQuarantine),
-		timers:     ranker.New(lessTimer),
-		permits:    make(map[int]time.Duration),
-		asked:      make(map[int]time.Duration),
+		timers:     timekeeper.New(),
+		gate:       gatekeeper.New(),
 	}
 	s.placer = placer.Placer{Table: s.table, Prefixes: s.prefixes}
 	return s
@@ -144,17 +139,17 @@
 func (s *Scheduler) Step(now time.Duration, ev Event) []Action {
 	if !s.began {
 		s.began, s.now, s.listBy = true, now, now+s.opts.ListWait
-		s.at(now+s.opts.GrantTTL+grantMargin, func() {
+		s.timers.At(now+s.opts.GrantTTL+grantMargin, func() {
 			s.table.EndWarmup(s.now)
 			s.accounted = s.accounted || len(s.opts.Hosts) == 0
 		})
 		// Runs of a host that never reports stay possible for as long as those of a lost host are counted.
-		s.at(now+orphanTime, func() { s.accounted = true })
+		s.timers.At(now+orphanTime, func() { s.accounted = true })
 	}
 	s.now = max(s.now, now)
 	s.actions = nil
 	s.table.Advance(s.now)
-	s.runTimers()
+	s.timers.Run(s.now)
 	s.apply(ev)
 	s.review()
 	s.shed(ev)
@@ -200,9 +195,9 @@
 		s.listed = true
 		s.listHosts(e)
 	case TiersClosed:
-		s.closeTiers(e.Below)
+		s.gate.Close(s.now, e.Below, s.lowest())
 	case ShedPermitted:
-		s.permits[e.Tier] = max(s.permits[e.Tier], s.now+e.For)
+		s.gate.Permit(s.now, e.Tier, e.For)
 	}
 }
 
@@ -213,30 +208,3 @@
 		Verb: verb, RequestID: r.id, Tier: r.d.Tier, Workspace: r.d.Workspace, Endpoint: endpoint, Reason: reason,
 	})
 }
-
-// timer runs a function at a time. Timers of equal time run in the order of their creation.
-type timer struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-func lessTimer(a, b timer) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
-
-func (s *Scheduler) at(t time.Duration, run func()) *ranker.Node[timer] {
-	s.nextSeq++
-	return s.timers.Push(timer{t, s.nextSeq, run})
-}
-
-func (s *Scheduler) runTimers() {
-	for n := s.timers.Min(); n != nil && n.Value.at <= s.now; n = s.timers.Min() {
-		s.timers.Remove(n)
-		n.Value.run()
-	}
-}
-
-func (s *Scheduler) stop(n *ranker.Node[timer]) {
-	if n != nil {
-		s.timers.Remove(n)
-	}
-}
