--- a/path_bench_test.go
+++ b/path_bench_test.go
@@ -307,3 +307,28 @@
 		}
 	})
 }
+
+// BenchmarkPathInventory measures one read of an inventory, as the placement leader performs it for each endpoint, and one
+// load report, as the holder of a pool polls it.
+func BenchmarkPathInventory(b *testing.B) {
+	p := newPath(b, "fast", 1)
+	engine := connector.NewEngine("runner-0", p.engine.addr, connector.DefaultTimeouts())
+	for _, read := range []struct {
+		name string
+		fn   func() error
+	}{
+		{"inventory", func() error { _, err := engine.Inventory(context.Background()); return err }},
+		{"load", func() error { _, err := engine.Load(context.Background()); return err }},
+	} {
+		b.Run(read.name, func(b *testing.B) {
+			var before, after syscall.Rusage
+			must(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
+			for b.Loop() {
+				must(b, read.fn())
+			}
+			must(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
+			cpu := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+			b.ReportMetric(float64(cpu)/1000/float64(b.N), "reader-cpu-us/op")
+		})
+	}
+}
