scheduler: answer at once what can no longer be answered in time

Cause: a request whose caller was predicted to give up first was taken out of the lanes and held without an answer until its caller left. A request that is given up must get its answer at once, with the time to come back. Change: in a tier that may be shed, such a request is refused as deadline with a retry time, and counts as shed. In any other tier it keeps waiting and is granted to an endpoint that is idle, when nothing else waits.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -17,6 +17,7 @@
 var refusals = map[scheduler.RefuseReason]string{
 	scheduler.RefuseOverload:   "the system is out of room for this tier; the request did not run",
 	scheduler.RefusePatience:   "the request waited longer than its tier allows; it did not run",
+	scheduler.RefuseDeadline:   "the request can no longer be answered within its time limit; it did not run",
 	scheduler.RefuseLimit:      "a limit set by the operators was reached; the request did not run",
 	scheduler.RefuseQuarantine: "this request is quarantined because endpoints failed while it ran; it did not run",
 	scheduler.RefuseUnserved:   "no endpoint serves this model or adapter; the request did not run",
--- a/internal/replayer/pool.go
+++ b/internal/replayer/pool.go
@@ -79,7 +79,7 @@
 		until := s.now + act.TTL
 		s.toHost(p, act.Host, func(h *host) { s.granted(h, p, act, until) })
 	case scheduler.Refuse:
-		shed := act.Reason == scheduler.RefuseOverload || act.Reason == scheduler.RefusePatience
+		shed := act.Reason.Shed()
 		if a := s.attempts[act.RequestID]; a != nil && a.state != attemptEnded {
 			s.audit.Refused(s.now, a.id, a.order, shed)
 			s.result.count(act.Reason)
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -21,6 +21,8 @@
 	RefuseOverload RefuseReason = "overload"
 	// RefusePatience sheds a request because it waited longer than its tier's patience.
 	RefusePatience RefuseReason = "patience"
+	// RefuseDeadline sheds a request that can no longer be answered within its caller's time limit.
+	RefuseDeadline RefuseReason = "deadline"
 	// RefuseLimit answers an operator's explicit limit; it is not shedding.
 	RefuseLimit RefuseReason = "limit"
 	// RefuseQuarantine refuses a request that crashed two endpoints.
@@ -29,6 +31,11 @@
 	RefuseUnserved RefuseReason = "unserved"
 )
 
+// Shed reports whether a refusal is for want of room: only the lowest tier may be refused so without a permit.
+func (r RefuseReason) Shed() bool {
+	return r == RefuseOverload || r == RefusePatience || r == RefuseDeadline
+}
+
 // Refuse ends a waiting request that was never dispatched.
 type Refuse struct {
 	Host, RequestID string
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -85,7 +85,8 @@
 	return false
 }
 
-// dispatchHopeless grants a request whose caller will probably give up first, when nothing else waits.
+// dispatchHopeless grants a request whose caller will probably give up first, when nothing else waits. One that is
+// predicted to end too late takes an idle endpoint only: its prefill is probably wasted, and it must not slow other runs.
 func (s *Scheduler) dispatchHopeless(tried []int, blocked map[*lane]int) bool {
 	if len(blocked) > 0 {
 		return false
@@ -96,14 +97,12 @@
 			if r == nil {
 				break
 			}
-			if s.now-r.arrived > freshWait && !s.canFinish(r, r.output, 1) {
-				// Its caller gives up before the answer ends; only a new request is tried on a prediction.
-				s.unassign(r)
-				r.held = true
+			if s.mayShed(order) && s.lost(r) {
+				s.refuse(r, RefuseDeadline, s.retryAfter())
 				continue
 			}
 			e, wait, why := s.place(r)
-			if !wait && why == placer.None {
+			if !wait && why == placer.None && (!s.lost(r) || e.Runs() == 0) {
 				s.grant(r, e)
 				return true
 			}
@@ -126,7 +125,11 @@
 			return false
 		}
 		if kind := s.timeliness(r); kind > l.kind && kind >= lateLane {
-			s.reassign(r)
+			if s.mayShed(order) && s.lost(r) {
+				s.refuse(r, RefuseDeadline, s.retryAfter())
+			} else {
+				s.reassign(r)
+			}
 			continue
 		}
 		e, wait, why := s.place(r)
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -208,6 +208,12 @@
 	return r.deadline == 0 || (r.deadline-s.now).Seconds() >= margin*need
 }
 
+// lost reports whether the caller gives up before an answer of the predicted length ends. A new request is tried, since
+// the length is a prediction.
+func (s *Scheduler) lost(r *request) bool {
+	return s.now-r.arrived > freshWait && !s.canFinish(r, r.output, 1)
+}
+
 // unassign takes a waiting request out of its lane.
 func (s *Scheduler) unassign(r *request) {
 	if r.entry != nil {
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -27,6 +27,7 @@
 	}
 	for _, t := range s.tiers {
 		s.shedImpatient(t)
+		s.shedLost(t)
 	}
 }
 
@@ -102,6 +103,21 @@
 	}
 }
 
+// shedLost refuses requests that can no longer be answered in their callers' time. A request that is given up gets its
+// answer at once, with the time to come back. Tiers that may not be shed keep theirs waiting for room that is left over.
+func (s *Scheduler) shedLost(t *tier) {
+	if !s.mayShed(t.Order) {
+		return
+	}
+	for {
+		_, r := s.head(t.Order, nil, hopelessLane)
+		if r == nil || !s.lost(r) {
+			return
+		}
+		s.refuse(r, RefuseDeadline, s.retryAfter())
+	}
+}
+
 // askPermit asks to shed a tier.
 func (s *Scheduler) askPermit(order int) {
 	if s.gate.Ask(s.now, order) {
