--- a/cmd/dragonflycroft/serve.go
+++ b/cmd/dragonflycroft/serve.go
@@ -14,8 +14,8 @@
 	"github.com/dragonflycroft/dragonflycroft"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/resumer"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 )
 
 // serveCommand holds the settings of an entry host. They are texts, so that every wrong one is reported at once.
@@ -157,7 +157,7 @@
 			Gap:       c.duration("gap-timeout", s.GapTimeout, least),
 		},
 		PollInterval: c.duration("poll-interval", s.PollInterval, least),
-		Times: runner.Times{
+		Times: executor.Times{
 			Total:  c.duration("run-timeout", s.RunTimeout, least),
 			Linger: c.duration("linger", s.Linger, least),
 			Ledger: c.duration("ledger-timeout", s.LedgerTimeout, least),
--- a/harness_test.go
+++ b/harness_test.go
@@ -21,9 +21,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
 	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -162,7 +162,7 @@
 	n.Node = &Node{
 		HostID: id, Zone: "z1", PeerAddr: "127.0.0.1:0", CallerAddr: "127.0.0.1:0", Key: []byte("shared key of the test"),
 		Endpoint: connector.Timeouts{Connect: time.Second, FirstByte: 2 * time.Second, Gap: 2 * time.Second},
-		Times:    runner.Times{Linger: time.Minute},
+		Times:    executor.Times{Linger: time.Minute},
 		NewControl: func(t *transporter.Transport) (Control, error) {
 			if s.voters != nil {
 				n.participant = participant.New(t, participant.Options{
--- a/internal/former/former.go
+++ b/internal/bootstrapper/bootstrapper.go
@@ -1,8 +1,8 @@
-// Package former coordinates the first start of a cluster.
+// Package bootstrapper coordinates the first start of a cluster.
 //
 // No host takes part in elections before every initial voter has a data folder. So an initial voter with an empty folder
 // that meets a host past this point has lost its folder, and must not vote again under its id.
-package former
+package bootstrapper
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/former/formerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/bootstrapper/bootstrapperpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -128,8 +128,8 @@
 func (f *Former) ask(ctx context.Context, addr string) (phase int32, formed bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply := &formerpb.FormReply{}
-	if err := f.Network.Call(ctx, addr, method, &formerpb.FormRequest{From: f.HostID}, reply); err != nil {
+	reply := &bootstrapperpb.FormReply{}
+	if err := f.Network.Call(ctx, addr, method, &bootstrapperpb.FormRequest{From: f.HostID}, reply); err != nil {
 		return phaseClosed, false
 	}
 	own := f.voterIDs()
@@ -144,7 +144,7 @@
 func (f *Former) voterIDs() []string { return slices.Sorted(maps.Keys(f.Voters)) }
 
 func (f *Former) handle(_ context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
-	if err := proto.Unmarshal(payload, &formerpb.FormRequest{}); err != nil {
+	if err := proto.Unmarshal(payload, &bootstrapperpb.FormRequest{}); err != nil {
 		return nil, eris.Wrap(err, "decode form request")
 	}
 	phase := f.phase.Load()
@@ -152,5 +152,5 @@
 	if phase == phaseRunning && !formed {
 		phase = phaseClosed // a host that waits to be added knows nothing of the cluster
 	}
-	return proto.Marshal(&formerpb.FormReply{Phase: uint32(phase), Formed: formed, Voters: f.voterIDs()})
+	return proto.Marshal(&bootstrapperpb.FormReply{Phase: uint32(phase), Formed: formed, Voters: f.voterIDs()})
 }
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -19,9 +19,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
 	"github.com/dragonflycroft/dragonflycroft/internal/emulator"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/standin"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -152,7 +152,7 @@
 			HostID: id, Zone: zones[i%len(zones)], PeerAddr: "127.0.0.1:0", CallerAddr: "127.0.0.1:0", Key: key,
 			HostList: &lister.HTTPSource{Addr: d.list.Addr(), Timeouts: connector.DefaultTimeouts()},
 			// Callers that withdraw do not come back.
-			Times: runner.Times{Linger: time.Second},
+			Times: executor.Times{Linger: time.Second},
 		}
 		n.NewControl = func(t *transporter.Transport) (dragonflycroft.Control, error) {
 			controllers[id] = t.Addr()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,9 +16,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/attacher"
 	"github.com/dragonflycroft/dragonflycroft/internal/booker"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/follower"
 	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/sender"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -61,22 +61,22 @@
 	Zone        string
 	Transport   *transporter.Transport
 	// Session returns the session of a pool, Sessions those of all pools.
-	Session   func(pool string) (runner.Session, bool)
-	Sessions  func() []runner.Session
+	Session   func(pool string) (executor.Session, bool)
+	Sessions  func() []executor.Session
 	Endpoints sender.Endpoints
 	Ledger    booker.Ledger
 	Hosts     follower.Hosts
 	Store     *answerer.Store
-	Times     runner.Times
+	Times     executor.Times
 
 	seq    atomic.Uint64
-	env    *runner.Environment
+	env    *executor.Environment
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	closed bool
-	runs   map[string]*runner.Run
+	runs   map[string]*executor.Run
 }
 
 // Owner names this host and its incarnation.
@@ -85,8 +85,8 @@
 // Start registers the handler of attachments. Call it before requests arrive.
 func (d *Dispatcher) Start(ctx context.Context) {
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
-	d.runs = make(map[string]*runner.Run)
-	d.env = &runner.Environment{
+	d.runs = make(map[string]*executor.Run)
+	d.env = &executor.Environment{
 		Owner: d.Owner(), Zone: d.Zone, Transport: d.Transport, Sessions: d.Sessions, Endpoints: d.Endpoints, Ledger: d.Ledger,
 		Hosts: d.Hosts, Store: d.Store, Times: d.Times.WithDefaults(), Go: d.background,
 	}
@@ -145,7 +145,7 @@
 	}
 	slices.Sort(cut)
 	d.mu.Unlock()
-	d.cancel(runner.ErrStopped)
+	d.cancel(executor.ErrStopped)
 	d.wg.Wait()
 	return cut
 }
@@ -162,7 +162,7 @@
 	if !ok {
 		return nil, nil, &UnknownPoolError{Pool: req.Pool}
 	}
-	r := runner.New(d.ctx, d.env, d.NewID(req.Workspace), req, session)
+	r := executor.New(d.ctx, d.env, d.NewID(req.Workspace), req, session)
 	existing, added := d.Store.Add(r.Answer)
 	if !added {
 		if m := existing.Meta(); m.Digest != req.Digest {
@@ -192,7 +192,7 @@
 	if owner == d.Owner() {
 		return nil, nil, &NotFoundError{RequestID: id}
 	}
-	r := runner.NewForeign(d.ctx, d.env, id, workspace)
+	r := executor.NewForeign(d.ctx, d.env, id, workspace)
 	existing, added := d.Store.Add(r.Answer)
 	if !added {
 		return existing, existing.Read(from), nil
@@ -204,7 +204,7 @@
 }
 
 // launch runs fn for r, or ends r when the dispatcher is closed.
-func (d *Dispatcher) launch(r *runner.Run, fn func()) {
+func (d *Dispatcher) launch(r *executor.Run, fn func()) {
 	d.mu.Lock()
 	if !d.closed {
 		d.runs[r.ID] = r
--- a/internal/dispatcher/script_test.go
+++ b/internal/dispatcher/script_test.go
@@ -18,12 +18,12 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/answerer"
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
 	"github.com/dragonflycroft/dragonflycroft/internal/localcontroller"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -265,8 +265,8 @@
 	s.ledger = &fakeLedger{Host: host, faults: make(map[string][]string)}
 	s.d = &Dispatcher{
 		HostID: "entry", Incarnation: 1, Transport: &transporter.Transport{},
-		Session:   func(string) (runner.Session, bool) { return s.session, true },
-		Sessions:  func() []runner.Session { return []runner.Session{s.session} },
+		Session:   func(string) (executor.Session, bool) { return s.session, true },
+		Sessions:  func() []executor.Session { return []executor.Session{s.session} },
 		Endpoints: s.endpoint, Ledger: s.ledger, Hosts: host, Store: &answerer.Store{},
 	}
 	s.d.Start(context.Background())
--- a/internal/runner/claim.go
+++ b/internal/executor/claim.go
@@ -1,4 +1,4 @@
-package runner
+package executor
 
 import (
 	"context"
--- a/internal/runner/dispatch.go
+++ b/internal/executor/dispatch.go
@@ -1,4 +1,4 @@
-package runner
+package executor
 
 import (
 	"context"
@@ -36,7 +36,7 @@
 	if !time.Now().Before(g.deadline) {
 		return r.decline(g, scheduler.DeclineExpired)
 	}
-	klog.V(1).Infof("runner: dispatch request=%s tier=%s workspace=%s endpoint=%s reason=%q",
+	klog.V(1).Infof("executor: dispatch request=%s tier=%s workspace=%s endpoint=%s reason=%q",
 		r.ID, r.req.Tier, r.req.Workspace, g.endpoint, "granted")
 	if r.req.Kind == answerer.KindService {
 		return r.call(g)
--- a/internal/runner/run.go
+++ b/internal/executor/run.go
@@ -1,5 +1,5 @@
-// Package runner takes one request of an entry host from its arrival to its end.
-package runner
+// Package executor takes one request of an entry host from its arrival to its end.
+package executor
 
 import (
 	"context"
@@ -33,9 +33,9 @@
 var ErrStopped error = &cancelError{reason: reasonStopped}
 
 var (
-	countDispatched = expvar.NewInt("runner_dispatched")
-	countOutcomes   = expvar.NewMap("runner_outcomes")
-	countDeclines   = expvar.NewMap("runner_declines")
+	countDispatched = expvar.NewInt("executor_dispatched")
+	countOutcomes   = expvar.NewMap("executor_outcomes")
+	countDeclines   = expvar.NewMap("executor_declines")
 )
 
 type grant struct {
@@ -143,7 +143,7 @@
 
 func (r *Run) fire(t transitioner.Trigger) {
 	if err := r.machine.Fire(t); err != nil {
-		klog.Errorf("runner: refused transition request=%s state=%s trigger=%s reason=%q", r.ID, r.State(), t, err)
+		klog.Errorf("executor: refused transition request=%s state=%s trigger=%s reason=%q", r.ID, r.State(), t, err)
 	}
 }
 
@@ -259,7 +259,7 @@
 	}
 	r.mu.Unlock()
 	chunks, bytes := r.Answer.Len()
-	klog.Infof("runner: finished request=%s tier=%s workspace=%s state=%s outcome=%s reason=%q chunks=%d bytes=%d",
+	klog.Infof("executor: finished request=%s tier=%s workspace=%s state=%s outcome=%s reason=%q chunks=%d bytes=%d",
 		r.ID, r.req.Tier, r.req.Workspace, r.State(), end.Outcome, end.Reason, chunks, bytes)
 }
 
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -17,8 +17,8 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/leaseholder"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
-	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -94,7 +94,7 @@
 	membersVersion uint64
 
 	holders  map[string]marshaller.Assignment
-	leases   *tenant.Leases
+	leases   *leaseholder.Leases
 	draining bool
 	leaving  bool
 	shed     shedState
@@ -115,7 +115,7 @@
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
 		a.joined = make(chan struct{})
-		a.holders, a.leases = map[string]marshaller.Assignment{}, tenant.New()
+		a.holders, a.leases = map[string]marshaller.Assignment{}, leaseholder.New()
 		a.shed = newShedState()
 		a.pending = make(chan struct{}, 1)
 		a.wake = make(chan chan bool, maxWakes)
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -8,8 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/leaseholder"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
-	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 )
 
 // Holder returns the host that holds a role, "pool/NAME" or "placement", as last heard from the leader.
@@ -118,7 +118,7 @@
 }
 
 // report logs changes of roles and passes them to the callbacks; the caller holds the lock.
-func (a *Agent) report(changes []tenant.Change) {
+func (a *Agent) report(changes []leaseholder.Change) {
 	for _, c := range changes {
 		klog.Infof("heartbeater: role host=%s role=%s epoch=%d held=%t", a.HostID, c.Role, c.Epoch, c.Held)
 		if !c.Held {
--- a/internal/heartbeater/shed.go
+++ b/internal/heartbeater/shed.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/leaseholder"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
-	"github.com/dragonflycroft/dragonflycroft/internal/tenant"
 )
 
 // AskFor is how long an ask for a shed permit lasts unless it is repeated.
@@ -36,7 +36,7 @@
 	delete(s.confirmed, role)
 }
 
-func (s *shedState) reports(now time.Time, held map[string]tenant.Lease) []*controllerpb.ShedReport {
+func (s *shedState) reports(now time.Time, held map[string]leaseholder.Lease) []*controllerpb.ShedReport {
 	var out []*controllerpb.ShedReport
 	for role, l := range held {
 		r := &controllerpb.ShedReport{
--- a/internal/tenant/tenant.go
+++ b/internal/leaseholder/leaseholder.go
@@ -1,5 +1,5 @@
-// Package tenant is a host's own account of the role leases it holds. It is pure: time is an input.
-package tenant
+// Package leaseholder is a host's own account of the role leases it holds. It is pure: time is an input.
+package leaseholder
 
 import (
 	"maps"
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflycroft/dragonflycroft/internal/former"
+	"github.com/dragonflycroft/dragonflycroft/internal/bootstrapper"
 	"github.com/dragonflycroft/dragonflycroft/internal/notifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/persister"
 	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
@@ -106,7 +106,7 @@
 	done         chan struct{}
 	started      atomic.Bool
 	view         atomic.Pointer[view]
-	former       former.Former
+	former       bootstrapper.Former
 	observers    notifier.Notifier
 	wg           sync.WaitGroup
 
--- a/node.go
+++ b/node.go
@@ -21,12 +21,12 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/dispatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/follower"
 	"github.com/dragonflycroft/dragonflycroft/internal/holder"
 	"github.com/dragonflycroft/dragonflycroft/internal/identifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/lister"
 	"github.com/dragonflycroft/dragonflycroft/internal/resolver"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 	"github.com/dragonflycroft/dragonflycroft/internal/scheduler"
 	"github.com/dragonflycroft/dragonflycroft/internal/server"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -96,7 +96,7 @@
 	Endpoint connector.Timeouts
 	// PollInterval is the time between two load reports of an endpoint.
 	PollInterval time.Duration
-	Times        runner.Times
+	Times        executor.Times
 	// KeptBytes and KeptFor bound the answers kept for fetches and repeated keys.
 	KeptBytes int
 	KeptFor   time.Duration
--- a/sessions.go
+++ b/sessions.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/executor"
 	"github.com/dragonflycroft/dragonflycroft/internal/granter"
 	"github.com/dragonflycroft/dragonflycroft/internal/indexer"
-	"github.com/dragonflycroft/dragonflycroft/internal/runner"
 )
 
 // Config is one version of the configuration of the whole system.
@@ -63,7 +63,7 @@
 	return claims
 }
 
-func (s *sessionSet) get(pool string) (runner.Session, bool) {
+func (s *sessionSet) get(pool string) (executor.Session, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	session, ok := s.current[pool]
@@ -71,10 +71,10 @@
 }
 
 // all returns the sessions in the order of their pools.
-func (s *sessionSet) all() []runner.Session {
+func (s *sessionSet) all() []executor.Session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sessions := make([]runner.Session, 0, len(s.current))
+	sessions := make([]executor.Session, 0, len(s.current))
 	for _, pool := range slices.Sorted(maps.Keys(s.current)) {
 		sessions = append(sessions, s.current[pool])
 	}
