--- a/path_bench_test.go
+++ b/path_bench_test.go
@@ -214,6 +214,46 @@
 	}
 }
 
+// BenchmarkPathSteady compares answers per second in the middle half of a longer load, without the time in which the bound
+// grows and the time in which the callers run out.
+func BenchmarkPathSteady(b *testing.B) {
+	p := newPath(b, "limited", 1)
+	b.ResetTimer()
+	for range b.N {
+		direct := p.steady(b, p.engine.addr)
+		entry := p.steady(b, p.host.addr)
+		b.ReportMetric(direct, "direct/s")
+		b.ReportMetric(entry, "entry/s")
+		b.ReportMetric(entry/direct, "entry/direct")
+	}
+}
+
+// steady returns the answers per second between the first and the last quarter of 800 answers to 32 callers.
+func (p *path) steady(b *testing.B, addr string) float64 {
+	const callers, requests, tokens = 32, 800, 64
+	ends := make(chan time.Time, requests)
+	var left atomic.Int64
+	left.Store(requests)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				p.whole(b, addr, tokens)
+				ends <- time.Now()
+			}
+		})
+	}
+	wg.Wait()
+	close(ends)
+	var times []time.Time
+	for t := range ends {
+		times = append(times, t)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	first, last := len(times)/4, len(times)*3/4
+	return float64(last-first) / times[last].Sub(times[first]).Seconds()
+}
+
 // BenchmarkPathProcessor measures the processor time of the entry host by the length of the answers. The host is also the
 // holder of its pool.
 func BenchmarkPathProcessor(b *testing.B) {
