scheduler, scenariorunner: plain names; count late refusals as shed

Cause: some names and comments were figurative, and the checks on real processes and the demo did not count the new reason deadline. Change: rename the lane and its functions to infeasible; the checks count refused/deadline as shed. Conclusion: a refusal of a higher tier for time would be found.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// Refused records a final refusal of one attempt. Shed tells refusals for overload and patience from others.
+// Refused records a final refusal of one attempt. Shed tells refusals for want of room from others.
 func (a *Auditor) Refused(now time.Duration, id string, order int, shed bool) {
 	a.refused[id] = true
 	if a.dispatched[id] {
--- a/internal/demonstrator/stream.go
+++ b/internal/demonstrator/stream.go
@@ -94,7 +94,7 @@
 		if r.order == "" {
 			w.first, w.gaps = append(w.first, r.firstToken), append(w.gaps, r.gap)
 		}
-	case r.reason == "overload" || r.reason == "patience":
+	case r.reason == "overload" || r.reason == "patience" || r.reason == "deadline" && r.outcome == "refused":
 		w.shed++
 	case r.reason == "limit":
 		w.limited++
--- a/internal/replayer/caller.go
+++ b/internal/replayer/caller.go
@@ -56,7 +56,7 @@
 	return fmt.Sprintf("%s:%x", r.Workspace, xxhash.Sum64String(r.Class+r.ID))
 }
 
-// expect schedules a request of the trace and the end of its caller's patience.
+// expect schedules a request of the trace and the time at which its caller gives up.
 func (s *sim) expect(r *tracer.Request) {
 	l := &logical{req: r, blocks: r.Blocks(), start: tracer.Micros(r.AtUS)}
 	// Entry hosts estimate prompts from their length in bytes, which is off by up to a tenth.
--- a/internal/scenariorunner/checks.go
+++ b/internal/scenariorunner/checks.go
@@ -38,6 +38,9 @@
 	return breaches
 }
 
+// shedReasons are the reasons of refusals for want of room.
+var shedReasons = []string{"overload", "patience", "deadline"}
+
 // check compares the records of the stand-ins with what the callers were told.
 func (r *Runner) check() *Report {
 	report := &Report{Outcomes: make(map[string]int)}
@@ -90,7 +93,7 @@
 		}
 	}
 	// The scenarios never exhaust the room of a pool, so a higher tier must never be shed in them.
-	if res.tier != lowest && (res.reason == "overload" || res.reason == "patience") {
+	if res.tier != lowest && res.outcome == "refused" && slices.Contains(shedReasons, res.reason) {
 		report.HigherTierShed++
 	}
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -61,7 +61,7 @@
 			return true
 		}
 	}
-	return s.dispatchHopeless(tried, blocked)
+	return s.dispatchInfeasible(tried, blocked)
 }
 
 // dispatchOldest grants the oldest request of a tier that can still be answered.
@@ -71,7 +71,7 @@
 			continue
 		}
 		for _, r := range t.ages.Least(nil, oldestTried) {
-			if r.held || r.lane.kind >= hopelessLane {
+			if r.held || r.lane.kind >= infeasibleLane {
 				continue
 			}
 			e, wait, why := s.place(r)
@@ -85,24 +85,24 @@
 	return false
 }
 
-// dispatchHopeless grants a request whose caller will probably give up first, when nothing else waits. One that is
+// dispatchInfeasible grants a request whose caller will probably give up first, when nothing else waits. One that is
 // predicted to end too late takes an idle endpoint only: its prefill is probably wasted, and it must not slow other runs.
-func (s *Scheduler) dispatchHopeless(tried []int, blocked map[*lane]int) bool {
+func (s *Scheduler) dispatchInfeasible(tried []int, blocked map[*lane]int) bool {
 	if len(blocked) > 0 {
 		return false
 	}
 	for _, order := range tried {
 		for {
-			l, r := s.head(order, blocked, hopelessLane)
+			l, r := s.head(order, blocked, infeasibleLane)
 			if r == nil {
 				break
 			}
-			if s.mayShed(order) && s.lost(r) {
+			if s.mayShed(order) && s.infeasible(r) {
 				s.refuse(r, RefuseDeadline, s.retryAfter())
 				continue
 			}
 			e, wait, why := s.place(r)
-			if !wait && why == placer.None && (!s.lost(r) || e.Runs() == 0) {
+			if !wait && why == placer.None && (!s.infeasible(r) || e.Runs() == 0) {
 				s.grant(r, e)
 				return true
 			}
@@ -125,7 +125,7 @@
 			return false
 		}
 		if kind := s.timeliness(r); kind > l.kind && kind >= lateLane {
-			if s.mayShed(order) && s.lost(r) {
+			if s.mayShed(order) && s.infeasible(r) {
 				s.refuse(r, RefuseDeadline, s.retryAfter())
 			} else {
 				s.reassign(r)
@@ -142,7 +142,7 @@
 			s.grant(r, e)
 			return true
 		case placer.NoDistinct:
-			s.holdTwin(r)
+			s.holdDuplicate(r)
 		case placer.NoProbe:
 			if unproven == nil {
 				unproven = make(map[*lane]int)
@@ -353,7 +353,7 @@
 	}
 	r := entry.Value
 	if len(s.prints.Get(r.d.Fingerprint).Running()) > 0 {
-		s.holdTwin(r)
+		s.holdDuplicate(r)
 		return true
 	}
 	e := s.reservedFor(l.class)
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -32,9 +32,9 @@
 	// lateLane holds requests that have missed their first-token target. They go after those that can meet it:
 	// in an overload, serving the oldest first would make all of them late.
 	lateLane
-	// hopelessLane holds requests whose caller will give up before the answer ends. They run only when nothing else
+	// infeasibleLane holds requests whose caller will give up before the answer ends. They run only when nothing else
 	// waits, since their prefill would be wasted.
-	hopelessLane
+	infeasibleLane
 	suspectLane
 	laneKinds
 )
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -189,7 +189,7 @@
 	}
 	if r.deadline > 0 {
 		if !s.canFinish(r, r.longest, finishMargin) {
-			return hopelessLane
+			return infeasibleLane
 		}
 	}
 	if r.tier.FirstTokenTargetMS > 0 {
@@ -208,9 +208,9 @@
 	return r.deadline == 0 || (r.deadline-s.now).Seconds() >= margin*need
 }
 
-// lost reports whether the caller gives up before an answer of the predicted length ends. A new request is tried, since
+// infeasible reports whether the caller gives up before an answer of the predicted length ends. A new request is tried, since
 // the length is a prediction.
-func (s *Scheduler) lost(r *request) bool {
+func (s *Scheduler) infeasible(r *request) bool {
 	return s.now-r.arrived > freshWait && !s.canFinish(r, r.output, 1)
 }
 
@@ -227,8 +227,8 @@
 	}
 }
 
-// holdTwin leaves a request out of the lanes until a run of its fingerprint ends.
-func (s *Scheduler) holdTwin(r *request) {
+// holdDuplicate leaves a request out of the lanes until a run of its fingerprint ends.
+func (s *Scheduler) holdDuplicate(r *request) {
 	s.unassign(r)
 	r.held = true
 	s.prints.Ensure(r.d.Fingerprint).Hold(r)
@@ -292,8 +292,8 @@
 	s.setRunning(r.d.Workspace, -1)
 	if p := s.prints.Get(r.d.Fingerprint); p != nil {
 		p.End(r)
-		for _, twin := range p.Next() {
-			s.reassign(twin)
+		for _, next := range p.Next() {
+			s.reassign(next)
 		}
 		s.prints.Prune(r.d.Fingerprint)
 	}
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -27,7 +27,7 @@
 	}
 	for _, t := range s.tiers {
 		s.shedImpatient(t)
-		s.shedLost(t)
+		s.shedInfeasible(t)
 	}
 }
 
@@ -103,15 +103,15 @@
 	}
 }
 
-// shedLost refuses requests that can no longer be answered in their callers' time. A request that is given up gets its
+// shedInfeasible refuses requests that can no longer be answered in their callers' time. A request that is given up gets its
 // answer at once, with the time to come back. Tiers that may not be shed keep theirs waiting for room that is left over.
-func (s *Scheduler) shedLost(t *tier) {
+func (s *Scheduler) shedInfeasible(t *tier) {
 	if !s.mayShed(t.Order) {
 		return
 	}
 	for {
-		_, r := s.head(t.Order, nil, hopelessLane)
-		if r == nil || !s.lost(r) {
+		_, r := s.head(t.Order, nil, infeasibleLane)
+		if r == nil || !s.infeasible(r) {
 			return
 		}
 		s.refuse(r, RefuseDeadline, s.retryAfter())
--- a/internal/transporter/session.go
+++ b/internal/transporter/session.go
@@ -48,7 +48,7 @@
 	return raw, o, nil
 }
 
-// sessionTo returns the live session towards addr, or dials one unless a recent failure asks for patience.
+// sessionTo returns the live session towards addr, or dials one unless the back-off of a recent failure has not passed.
 func (t *Transport) sessionTo(ctx context.Context, o *outbound, addr string) (*yamux.Session, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
