--- a/cmd/dragonflycroft/main.go
+++ b/cmd/dragonflycroft/main.go
@@ -39,14 +39,15 @@
 
 // cli is the command line.
 type cli struct {
-	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
-	Version versionCommand `cmd:"" help:"Print the version."`
-	Replay  replayCommand  `cmd:"" help:"Replay recorded traces on virtual time and compare the measures."`
-	Demo    demoCommand    `cmd:"" help:"Run three entry hosts and stand-in endpoints in one process with a mixed flood."`
-	Config  configCommand  `cmd:"" help:"Read or change the configuration."`
-	Members membersCommand `cmd:"" help:"Read or change the control hosts."`
-	Status  statusCommand  `cmd:"" help:"Show the state of a host."`
-	Drain   drainCommand   `cmd:"" help:"Stop new work at endpoints, or allow it again."`
+	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+	Replay   replayCommand   `cmd:"" help:"Replay recorded traces on virtual time and compare the measures."`
+	Demo     demoCommand     `cmd:"" help:"Run three entry hosts and stand-in endpoints in one process with a mixed flood."`
+	Config   configCommand   `cmd:"" help:"Read or change the configuration."`
+	Members  membersCommand  `cmd:"" help:"Read or change the control hosts."`
+	Status   statusCommand   `cmd:"" help:"Show the state of a host."`
+	Drain    drainCommand    `cmd:"" help:"Stop new work at endpoints, or allow it again."`
+	Platform platformCommand `cmd:"" help:"Run the role that the settings file of the platform names."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,259 @@
+// Package admitter holds requests until an endpoint can begin them, the most urgent first.
+package admitter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+)
+
+const (
+	// rateWindow is the time over which grants are counted to predict waits.
+	rateWindow = 2 * time.Second
+	// minRetryAfter keeps a refused caller from returning before anything can have changed.
+	minRetryAfter = 200 * time.Millisecond
+	// maxRetryAfter bounds what a caller is asked to wait.
+	maxRetryAfter = 5 * time.Second
+	// spread is the part by which retry times vary, so that refused callers do not return at one moment.
+	spread = 0.5
+)
+
+// Ask is a request that wants an endpoint.
+type Ask struct {
+	Pool string
+	Work balancer.Work
+	// Tier is the urgency; 0 is the most urgent.
+	Tier int
+	// Patience bounds the wait.
+	Patience time.Duration
+	// Except returns true for endpoints that are left out; it may be nil.
+	Except func(id string) bool
+}
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a RefusedError.
+const (
+	// NoEndpoint means that the pool has no endpoint that takes work.
+	NoEndpoint Reason = "no_endpoint"
+	// Crowded means that the predicted wait is longer than the request can wait.
+	Crowded Reason = "crowded"
+	// Waited means that the request waited for as long as it can.
+	Waited Reason = "waited"
+)
+
+// RefusedError reports a request that was given no endpoint.
+type RefusedError struct {
+	Reason     Reason
+	Waited     time.Duration
+	RetryAfter time.Duration
+	// Queue is the number of requests that wait for the pool, and Taken of Places those that run.
+	Queue         int
+	Taken, Places int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s after %v (queue %d, %d of %d places taken)", e.Reason, e.Waited, e.Queue, e.Taken, e.Places)
+}
+
+type ticket struct {
+	ask     Ask
+	seq     uint64
+	granted chan *Grant
+}
+
+// Admitter serializes the use of a balancer and keeps the queue of its pools.
+type Admitter struct {
+	mu       sync.Mutex
+	balancer *balancer.Balancer
+	waiting  map[string][]*ticket
+	seq      uint64
+	grants   map[string][]time.Time
+}
+
+// New returns an admitter that owns a balancer.
+func New(b *balancer.Balancer) *Admitter {
+	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}}
+}
+
+// Grant is the right to send a request to an endpoint. End or Refuse must be called once.
+type Grant struct {
+	Choice balancer.Choice
+	// Queued is the number of requests that waited for the pool at the moment of the grant.
+	Queued int
+
+	admitter *Admitter
+	run      *balancer.Run
+}
+
+// Event counts an event of the stream.
+func (g *Grant) Event(now time.Time) {
+	g.admitter.mu.Lock()
+	defer g.admitter.mu.Unlock()
+	if g.run.Event(now) {
+		g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
+	}
+}
+
+// End counts the end of the run; failed tells whether the endpoint failed it.
+func (g *Grant) End(now time.Time, failed bool) {
+	g.admitter.mu.Lock()
+	defer g.admitter.mu.Unlock()
+	g.admitter.balancer.End(now, g.run, failed)
+	g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
+}
+
+// Refuse counts a request that the endpoint did not begin.
+func (g *Grant) Refuse(now time.Time) {
+	g.admitter.mu.Lock()
+	defer g.admitter.mu.Unlock()
+	g.admitter.balancer.Refuse(g.run)
+	g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
+}
+
+// Acquire waits for an endpoint. It returns a *RefusedError, or the error of ctx.
+func (a *Admitter) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	started := time.Now()
+	t, grant, err := a.enter(started, ask)
+	if grant != nil || err != nil {
+		return grant, err
+	}
+	timer := time.NewTimer(ask.Patience)
+	defer timer.Stop()
+	select {
+	case g := <-t.granted:
+		return g, nil
+	case <-timer.C:
+		err = a.refusal(ask, Waited, time.Since(started))
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.remove(t)
+	select {
+	case g := <-t.granted:
+		// The grant came at the same moment.
+		return g, nil
+	default:
+		return nil, err
+	}
+}
+
+func (a *Admitter) enter(now time.Time, ask Ask) (*ticket, *Grant, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.balancer.Usable(ask.Pool, ask.Except) {
+		return nil, nil, a.refusalLocked(ask, NoEndpoint, 0)
+	}
+	a.seq++
+	t := &ticket{ask: ask, seq: a.seq, granted: make(chan *Grant, 1)}
+	queue := a.waiting[ask.Pool]
+	at, _ := slices.BinarySearchFunc(queue, t, func(x, y *ticket) int {
+		if x.ask.Tier != y.ask.Tier {
+			return x.ask.Tier - y.ask.Tier
+		}
+		if x.seq < y.seq {
+			return -1
+		}
+		return 1
+	})
+	a.waiting[ask.Pool] = slices.Insert(queue, at, t)
+	a.dispatch(now, ask.Pool)
+	select {
+	case g := <-t.granted:
+		return nil, g, nil
+	default:
+	}
+	if wait := a.predict(now, ask.Pool, at+1); wait > ask.Patience {
+		a.remove(t)
+		return nil, nil, a.refusalLocked(ask, Crowded, 0)
+	}
+	return t, nil, nil
+}
+
+// predict returns the time until as many requests of a pool will have been granted an endpoint.
+func (a *Admitter) predict(now time.Time, pool string, ahead int) time.Duration {
+	times := a.recent(now, pool)
+	if len(times) < 4 {
+		return 0
+	}
+	span := max(now.Sub(times[0]), rateWindow/4)
+	return time.Duration(float64(ahead) / float64(len(times)) * float64(span))
+}
+
+func (a *Admitter) recent(now time.Time, pool string) []time.Time {
+	times := a.grants[pool]
+	for len(times) > 0 && now.Sub(times[0]) > rateWindow {
+		times = times[1:]
+	}
+	a.grants[pool] = times
+	return times
+}
+
+func (a *Admitter) refusal(ask Ask, reason Reason, waited time.Duration) *RefusedError {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusalLocked(ask, reason, waited)
+}
+
+func (a *Admitter) refusalLocked(ask Ask, reason Reason, waited time.Duration) *RefusedError {
+	queue := len(a.waiting[ask.Pool])
+	wait := a.predict(time.Now(), ask.Pool, queue+1)
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait += time.Duration(spread * rand.Float64() * float64(wait))
+	taken, places := a.balancer.Places(ask.Pool)
+	return &RefusedError{Reason: reason, Waited: waited, RetryAfter: wait, Queue: queue, Taken: taken, Places: places}
+}
+
+func (a *Admitter) remove(t *ticket) {
+	queue := a.waiting[t.ask.Pool]
+	if at := slices.Index(queue, t); at >= 0 {
+		a.waiting[t.ask.Pool] = slices.Delete(queue, at, at+1)
+	}
+}
+
+// dispatch grants endpoints to waiting requests in order. A request that finds no endpoint does not hold back later ones that
+// fit, such as those with a smaller prompt.
+func (a *Admitter) dispatch(now time.Time, pool string) {
+	queue := a.waiting[pool]
+	left := queue[:0]
+	for i, t := range queue {
+		choice, ok := a.balancer.Pick(now, pool, t.ask.Work, t.ask.Except)
+		if !ok {
+			left = append(left, t)
+			continue
+		}
+		a.grants[pool] = append(a.recent(now, pool), now)
+		t.granted <- &Grant{
+			Choice: choice, Queued: len(left) + len(queue) - i - 1, admitter: a, run: a.balancer.Start(now, choice, t.ask.Work),
+		}
+	}
+	clear(queue[len(left):])
+	a.waiting[pool] = left
+}
+
+// Update changes the balancer and grants what its new state allows.
+func (a *Admitter) Update(change func(b *balancer.Balancer)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change(a.balancer)
+	now := time.Now()
+	for pool := range a.waiting {
+		a.dispatch(now, pool)
+	}
+}
+
+// View reads the balancer.
+func (a *Admitter) View(read func(b *balancer.Balancer)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	read(a.balancer)
+}
--- /dev/null
+++ b/internal/allotter/allotter.go
@@ -0,0 +1,163 @@
+// Package allotter holds the limits that all hosts keep together without asking each other: the allotments of workspaces and
+// the budget of repeated requests. It is pure: time and the counters of peers are inputs.
+//
+// Each host follows every allotment with a bucket of its own, from which it takes what it admits itself and what its peers
+// say they have admitted. A bucket may go below zero, so what hosts admit at the same moment is paid back afterwards and the
+// sum over all hosts stays within the allotment but for the delay of the counters.
+package allotter
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
+	silentAfter = 500 * time.Millisecond
+	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
+	// nothing.
+	forgetAfter = 5 * time.Second
+)
+
+// Limit is the allotment of a workspace over all hosts, in units per second and units.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Time
+	used  float64 // by this host since its start
+}
+
+type peerUse struct {
+	used  map[string]float64
+	at    time.Time
+	since time.Time // the time up to which the use of a silent peer was assumed
+	owed  map[string]float64
+}
+
+// Allotter follows the allotments. It is not safe for concurrent use.
+type Allotter struct {
+	started time.Time
+	buckets map[string]*bucket
+	peers   map[string]*peerUse
+}
+
+// New returns an allotter of a host that starts now. Its buckets begin empty, since the host does not know what its peers have
+// admitted just before.
+func New(now time.Time) *Allotter {
+	return &Allotter{started: now, buckets: map[string]*bucket{}, peers: map[string]*peerUse{}}
+}
+
+// SetLimits replaces the limits by workspace. A workspace without one is not limited.
+func (a *Allotter) SetLimits(now time.Time, limits map[string]Limit) {
+	for name, l := range limits {
+		b := a.buckets[name]
+		if b == nil {
+			b = &bucket{at: a.started}
+			a.buckets[name] = b
+		}
+		b.refill(now)
+		b.limit = l
+		b.refill(now)
+		b.level = min(b.level, l.Burst)
+	}
+	maps.DeleteFunc(a.buckets, func(name string, _ *bucket) bool { _, kept := limits[name]; return !kept })
+}
+
+func (b *bucket) refill(now time.Time) {
+	if now.After(b.at) {
+		b.level = min(b.limit.Burst, b.level+b.limit.Rate*now.Sub(b.at).Seconds())
+		b.at = now
+	}
+}
+
+// Take admits units of a workspace, or returns when to try again. A request is admitted while the bucket is above zero
+// whatever its size, so that large requests are refused no more often than small ones.
+func (a *Allotter) Take(now time.Time, workspace string, units float64) (admitted bool, retryAfter time.Duration) {
+	b := a.buckets[workspace]
+	if b == nil {
+		return true, 0
+	}
+	a.assumeSilent(now)
+	b.refill(now)
+	if b.level <= 0 {
+		return false, time.Duration((units/2 - b.level) / max(b.limit.Rate, 1) * float64(time.Second))
+	}
+	b.level -= units
+	b.used += units
+	return true, 0
+}
+
+// Return gives back the units of a request that did not run.
+func (a *Allotter) Return(workspace string, units float64) {
+	if b := a.buckets[workspace]; b != nil {
+		b.level = min(b.limit.Burst, b.level+units)
+		b.used -= units
+	}
+}
+
+// Used returns the units that this host has admitted since its start, by workspace.
+func (a *Allotter) Used() map[string]float64 {
+	out := make(map[string]float64, len(a.buckets))
+	for name, b := range a.buckets {
+		if b.used > 0 {
+			out[name] = b.used
+		}
+	}
+	return out
+}
+
+// Peers returns the number of peers heard lately.
+func (a *Allotter) Peers() int { return len(a.peers) }
+
+// Heard takes the counters of a peer. The key names one process, and age is how long that process has run.
+func (a *Allotter) Heard(now time.Time, process string, age time.Duration, used map[string]float64) {
+	p := a.peers[process]
+	if p == nil {
+		p = &peerUse{used: map[string]float64{}, owed: map[string]float64{}}
+		a.peers[process] = p
+		if now.Add(-age).Before(a.started) {
+			// What an older process admitted before this one started is unknown here and already in the past.
+			p.used = maps.Clone(used)
+		}
+	}
+	for name, total := range used {
+		b := a.buckets[name]
+		if b == nil {
+			continue
+		}
+		b.refill(now)
+		b.level = min(b.limit.Burst, b.level-(total-p.used[name])+p.owed[name])
+	}
+	clear(p.owed)
+	p.used, p.at, p.since = maps.Clone(used), now, now
+}
+
+// assumeSilent takes an equal share for each peer that has fallen silent, until it is heard again or is gone. Two hosts that
+// cannot hear each other would otherwise each use the whole allotment.
+func (a *Allotter) assumeSilent(now time.Time) {
+	hosts := float64(len(a.peers) + 1)
+	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
+		p := a.peers[name]
+		silence := now.Sub(p.at)
+		if silence > forgetAfter {
+			delete(a.peers, name)
+			continue
+		}
+		if silence <= silentAfter || !now.After(p.since) {
+			continue
+		}
+		for workspace, b := range a.buckets {
+			b.refill(now)
+			share := b.limit.Rate / hosts * now.Sub(p.since).Seconds()
+			b.level -= share
+			p.owed[workspace] += share
+		}
+		p.since = now
+	}
+}
--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -112,6 +112,8 @@
 	switch body := cmd.GetBody().(type) {
 	case *controllerpb.Command_PatchConfig:
 		result.Number, err = m.patchConfig(cmd.GetUnixMs(), body.PatchConfig)
+	case *controllerpb.Command_ImportConfig:
+		result.Number, err = m.importConfig(cmd.GetUnixMs(), body.ImportConfig)
 	case *controllerpb.Command_GrantRole:
 		if err = m.checkTerm(cmd); err == nil {
 			result.Number, err = m.grantRole(body.GrantRole)
@@ -192,21 +194,26 @@
 	if err != nil {
 		return err
 	}
+	m.accept(unixMS, document, cfg, marshaller.Revision{
+		PatchID: p.GetId(), Author: p.GetAuthor(), Base: p.GetBase(), Patch: p.GetBody(),
+	})
+	return nil
+}
+
+// accept puts a document in force as the next version and adds it to the history.
+func (m *Machine) accept(unixMS int64, document []byte, cfg *configurer.Config, revision marshaller.Revision) {
 	m.version++
 	m.document, m.config = document, cfg
 	m.ledger.SetLimits(ledgerLimits(cfg))
-	m.history = append(m.history, marshaller.Revision{
-		Version: m.version, PatchID: p.GetId(), Author: p.GetAuthor(), Base: p.GetBase(),
-		Time: time.UnixMilli(unixMS).UTC(), Patch: p.GetBody(),
-	})
-	m.historyBytes += len(p.GetBody())
+	revision.Version, revision.Time = m.version, time.UnixMilli(unixMS).UTC()
+	m.history = append(m.history, revision)
+	m.historyBytes += len(revision.Patch)
 	for len(m.history) > maxRevisions || (m.historyBytes > maxHistoryBytes && len(m.history) > 1) {
 		m.historyBytes -= len(m.history[0].Patch)
 		delete(m.accepted, m.history[0].PatchID)
 		m.history[0] = marshaller.Revision{}
 		m.history = m.history[1:]
 	}
-	return nil
 }
 
 // merge applies a patch whose base is the current version. What the leader has checked is taken as it is.
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,275 @@
+// Package balancer chooses the endpoint of each request from what this host and its peers have in progress. It is pure: time
+// and events are inputs.
+//
+// Engines admit in order of arrival and know no tiers. So a request that an engine could not begin at once stays with its
+// host, where a more urgent one can still go first.
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// promptTokensPerMS is the rate at which an engine of median speed reads a prompt beside running streams, until it is
+	// learned. It is a common rate of the engines that the pools are made of.
+	promptTokensPerMS = 50
+	// firstEventMS is the time of an engine of median speed from a read prompt to the first event.
+	firstEventMS = 40
+	// maxBacklog is the longest predicted wait for other prompts that a request is placed behind. A longer queue waits at the
+	// hosts, in order of tier.
+	maxBacklog = 300 * time.Millisecond
+	// crowdMS is the cost of each request that runs beside another one.
+	crowdMS = 2
+	// zoneMS is the cost of the way to another availability zone, with the price of the bytes between them.
+	zoneMS = 6
+	// memoryShare is the part of an engine's memory that placed requests may fill. The rest covers longer answers.
+	memoryShare = 0.9
+	// serviceQueue is the number of requests per place of a plain service that may wait there: their work is short, and an
+	// empty place costs more than the wait.
+	serviceQueue = 1.5
+	// sessionFor is the time after which the prompt of a session no longer counts as kept in an engine's memory.
+	sessionFor = 40 * time.Second
+	// maxSessions bounds the sessions remembered.
+	maxSessions = 8192
+	// failurePenaltyMS is the cost of an endpoint all of whose recent answers failed.
+	failurePenaltyMS = 4000
+	// failureStep is the weight of the newest outcome in the rate of failures.
+	failureStep = 0.25
+	// failureHalfLife is the time in which an endpoint without new outcomes regains half of its standing.
+	failureHalfLife = 2 * time.Second
+	// paceStep is the weight of the newest stream in the learned pace.
+	paceStep = 0.2
+	// peerFor is the silence after which the load of a peer no longer counts.
+	peerFor = 3 * time.Second
+)
+
+// Endpoint is one member of a pool.
+type Endpoint struct {
+	ID      string
+	Addr    string
+	Zone    string
+	Pool    string
+	Slots   int
+	Leaving bool
+	// Engine is true for model engines.
+	Engine bool
+	// MemoryTokens is the memory of an engine; 0 if unknown.
+	MemoryTokens int
+}
+
+// Work is what a request asks of an endpoint. The token counts are 0 for plain services.
+type Work struct {
+	Prompt  int
+	Output  int
+	Session string
+}
+
+// Load is what one host has in progress at an endpoint.
+type Load struct {
+	Running int
+	// Unread is the number of prompt tokens before the first events of the running requests.
+	Unread int
+	// Memory is the number of tokens that the running requests hold or will hold.
+	Memory int
+	// Pace is the learned time between two events in milliseconds, or 0.
+	Pace float64
+}
+
+type endpoint struct {
+	Endpoint
+	own      Load
+	peers    Load
+	peerPace float64
+	paces    int
+	failures float64
+	failedAt time.Time
+}
+
+type session struct {
+	endpoint string
+	at       time.Time
+}
+
+type peer struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// Balancer holds the endpoints of all pools. It is not safe for concurrent use.
+type Balancer struct {
+	// Zone is the availability zone of this host.
+	Zone string
+
+	endpoints map[string]*endpoint
+	pools     map[string][]*endpoint
+	peers     map[string]peer
+	sessions  map[string]session
+	order     []string
+	typical   map[string]float64
+}
+
+// New returns an empty balancer of a host in a zone.
+func New(zone string) *Balancer {
+	return &Balancer{
+		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{}, peers: map[string]peer{},
+		sessions: map[string]session{}, typical: map[string]float64{},
+	}
+}
+
+// SetEndpoints replaces the set of endpoints; what is known of those that stay is kept.
+func (b *Balancer) SetEndpoints(list []Endpoint) {
+	next := make(map[string]*endpoint, len(list))
+	pools := map[string][]*endpoint{}
+	for _, e := range list {
+		known := b.endpoints[e.ID]
+		if known == nil || known.Addr != e.Addr {
+			known = &endpoint{}
+		}
+		known.Endpoint = e
+		next[e.ID] = known
+		pools[e.Pool] = append(pools[e.Pool], known)
+	}
+	for _, members := range pools {
+		slices.SortFunc(members, func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	}
+	b.endpoints, b.pools = next, pools
+	b.sumPeers()
+}
+
+// Endpoint returns an endpoint by id.
+func (b *Balancer) Endpoint(id string) (Endpoint, bool) {
+	if e, ok := b.endpoints[id]; ok {
+		return e.Endpoint, true
+	}
+	return Endpoint{}, false
+}
+
+// Choice is an endpoint with the inputs that decided for it.
+type Choice struct {
+	Endpoint Endpoint
+	// Cost is the predicted time to the first event with the penalties, in milliseconds.
+	Cost    float64
+	Running int
+	Unread  int
+	// Kept is true if the prompt of the session is expected in the engine's memory.
+	Kept bool
+}
+
+// Pick returns the endpoint at which work is predicted to begin first, or false if it should wait. Endpoints that except
+// returns true for are left out.
+func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
+	best, found := Choice{Cost: math.Inf(1)}, false
+	for _, e := range b.pools[pool] {
+		if e.Leaving || except != nil && except(e.ID) || !b.hasRoom(e, w) {
+			continue
+		}
+		c := b.choice(now, e, w)
+		if c.Cost < best.Cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// Usable reports whether any endpoint of a pool may take work at all.
+func (b *Balancer) Usable(pool string, except func(id string) bool) bool {
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.Leaving && (except == nil || !except(e.ID)) })
+}
+
+// Places returns how many places of a pool are taken, and how many there are.
+func (b *Balancer) Places(pool string) (taken, all int) {
+	for _, e := range b.pools[pool] {
+		if !e.Leaving {
+			taken += min(e.own.Running+e.peers.Running, e.Slots)
+			all += e.Slots
+		}
+	}
+	return taken, all
+}
+
+func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
+	running := e.own.Running + e.peers.Running
+	if !e.Engine {
+		return float64(running) < serviceQueue*float64(max(e.Slots, 1))
+	}
+	if running == 0 {
+		return true
+	}
+	if running >= max(e.Slots, 1) {
+		return false
+	}
+	if e.MemoryTokens > 0 && float64(e.own.Memory+e.peers.Memory+w.Prompt+w.Output) > memoryShare*float64(e.MemoryTokens) {
+		return false
+	}
+	unread := float64(e.own.Unread + e.peers.Unread)
+	return b.slowness(e)*unread/promptTokensPerMS < float64(maxBacklog.Milliseconds())
+}
+
+func (b *Balancer) choice(now time.Time, e *endpoint, w Work) Choice {
+	running, unread := e.own.Running+e.peers.Running, e.own.Unread+e.peers.Unread
+	c := Choice{Endpoint: e.Endpoint, Running: running, Unread: unread}
+	if e.Engine {
+		read := w.Prompt
+		if s, ok := b.sessions[w.Session]; ok && w.Session != "" && s.endpoint == e.ID && now.Sub(s.at) < sessionFor {
+			read, c.Kept = 0, true
+		}
+		c.Cost = b.slowness(e) * (firstEventMS + float64(unread+read)/promptTokensPerMS + crowdMS*float64(running))
+	} else {
+		c.Cost = 30 * float64(running) / float64(max(e.Slots, 1))
+	}
+	if e.Zone != b.Zone {
+		c.Cost += zoneMS
+	}
+	c.Cost += failurePenaltyMS * e.failing(now)
+	return c
+}
+
+// slowness relates the pace of an engine to the median of its pool; 1 until it is known.
+func (b *Balancer) slowness(e *endpoint) float64 {
+	typical, pace := b.typical[e.Pool], e.pace()
+	if typical == 0 || pace == 0 {
+		return 1
+	}
+	return min(max(pace/typical, 0.2), 5)
+}
+
+func (e *endpoint) pace() float64 {
+	if e.paces >= 2 || e.peerPace == 0 {
+		return e.own.Pace
+	}
+	return e.peerPace
+}
+
+// failing returns the rate of recent failures, which fades without new outcomes.
+func (e *endpoint) failing(now time.Time) float64 {
+	if e.failures == 0 {
+		return 0
+	}
+	return e.failures * math.Exp2(-float64(now.Sub(e.failedAt))/float64(failureHalfLife))
+}
+
+func (b *Balancer) learnTypical(pool string) {
+	var paces []float64
+	for _, e := range b.pools[pool] {
+		if p := e.pace(); p > 0 {
+			paces = append(paces, p)
+		}
+	}
+	if len(paces) == 0 {
+		return
+	}
+	slices.Sort(paces)
+	b.typical[pool] = paces[len(paces)/2]
+}
+
+// Endpoints returns all endpoints.
+func (b *Balancer) Endpoints() []Endpoint {
+	out := make([]Endpoint, 0, len(b.endpoints))
+	for _, e := range b.endpoints {
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/balancer/run.go
@@ -0,0 +1,163 @@
+package balancer
+
+import (
+	"time"
+)
+
+// Run is a request in progress at an endpoint.
+type Run struct {
+	endpoint *endpoint
+	work     Work
+	unread   int
+	memory   int
+	first    time.Time
+	last     time.Time
+	events   int
+	ended    bool
+}
+
+// Start counts a request that is sent to the endpoint of a choice.
+func (b *Balancer) Start(now time.Time, c Choice, w Work) *Run {
+	r := &Run{work: w}
+	e, ok := b.endpoints[c.Endpoint.ID]
+	if !ok {
+		return r
+	}
+	r.endpoint = e
+	e.own.Running++
+	if e.Engine {
+		r.memory = w.Prompt + w.Output
+		if !c.Kept {
+			r.unread = w.Prompt
+		}
+		e.own.Unread += r.unread
+		e.own.Memory += r.memory
+		b.remember(now, w.Session, e.ID)
+	}
+	return r
+}
+
+// Event counts an event of a stream. It returns true for the first one.
+func (r *Run) Event(now time.Time) bool {
+	r.events++
+	r.last = now
+	if r.events > 1 {
+		return false
+	}
+	r.first = now
+	r.read()
+	return true
+}
+
+// read notes that the prompt no longer delays others.
+func (r *Run) read() {
+	if r.endpoint != nil {
+		r.endpoint.own.Unread -= r.unread
+	}
+	r.unread = 0
+}
+
+// End counts the end of a run. Failed is true if the endpoint broke its answer off, did not answer or answered with a failure
+// of its own.
+func (b *Balancer) End(now time.Time, r *Run, failed bool) {
+	if r.ended || r.endpoint == nil {
+		return
+	}
+	r.ended = true
+	r.read()
+	e := r.endpoint
+	e.own.Running--
+	e.own.Memory -= r.memory
+	rate := e.failing(now) * (1 - failureStep)
+	if failed {
+		rate += failureStep
+	}
+	e.failures, e.failedAt = rate, now
+	const minEvents = 4
+	if failed || r.events < minEvents {
+		return
+	}
+	pace := float64(r.last.Sub(r.first).Microseconds()) / 1000 / float64(r.events-1)
+	if e.paces == 0 {
+		e.own.Pace = pace
+	} else {
+		e.own.Pace += paceStep * (pace - e.own.Pace)
+	}
+	e.paces++
+	b.learnTypical(e.Pool)
+}
+
+// Refuse counts the end of a run that the endpoint did not begin. It says nothing about later answers.
+func (b *Balancer) Refuse(r *Run) {
+	if r.ended || r.endpoint == nil {
+		return
+	}
+	r.ended = true
+	r.read()
+	r.endpoint.own.Running--
+	r.endpoint.own.Memory -= r.memory
+}
+
+// Placed notes that a peer sent the request of a session to an endpoint.
+func (b *Balancer) Placed(now time.Time, session, endpoint string) {
+	b.remember(now, session, endpoint)
+}
+
+func (b *Balancer) remember(now time.Time, id, endpointID string) {
+	if id == "" {
+		return
+	}
+	if _, known := b.sessions[id]; !known {
+		b.order = append(b.order, id)
+		if len(b.order) > maxSessions {
+			delete(b.sessions, b.order[0])
+			b.order = b.order[1:]
+		}
+	}
+	b.sessions[id] = session{endpoint: endpointID, at: now}
+}
+
+// Loads returns what this host has in progress and has learned, by endpoint.
+func (b *Balancer) Loads() map[string]Load {
+	out := make(map[string]Load, len(b.endpoints))
+	for id, e := range b.endpoints {
+		if e.own.Running > 0 || e.paces > 0 {
+			out[id] = e.own
+		}
+	}
+	return out
+}
+
+// SetPeer replaces what a peer has in progress.
+func (b *Balancer) SetPeer(now time.Time, host string, loads map[string]Load) {
+	b.peers[host] = peer{at: now, loads: loads}
+	for name, p := range b.peers {
+		if now.Sub(p.at) > peerFor {
+			delete(b.peers, name)
+		}
+	}
+	b.sumPeers()
+}
+
+func (b *Balancer) sumPeers() {
+	for _, e := range b.endpoints {
+		e.peers, e.peerPace = Load{}, 0
+		n := 0
+		for _, p := range b.peers {
+			l := p.loads[e.ID]
+			e.peers.Running += l.Running
+			e.peers.Unread += l.Unread
+			e.peers.Memory += l.Memory
+			if l.Pace > 0 {
+				e.peerPace += l.Pace
+				n++
+			}
+		}
+		if n > 0 {
+			e.peerPace /= float64(n)
+		}
+	}
+	for pool := range b.pools {
+		b.learnTypical(pool)
+	}
+}
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -1,6 +1,8 @@
 // Package configurer defines the configuration document, its strict decoding, validation and patching.
 package configurer
 
+import "encoding/json"
+
 // Config is one version of the configuration of the whole system.
 type Config struct {
 	Tiers      []Tier      `json:"tiers"`
@@ -9,6 +11,15 @@
 	Endpoints  []Endpoint  `json:"endpoints"`
 	Services   []Service   `json:"services,omitempty"`
 	Limits     Limits      `json:"limits"`
+	// Import holds a configuration in the format of an outside operator interface. It replaces all other parts.
+	Import *Import `json:"import,omitempty"`
+}
+
+// Import is a whole configuration in another format. The replicated state orders imports by revision and does not read the
+// document; whoever submits one has validated it.
+type Import struct {
+	Revision uint64          `json:"revision"`
+	Document json.RawMessage `json:"document"`
 }
 
 // Tier is a class of urgency. Order 0 is the most urgent.
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -27,7 +27,7 @@
 	switch body := cmd.GetBody().(type) {
 	case *controllerpb.Command_PatchConfig:
 		s.Machine.Check(body.PatchConfig)
-	case *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder, *controllerpb.Command_WithdrawOrder:
+	case *controllerpb.Command_ImportConfig, *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder, *controllerpb.Command_WithdrawOrder:
 	default:
 		failure := marshaller.EncodeFailure(&marshaller.MalformedCommandError{Reason: "clients may not send this command"})
 		return proto.Marshal(&controllerpb.SubmitReply{Result: &controllerpb.Result{Failure: failure}})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
+	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
@@ -65,4 +66,6 @@
 	AddLearner(ctx context.Context, id, addr string) error
 	Promote(ctx context.Context, id string) error
 	Remove(ctx context.Context, id string) error
+	// Members returns the membership as far as this host knows it.
+	Members() journaler.Membership
 }
--- a/internal/controller/fabric_test.go
+++ b/internal/controller/fabric_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
+	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -286,6 +287,7 @@
 func (r *replica) AddLearner(context.Context, string, string) error { return nil }
 func (r *replica) Promote(context.Context, string) error            { return nil }
 func (r *replica) Remove(context.Context, string) error             { return errors.New("not a voter") }
+func (r *replica) Members() journaler.Membership                    { return nil }
 
 // run starts a part that ends with the test.
 func run(ctx context.Context, t *testing.T, wg *sync.WaitGroup, fn func(context.Context) error) {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -118,6 +118,9 @@
 	if !heard {
 		return nil, errStale
 	}
+	if f := hb.GetFolder(); f != nil {
+		lead.folders[hb.GetHost()] = folder{incarnation: f.GetIncarnation(), addr: hb.GetAddr(), heard: now}
+	}
 	reply := &controllerpb.HeartbeatReply{
 		Incarnation: incarnation, Term: lead.term, Leader: s.HostID, ConfigVersion: version, LeaseMs: LeaseTTL.Milliseconds(),
 		MembersVersion: membersVersion, MembersFull: full,
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -60,6 +60,8 @@
 	Network Network
 	Log     Log
 	Machine *Machine
+	// Voters is the number of voters that the leader keeps by itself; 0 leaves changes of the voters to operators.
+	Voters int
 	// Wall returns the time shown to people; it decides nothing. It defaults to time.Now.
 	Wall func() time.Time
 
@@ -86,6 +88,8 @@
 	inFlight    map[string]bool
 	toldVersion uint64
 	expiredAt   time.Duration
+	startedAt   time.Duration
+	folders     map[string]folder
 }
 
 // Register adds the service's methods to the network. Call it before the network and the log run.
@@ -218,8 +222,10 @@
 			Term: term, PermitFor: PermitTTL, Margin: leaseMargin, ReportFor: LeaseTTL + leaseMargin,
 		}),
 		inFlight:    map[string]bool{},
+		folders:     map[string]folder{},
 		toldVersion: version,
 		expiredAt:   now,
+		startedAt:   now,
 	}
 	klog.Infof("controller: leadership started host=%s term=%d config_version=%d", s.HostID, term, version)
 	// Every lease counts as renewed from this moment on.
@@ -241,6 +247,7 @@
 	}
 	now := s.now()
 	s.removeDead(ctx, lead, now, members)
+	s.enroll(ctx, lead, now)
 	s.grantRoles(ctx, lead, now, wantedRoles(cfg), roles, members)
 	if s.stepPermits(lead, now, cfg, roles) {
 		s.wakeHolders(ctx, members, roles)
@@ -342,7 +349,7 @@
 
 // wantedRoles are the roles of a configuration.
 func wantedRoles(cfg *configurer.Config) []string {
-	if cfg == nil {
+	if cfg == nil || cfg.Import != nil {
 		return nil
 	}
 	out := []string{RolePlacement}
--- /dev/null
+++ b/internal/forwarder/host.go
@@ -0,0 +1,281 @@
+// Package forwarder runs an entry host that forwards requests by an imported configuration: the control part that confirms the
+// configuration, the platform's list of endpoints, the exchange of loads between entry hosts, and the gateway.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
+	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/gossiper"
+	"github.com/dragonflycroft/dragonflycroft/internal/gossiper/gossiperpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+const (
+	// dialTimeout bounds a connect to an endpoint: several round trips between availability zones.
+	dialTimeout = 300 * time.Millisecond
+	// placementsFor is how long placements are repeated to peers, so that a few lost datagrams lose none.
+	placementsFor = 250 * time.Millisecond
+	// leaveTimeout bounds the last heartbeat of a stop.
+	leaveTimeout = 500 * time.Millisecond
+	// stopReserve is kept of the grace of a stop for the end of the process.
+	stopReserve = 400 * time.Millisecond
+)
+
+// Host is one entry host. Set the exported fields before Run.
+type Host struct {
+	HostID string
+	Zone   string
+	// PeerAddr is where other hosts reach this one, by TCP and UDP; CallerAddr where callers do; ReadyAddr serves health.
+	PeerAddr   string
+	CallerAddr string
+	ReadyAddr  string
+	ReadyPath  string
+	Key        []byte
+	// Controllers are the peer addresses of control hosts by host id.
+	Controllers map[string]string
+	// Decode reads an imported configuration.
+	Decode      func(document []byte) (*router.Table, error)
+	Headers     gateway.Headers
+	Endpoints   cataloguer.Source
+	RepeatLimit allotter.RepeatLimit
+	// BalancerDelay is how long a stopping host still takes new connections, and Grace bounds the whole stop.
+	BalancerDelay time.Duration
+	Grace         time.Duration
+
+	transport   *transporter.Transport
+	participant *participant.Participant
+	cataloguer  *cataloguer.Cataloguer
+	gossiper    *gossiper.Gossiper
+	admitter    *admitter.Admitter
+	gateway     *gateway.Gateway
+	index       atomic.Pointer[router.Index]
+	entries     atomic.Pointer[[]cataloguer.Entry]
+	stopping    atomic.Bool
+}
+
+// Run serves until ctx ends, and then stops as planned within Grace.
+func (h *Host) Run(ctx context.Context) error {
+	started := time.Now()
+	if err := h.build(); err != nil {
+		return err
+	}
+	klog.InfoS("forwarder: started", "host", h.HostID, "zone", h.Zone, "peers", h.PeerAddr, "callers", h.CallerAddr,
+		"control_hosts", h.Controllers)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	health := &http.Server{Addr: h.ReadyAddr, Handler: http.HandlerFunc(h.serveHealth), ReadHeaderTimeout: time.Second}
+	group, groupCtx := errgroup.WithContext(work)
+	group.Go(func() error { return h.transport.Run(work) })
+	group.Go(func() error { return h.participant.Run(work) })
+	group.Go(func() error { return h.cataloguer.Run(work) })
+	group.Go(func() error { return h.gossiper.Run(work) })
+	group.Go(func() error { return h.gateway.Run(work) })
+	group.Go(func() error {
+		if err := health.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve health")
+		}
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	stopErr := h.stop(work)
+	cancel()
+	closeErr := errors.Join(health.Close(), h.transport.Close())
+	err := group.Wait()
+	klog.InfoS("forwarder: stopped", "host", h.HostID, "ran", time.Since(started), "reason", err, "cut_off", stopErr)
+	return errors.Join(err, stopErr, closeErr)
+}
+
+func (h *Host) build() error {
+	h.transport = &transporter.Transport{HostID: h.HostID, Zone: h.Zone, ListenAddr: h.PeerAddr, Key: h.Key}
+	if err := h.transport.Listen(); err != nil {
+		return err
+	}
+	h.participant = participant.New(h.transport, participant.Options{
+		HostID: h.HostID, Zone: h.Zone, CallersAddr: h.CallerAddr, Controllers: h.Controllers,
+	})
+	h.participant.Register()
+	h.participant.Subscribe(h.applyConfig)
+	h.admitter = admitter.New(balancer.New(h.Zone))
+	listener, err := net.Listen("tcp", h.CallerAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", h.CallerAddr)
+	}
+	h.gateway = &gateway.Gateway{
+		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter,
+		Client: &exchanger.Client{DialTimeout: dialTimeout}, RepeatLimit: h.RepeatLimit,
+	}
+	h.gateway.Init()
+	h.cataloguer = &cataloguer.Cataloguer{Source: h.Endpoints, Changed: func(list []cataloguer.Entry) {
+		h.entries.Store(&list)
+		h.applyEndpoints()
+	}}
+	h.gossiper = &gossiper.Gossiper{
+		HostID: h.HostID, Addr: h.PeerAddr, Key: h.Key, Peers: h.peers, State: h.state, Heard: h.heard,
+	}
+	return h.gossiper.Listen()
+}
+
+// table returns the table in force with whether this host may still act on it.
+func (h *Host) table() (*router.Index, bool) {
+	_, _, fresh := h.participant.Config()
+	return h.index.Load(), fresh
+}
+
+func (h *Host) applyConfig(version uint64, cfg *configurer.Config) {
+	if cfg.Import == nil {
+		klog.ErrorS(nil, "forwarder: configuration has no imported document", "version", version)
+		return
+	}
+	table, err := h.Decode(cfg.Import.Document)
+	if err != nil {
+		klog.ErrorS(err, "forwarder: imported configuration cannot be read", "version", version, "revision", cfg.Import.Revision)
+		return
+	}
+	x := router.NewIndex(table)
+	h.gateway.SetTable(x)
+	h.index.Store(x)
+	h.applyEndpoints()
+	klog.InfoS("forwarder: configuration in force", "version", version, "revision", table.Revision, "rules", len(table.Rules),
+		"pools", len(table.Pools), "workspaces", len(table.Workspaces))
+}
+
+// applyEndpoints joins the platform's list with what the configuration says of the pools.
+func (h *Host) applyEndpoints() {
+	list, index := h.entries.Load(), h.index.Load()
+	if list == nil {
+		return
+	}
+	endpoints := make([]balancer.Endpoint, 0, len(*list))
+	for _, e := range *list {
+		endpoint := balancer.Endpoint{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Pool: e.Pool, Slots: e.Slots, Leaving: e.Leaving}
+		if index != nil {
+			if p := index.Pool(e.Pool); p != nil && p.Engine != nil {
+				endpoint.Engine, endpoint.MemoryTokens = true, p.Engine.MemoryTokens
+			}
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(endpoints) })
+}
+
+// peers returns the addresses of the other entry hosts.
+func (h *Host) peers() []string {
+	var out []string
+	for _, m := range h.participant.Agent().Members() {
+		if !m.Control && !m.Removed && m.Host != h.HostID {
+			out = append(out, m.Addr)
+		}
+	}
+	return out
+}
+
+// state is what this host tells its peers.
+func (h *Host) state() *gossiperpb.State {
+	s := &gossiperpb.State{Leaving: h.stopping.Load()}
+	h.admitter.View(func(b *balancer.Balancer) {
+		for id, l := range b.Loads() {
+			s.Loads = append(s.Loads, &gossiperpb.Load{
+				Endpoint: id, Running: uint32(l.Running), Unread: uint32(max(l.Unread, 0)), Memory: uint32(max(l.Memory, 0)),
+				PaceUs: uint32(l.Pace * 1000),
+			})
+		}
+	})
+	for workspace, units := range h.gateway.Used() {
+		s.Uses = append(s.Uses, &gossiperpb.Use{Workspace: workspace, Units: uint64(units)})
+	}
+	for _, p := range h.gateway.Placements(time.Now().Add(-placementsFor)) {
+		s.Placements = append(s.Placements, &gossiperpb.Placement{Session: p.Session, Endpoint: p.Endpoint})
+	}
+	return s
+}
+
+// heard takes the state of a peer.
+func (h *Host) heard(s *gossiperpb.State) {
+	loads := make(map[string]balancer.Load, len(s.GetLoads()))
+	for _, l := range s.GetLoads() {
+		loads[l.GetEndpoint()] = balancer.Load{
+			Running: int(l.GetRunning()), Unread: int(l.GetUnread()), Memory: int(l.GetMemory()), Pace: float64(l.GetPaceUs()) / 1000,
+		}
+	}
+	now := time.Now()
+	h.admitter.Update(func(b *balancer.Balancer) {
+		b.SetPeer(now, s.GetHost(), loads)
+		for _, p := range s.GetPlacements() {
+			b.Placed(now, p.GetSession(), p.GetEndpoint())
+		}
+	})
+	used := make(map[string]float64, len(s.GetUses()))
+	for _, u := range s.GetUses() {
+		used[u.GetWorkspace()] = float64(u.GetUnits())
+	}
+	process := s.GetHost() + "/" + strconv.FormatUint(s.GetProcess(), 36)
+	h.gateway.HeardUse(process, time.Duration(s.GetAgeMs())*time.Millisecond, used)
+}
+
+// unready returns an empty text, or why this host should receive no more connections.
+func (h *Host) unready() string {
+	index, fresh := h.table()
+	switch {
+	case h.stopping.Load():
+		return "stopping"
+	case index == nil:
+		return "no configuration"
+	case !fresh:
+		return "configuration not confirmed"
+	case !h.cataloguer.Known():
+		return "no list of endpoints"
+	}
+	return ""
+}
+
+func (h *Host) serveHealth(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != h.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if reason := h.unready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stop leaves the balancer, lets callers move on and waits for the requests in progress.
+func (h *Host) stop(ctx context.Context) error {
+	deadline := time.Now().Add(h.Grace - stopReserve)
+	h.stopping.Store(true)
+	klog.InfoS("forwarder: stopping", "host", h.HostID, "active", h.gateway.Active())
+	h.gateway.Drain()
+	time.Sleep(min(h.BalancerDelay, time.Until(deadline)))
+	closing, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	err := h.gateway.Close(closing)
+	leaving, done := context.WithTimeout(ctx, leaveTimeout)
+	defer done()
+	if failed := h.participant.Leave(leaving); failed != nil {
+		klog.InfoS("forwarder: did not leave the members", "reason", failed)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+)
+
+const (
+	// maxDials bounds the endpoints that a request tries without a byte written.
+	maxDials = 4
+	// orderProven bounds the time since the last whole answer on a connection that carries a request which must not run
+	// twice. A connection can go silent for good, and such a request cannot be sent again.
+	orderProven = time.Second
+	// repeatAfter is the silence, in targets, after which an idempotent request goes to another endpoint.
+	repeatAfter = 2.5
+	// maxAnswerBytes bounds an answer that is held before it is passed on.
+	maxAnswerBytes = 8 << 20
+	// refusedRetry is the time after which a caller may return when an endpoint has refused its request.
+	refusedRetry = 250 * time.Millisecond
+)
+
+// verdict is what became of one send.
+type verdict int
+
+const (
+	// answered means that the caller has its answer.
+	answered verdict = iota
+	// notRun means that the endpoint did not run the request.
+	notRun
+	// interrupted means that the request may have run and has no whole answer.
+	interrupted
+	// failed means that the endpoint ran the request and answered with a failure that is held.
+	failed
+)
+
+// held is an endpoint's own answer that was read whole.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run sends the request to endpoints until one has answered it or nothing more may be tried.
+func (q *request) run() {
+	var last held
+	for dials := 0; ; {
+		grant, err := q.acquire()
+		if err != nil {
+			q.giveUp(err, last)
+			return
+		}
+		v, answer, err := q.send(grant)
+		q.log(grant, v, err)
+		switch v {
+		case answered:
+			countRequests.Add("answered", 1)
+			return
+		case failed:
+			last = answer
+		}
+		q.tried[grant.Choice.Endpoint.ID] = true
+		var unsent *exchanger.NotSentError
+		if errors.As(err, &unsent) {
+			if dials++; dials < maxDials {
+				continue
+			}
+		} else if q.maySendAgain(v) {
+			continue
+		}
+		q.conclude(v, err, last)
+		return
+	}
+}
+
+// acquire waits for an endpoint for as long as the request can still be prompt.
+func (q *request) acquire() (*admitter.Grant, error) {
+	patience := min(q.rule.Target, time.Until(q.deadline))
+	if q.streaming {
+		patience = min(q.rule.EventGap*2, time.Until(q.deadline))
+	}
+	began := time.Now()
+	grant, err := q.g.Admitter.Acquire(q.r.Context(), admitter.Ask{
+		Pool: q.pool, Work: q.work, Tier: q.tier, Patience: patience,
+		Except: func(id string) bool { return q.tried[id] },
+	})
+	q.wait += time.Since(began)
+	return grant, err
+}
+
+// maySendAgain reports whether the rule and the budget allow another send after a verdict.
+func (q *request) maySendAgain(v verdict) bool {
+	switch {
+	case q.sends >= max(q.rule.Attempts, 1), time.Now().After(q.deadline), q.r.Context().Err() != nil:
+		return false
+	case v != notRun && !q.rule.Repeatable():
+		return false
+	}
+	return q.g.mayRepeat(q.pool)
+}
+
+// giveUp answers a request that was given no endpoint.
+func (q *request) giveUp(err error, last held) {
+	if !q.ran && !q.streaming {
+		q.release()
+	}
+	var refused *admitter.RefusedError
+	switch {
+	case last.status != 0:
+		q.pass(last)
+	case q.ran || q.streaming:
+		q.refuse(http.StatusBadGateway, "no_endpoint_for_repeat", 0)
+	case errors.As(err, &refused):
+		klog.V(1).Infof("gateway: no endpoint request=%s pool=%s reason=%q", q.id, q.pool, refused)
+		q.refuse(http.StatusServiceUnavailable, string(refused.Reason), refused.RetryAfter)
+	default:
+		q.abandoned(err)
+	}
+}
+
+// conclude answers a request after its last send.
+func (q *request) conclude(v verdict, err error, last held) {
+	var unsent *exchanger.NotSentError
+	switch {
+	case v == failed:
+		q.pass(last)
+	case !q.ran && (v == notRun || errors.As(err, &unsent)):
+		q.release()
+		q.refuse(http.StatusServiceUnavailable, "endpoint_refused", refusedRetry)
+	case q.r.Context().Err() != nil:
+		q.abandoned(err)
+	case errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(q.deadline):
+		q.refuse(http.StatusGatewayTimeout, "timeout", 0)
+	default:
+		q.refuse(http.StatusBadGateway, "interrupted", 0)
+	}
+}
+
+// abandoned ends a request whose caller is gone.
+func (q *request) abandoned(err error) {
+	countRequests.Add("abandoned", 1)
+	klog.V(1).Infof("gateway: caller is gone request=%s after=%v reason=%v", q.id, time.Since(q.started), err)
+	panic(http.ErrAbortHandler)
+}
+
+// send performs one exchange under a grant.
+func (q *request) send(grant *admitter.Grant) (verdict, held, error) {
+	ctx, cancel := q.workContext()
+	defer cancel()
+	e := grant.Choice.Endpoint
+	req := &exchanger.Request{
+		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.forwardHeader(e.ID), Body: q.body,
+		EchoHeader: q.g.Headers.RequestID,
+	}
+	if !q.rule.Repeatable() {
+		req.ProvenWithin = orderProven
+	}
+	first := q.sends == 0
+	limit := q.silenceLimit()
+	silence := time.AfterFunc(limit, cancel)
+	defer silence.Stop()
+	response, err := q.g.Client.Do(ctx, e.Addr, req)
+	if exchanger.Sent(err) || err == nil {
+		q.sends++
+		if first {
+			q.g.sent(q.pool)
+		}
+		q.g.notePlaced(q.work.Session, e.ID)
+	}
+	if err != nil {
+		return q.broken(grant, err)
+	}
+	defer response.Close()
+	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(q.g.Headers.NotRun) != "" {
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err == nil {
+			response.Finish()
+		}
+		grant.Refuse(time.Now())
+		return notRun, held{}, eris.Errorf("endpoint refused with status %d", response.Status)
+	}
+	if response.Header.Get(q.g.Headers.Signature) == "" || response.Header.Get("Content-Encoding") != "" {
+		return q.broken(grant, eris.Errorf("status %d is no answer of the endpoint", response.Status))
+	}
+	if response.Status == http.StatusOK && q.rule.Kind == router.Streaming {
+		return q.relay(grant, response, silence, limit)
+	}
+	silence.Stop()
+	return q.whole(grant, response)
+}
+
+// silenceLimit bounds the silence of an endpoint that a request is about to be sent to. Only a request that may go elsewhere
+// is taken from a silent one.
+func (q *request) silenceLimit() time.Duration {
+	switch {
+	case !q.rule.Repeatable() || q.sends+1 >= q.rule.Attempts:
+		return time.Until(q.deadline)
+	case q.rule.Kind == router.Idempotent:
+		return time.Duration(repeatAfter * float64(q.rule.Target))
+	}
+	return streamSilence
+}
+
+func (q *request) broken(grant *admitter.Grant, err error) (verdict, held, error) {
+	if q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent {
+		// The caller left; that says nothing about the endpoint.
+		grant.Refuse(time.Now())
+	} else {
+		grant.End(time.Now(), true)
+	}
+	if exchanger.Sent(err) {
+		q.ran = true
+	}
+	return interrupted, held{}, err
+}
+
+// whole reads an answer to its end before any of it is passed on, so that one that is cut off can be told from a whole one.
+func (q *request) whole(grant *admitter.Grant, response *exchanger.Response) (verdict, held, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = eris.Errorf("the answer has more than %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return q.broken(grant, err)
+	}
+	response.Finish()
+	q.ran = true
+	answer := held{status: response.Status, header: response.Header, body: body}
+	if response.Status >= http.StatusInternalServerError {
+		grant.End(time.Now(), true)
+		return failed, answer, eris.Errorf("endpoint failed with status %d", response.Status)
+	}
+	grant.End(time.Now(), false)
+	q.pass(answer)
+	return answered, answer, nil
+}
+
+// pass delivers an endpoint's own answer. A status that promises that the request did not run is not passed on, because the
+// endpoint has run it.
+func (q *request) pass(a held) {
+	switch a.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		q.refuse(http.StatusBadGateway, "endpoint_failed", 0)
+		return
+	}
+	q.copyHeader(a.header)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	q.w.WriteHeader(a.status)
+	if _, err := q.w.Write(a.body); err != nil {
+		klog.V(1).Infof("gateway: answer not delivered request=%s reason=%q", q.id, err)
+	}
+}
+
+// copyHeader takes the header of an endpoint's answer.
+func (q *request) copyHeader(in http.Header) {
+	out := q.w.Header()
+	for name, values := range in {
+		out[name] = values
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	if q.g.stopping.Load() {
+		out.Set("Connection", "close")
+	}
+}
+
+func (q *request) log(grant *admitter.Grant, v verdict, err error) {
+	c := grant.Choice
+	outcome := [...]string{"answered", "not_run", "interrupted", "failed"}[v]
+	if v == answered {
+		klog.V(1).InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
+			"cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept, "queued", grant.Queued, "waited", q.wait,
+			"after", time.Since(q.started))
+		return
+	}
+	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
+		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept,
+		"queued", grant.Queued, "waited", q.wait, "reason", err, "after", time.Since(q.started))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,246 @@
+// Package gateway is the entry of a host that forwards requests by an ingress table: it accepts requests, checks key and
+// allotment, waits for an endpoint, sends the request there and returns the endpoint's own answer.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+)
+
+const (
+	// defaultMaxHeaderBytes, defaultMaxBodyBytes, defaultHeaderTimeout and defaultIdleTimeout hold until a table names limits.
+	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxBodyBytes   = 4 << 20
+	defaultHeaderTimeout  = 3 * time.Second
+	defaultIdleTimeout    = 15 * time.Second
+	// sweepInterval is the time between two searches for kept connections that are no longer needed.
+	sweepInterval = time.Second
+	// unknownRetry is the time after which a caller may return to a host that has no confirmed table.
+	unknownRetry = 500 * time.Millisecond
+)
+
+var countRequests = expvar.NewMap("gateway_requests")
+
+// Headers names the headers of the installation. A name that is empty is not used.
+type Headers struct {
+	// RequestID identifies one attempt of a caller; endpoints repeat it.
+	RequestID string
+	// Deadline is the time that the caller waits, in milliseconds.
+	Deadline string
+	// Tokens holds the prompt tokens and the largest number of answer tokens, Expected an estimate of the latter.
+	Tokens   string
+	Expected string
+	// Parts lists the parts of the prompt as ID:TOKENS; the last one belongs to the session.
+	Parts string
+	// Workspace tells the endpoint who asks.
+	Workspace string
+	// Instance names the endpoint that may run the request.
+	Instance string
+	// NotRun marks an endpoint's answer to a request that it did not run.
+	NotRun string
+	// Signature marks an endpoint's own answer.
+	Signature string
+	// LastEvent is the id of the last event that a resumed stream has.
+	LastEvent string
+	// KeyScheme precedes the API key in the Authorization header.
+	KeyScheme string
+	// Internal are further headers that only the system may set.
+	Internal []string
+}
+
+// Gateway forwards requests. Set the exported fields before Run.
+type Gateway struct {
+	// Listener takes callers' connections.
+	Listener net.Listener
+	Headers  Headers
+	// Table returns the table that this host acts on. It is fresh while the host is sure that no newer one is in force.
+	Table func() (index *router.Index, fresh bool)
+	// Admitter chooses endpoints.
+	Admitter *admitter.Admitter
+	// Client sends requests to endpoints.
+	Client *exchanger.Client
+	// RepeatLimit bounds the requests that are sent once more.
+	RepeatLimit allotter.RepeatLimit
+	// KnownKey reports whether a key may belong to a table that this host does not have yet; it may be nil.
+	server   *http.Server
+	mu       sync.Mutex
+	allots   *allotter.Allotter
+	repeats  map[string]*allotter.Repeats
+	placed   []Placed
+	stopping atomic.Bool
+	active   atomic.Int64
+	body     chan struct{}
+}
+
+// Placed tells where the prompt of a session was sent.
+type Placed struct {
+	Session  string
+	Endpoint string
+	At       time.Time
+}
+
+// Init prepares the state that Run and the callers of other methods use.
+func (g *Gateway) Init() {
+	g.allots = allotter.New(time.Now())
+	g.repeats = map[string]*allotter.Repeats{}
+	g.server = &http.Server{
+		Handler:           http.HandlerFunc(g.serve),
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    defaultMaxHeaderBytes,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:          log.New(errorLog{}, "", 0),
+	}
+}
+
+// errorLog takes the lines of the HTTP library, which reports each connection that ends early.
+type errorLog struct{}
+
+// Write implements io.Writer.
+func (errorLog) Write(line []byte) (int, error) {
+	klog.V(2).Infof("gateway: http %s", line)
+	return len(line), nil
+}
+
+// Run serves until Close.
+func (g *Gateway) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		tick := time.NewTicker(sweepInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				g.sweep()
+			}
+		}
+	}()
+	err := g.server.Serve(&guardListener{Listener: g.Listener})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve callers")
+}
+
+func (g *Gateway) sweep() {
+	addrs := map[string]bool{}
+	g.Admitter.View(func(b *balancer.Balancer) {
+		for _, e := range b.Endpoints() {
+			addrs[e.Addr] = true
+		}
+	})
+	g.Client.Sweep(func(addr string) bool { return addrs[addr] })
+}
+
+// Drain asks callers to leave: every further response closes its connection. New requests are still served.
+func (g *Gateway) Drain() {
+	g.stopping.Store(true)
+	g.server.SetKeepAlivesEnabled(false)
+}
+
+// Close takes no new connections, waits for the requests in progress until ctx ends and closes the rest.
+func (g *Gateway) Close(ctx context.Context) error {
+	err := g.server.Shutdown(ctx)
+	if err != nil {
+		klog.Warningf("gateway: requests cut off at the end of a stop active=%d reason=%q", g.active.Load(), err)
+		_ = g.server.Close()
+	}
+	return errors.Join(err, g.Client.Close())
+}
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// SetTable applies the limits of a table.
+func (g *Gateway) SetTable(x *router.Index) {
+	limits := map[string]allotter.Limit{}
+	for _, w := range x.Table().Workspaces {
+		if w.Rate > 0 {
+			limits[w.Name] = allotter.Limit{Rate: w.Rate, Burst: w.Burst}
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allots.SetLimits(time.Now(), limits)
+}
+
+// Used returns the units of allotments that this host has admitted.
+func (g *Gateway) Used() map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allots.Used()
+}
+
+// HeardUse takes what a peer has admitted.
+func (g *Gateway) HeardUse(process string, age time.Duration, used map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allots.Heard(time.Now(), process, age, used)
+}
+
+// Placements returns where sessions were sent since a time.
+func (g *Gateway) Placements(since time.Time) []Placed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.placed) > 0 && g.placed[0].At.Before(since) {
+		g.placed = g.placed[1:]
+	}
+	return append([]Placed(nil), g.placed...)
+}
+
+func (g *Gateway) notePlaced(session, endpoint string) {
+	if session == "" {
+		return
+	}
+	const maxPlaced = 256
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.placed) >= maxPlaced {
+		g.placed = g.placed[1:]
+	}
+	g.placed = append(g.placed, Placed{Session: session, Endpoint: endpoint, At: time.Now()})
+}
+
+// sent counts a first send to a pool.
+func (g *Gateway) sent(pool string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(pool).Sent(g.allots.Peers() + 1)
+}
+
+// mayRepeat takes one repeat from the budget of a pool.
+func (g *Gateway) mayRepeat(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(pool).Take(time.Now(), g.allots.Peers()+1)
+}
+
+func (g *Gateway) budget(pool string) *allotter.Repeats {
+	b := g.repeats[pool]
+	if b == nil {
+		b = allotter.NewRepeats(time.Now(), g.RepeatLimit, g.allots.Peers()+1)
+		g.repeats[pool] = b
+	}
+	return b
+}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -71,6 +71,8 @@
 	CallersAddr string
 	// Control is true on hosts that hold the replicated log.
 	Control bool
+	// Folder returns the identity of the data folder once it is open; it is nil on hosts without one.
+	Folder  func() (incarnation uint64, open bool)
 	Network Network
 	// Controllers are the addresses of the control hosts from the settings.
 	Controllers []string
@@ -304,6 +306,11 @@
 	for role, epoch := range a.leases.Ended() {
 		hb.Released = append(hb.Released, &controllerpb.HeldRole{Role: role, Epoch: epoch})
 	}
+	if a.Folder != nil {
+		if incarnation, open := a.Folder(); open {
+			hb.Folder = &controllerpb.LogFolder{Incarnation: incarnation}
+		}
+	}
 	hb.Reports = a.shed.reports(now, a.leases.Held())
 	return hb
 }
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -28,6 +28,8 @@
 	DataDir string
 	// Bootstrap lets an empty data folder form the cluster with Controllers.
 	Bootstrap bool
+	// Voters is the number of voters that the leader keeps by itself; 0 leaves changes of the voters to operators.
+	Voters int
 }
 
 // Participant connects a host with the control part.
@@ -52,7 +54,8 @@
 		p.sequencer = &sequencer.Sequencer{
 			HostID: o.HostID, DataDir: o.DataDir, Bootstrap: o.Bootstrap, Transport: t, Machine: p.machine,
 		}
-		p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, Machine: p.machine}
+		p.agent.Folder = p.sequencer.Folder
+		p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, Machine: p.machine, Voters: o.Voters}
 	}
 	p.relay = &distributor.Relay{HostID: o.HostID, Network: t, Holder: p.agent}
 	p.SetControllers(o.Controllers)
--- /dev/null
+++ b/internal/router/table.go
@@ -0,0 +1,180 @@
+// Package router maps requests to the rules of an ingress table by host and path, and API keys to workspaces.
+package router
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done again with the requests of a rule.
+type Kind string
+
+// The kinds of rules.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = "non_idempotent"
+	// Streaming requests are answered by server-sent events. They run at most once unless the rule is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Table is a whole ingress configuration.
+type Table struct {
+	Revision   uint64
+	Rules      []Rule
+	Pools      []Pool
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Rule sends the requests of a host and path prefix to pools.
+type Rule struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout bounds the whole answer.
+	Timeout time.Duration
+	// Target is the latency up to which an answer, or the first event of a stream, counts as prompt.
+	Target time.Duration
+	// EventGap is the longest pause between two events of a prompt stream; 0 for other kinds.
+	EventGap time.Duration
+	// Tier is the urgency; 0 is the most urgent.
+	Tier int
+	// Targets are the pools with their weights.
+	Targets []Target
+	// Attempts bounds the endpoints that one request may be sent to.
+	Attempts int
+	// Public rules need no API key.
+	Public bool
+	// Model is true for requests that describe a prompt.
+	Model bool
+	// Resumable streams may be continued at another endpoint.
+	Resumable bool
+}
+
+// Repeatable reports whether a request that may have run can be sent again.
+func (r *Rule) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
+
+// Target is one pool of a rule.
+type Target struct {
+	Pool   string
+	Weight int
+}
+
+// Pool is a set of endpoints that the platform lists under one name.
+type Pool struct {
+	Name       string
+	HealthPath string
+	// MaxConnections bounds the connections of all hosts to one endpoint.
+	MaxConnections int
+	// Engine describes the model engines of the pool; nil for plain services.
+	Engine *Engine
+}
+
+// Engine is what is known of the engines of a pool.
+type Engine struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
+	// MemoryTokens is the memory of an engine for prompts and answers.
+	MemoryTokens int
+	// TokensPerEvent is the number of tokens in an event of a stream.
+	TokensPerEvent int
+}
+
+// Workspace is a customer with its API keys and its limit over all hosts.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Tier replaces the tier of the rule if TierSet.
+	Tier    int
+	TierSet bool
+	// Rate is in units per second and Burst in units; 0 means no limit.
+	Rate  float64
+	Burst float64
+	// PlainCost is the number of units of a request that does not state its tokens.
+	PlainCost float64
+}
+
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// InvalidError reports a table that must not be put in force.
+type InvalidError struct {
+	Path   string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return e.Path + ": " + e.Reason }
+
+// Validate returns an *InvalidError for the first problem of a table.
+func (t *Table) Validate() error {
+	if t.Revision == 0 {
+		return &InvalidError{Path: "version", Reason: "must be above 0"}
+	}
+	pools := map[string]bool{}
+	for _, p := range t.Pools {
+		if p.Name == "" || pools[p.Name] {
+			return &InvalidError{Path: "pools", Reason: fmt.Sprintf("name %q is empty or used twice", p.Name)}
+		}
+		pools[p.Name] = true
+	}
+	places := map[string]string{}
+	for i := range t.Rules {
+		if err := t.Rules[i].validate(pools, places); err != nil {
+			return err
+		}
+	}
+	keys := map[string]string{}
+	for _, w := range t.Workspaces {
+		for _, k := range w.Keys {
+			if owner, taken := keys[k]; taken && owner != w.Name {
+				return &InvalidError{Path: "workspaces." + w.Name, Reason: fmt.Sprintf("shares a key with workspace %q", owner)}
+			}
+			keys[k] = w.Name
+		}
+	}
+	return nil
+}
+
+func (r *Rule) validate(pools map[string]bool, places map[string]string) error {
+	path := "rules." + r.Name
+	place := strings.ToLower(r.Host) + " " + r.PathPrefix
+	if other, taken := places[place]; taken {
+		return &InvalidError{Path: path, Reason: fmt.Sprintf("has the host and prefix of rule %q", other)}
+	}
+	places[place] = r.Name
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		return &InvalidError{Path: path, Reason: "the path prefix must begin and end with a slash"}
+	}
+	switch r.Kind {
+	case Idempotent, NonIdempotent, Streaming:
+	default:
+		return &InvalidError{Path: path, Reason: fmt.Sprintf("kind %q is not known", r.Kind)}
+	}
+	if r.Timeout <= 0 {
+		return &InvalidError{Path: path, Reason: "the timeout must be above 0"}
+	}
+	total := 0
+	for _, t := range r.Targets {
+		if !pools[t.Pool] {
+			return &InvalidError{Path: path, Reason: fmt.Sprintf("pool %q is not known", t.Pool)}
+		}
+		if t.Weight < 0 {
+			return &InvalidError{Path: path, Reason: "a weight is negative"}
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return &InvalidError{Path: path, Reason: "the weights add up to 0"}
+	}
+	return nil
+}
--- a/internal/sequencer/calls.go
+++ b/internal/sequencer/calls.go
@@ -116,6 +116,14 @@
 	return v.status, v.applied
 }
 
+// Folder returns the incarnation of the data folder once it is open.
+func (s *Sequencer) Folder() (incarnation uint64, open bool) {
+	if f := s.folder.Load(); f != nil {
+		return *f, true
+	}
+	return 0, false
+}
+
 // AddLearner adds a host that receives the log and does not vote.
 func (s *Sequencer) AddLearner(ctx context.Context, id, addr string) error {
 	return s.change(ctx, replicator.Change{Kind: replicator.AddLearner, ID: id, Addr: addr})
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -105,6 +105,7 @@
 	stop         chan struct{}
 	done         chan struct{}
 	started      atomic.Bool
+	folder       atomic.Pointer[uint64]
 	view         atomic.Pointer[view]
 	former       bootstrapper.Former
 	observers    notifier.Notifier
@@ -289,6 +290,7 @@
 		klog.Warningf("sequencer: one voter only; this is a trial without fault tolerance host=%s", s.HostID)
 	}
 	s.former.Finish()
+	s.folder.Store(&contents.Identity.Incarnation)
 	s.publish()
 	return nil
 }
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -204,6 +204,15 @@
 	return marshaller.PatchResult{Version: result.GetNumber()}, nil
 }
 
+// ImportConfig puts a document of an outside operator interface in force unless a revision as high is in force already. It
+// returns the version of the configuration afterwards.
+func (c *Client) ImportConfig(ctx context.Context, revision uint64, document []byte, author string) (uint64, error) {
+	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_ImportConfig{
+		ImportConfig: &controllerpb.ImportConfig{Revision: revision, Document: document, Author: author},
+	}})
+	return result.GetNumber(), err
+}
+
 // Config returns the current configuration version with its document.
 func (c *Client) Config(ctx context.Context) (uint64, []byte, error) {
 	resp := &controllerpb.QueryReply{}
