--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -70,6 +70,14 @@
 	index       atomic.Pointer[router.Index]
 	entries     atomic.Pointer[[]cataloguer.Entry]
 	stopping    atomic.Bool
+	running     atomic.Pointer[participant.Participant]
+}
+
+// SetControllers replaces the control hosts of the settings while the host runs.
+func (h *Host) SetControllers(controllers map[string]string) {
+	if p := h.running.Load(); p != nil {
+		p.SetControllers(controllers)
+	}
 }
 
 // Run serves until ctx ends, and then stops as planned within Grace.
@@ -116,6 +124,7 @@
 		HostID: h.HostID, Zone: h.Zone, CallersAddr: h.CallerAddr, Controllers: h.Controllers,
 	})
 	h.participant.Register()
+	h.running.Store(h.participant)
 	h.participant.Subscribe(h.applyConfig)
 	h.admitter = admitter.New(balancer.New(h.Zone))
 	listener, err := net.Listen("tcp", h.CallerAddr)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -247,6 +247,11 @@
 // pass delivers an endpoint's own answer. A status that promises that the request did not run is not passed on, because the
 // endpoint has run it.
 func (q *request) pass(a held) {
+	if q.streaming {
+		// The caller has the head and some events of a stream already; this answer cannot follow them.
+		q.refuse(http.StatusBadGateway, "resume_failed", 0)
+		return
+	}
 	switch a.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		q.refuse(http.StatusBadGateway, "endpoint_failed", 0)
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -113,6 +113,13 @@
 	initOnce    sync.Once
 }
 
+// SetControllers replaces the addresses of the control hosts from the settings.
+func (a *Agent) SetControllers(addrs []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Controllers = addrs
+}
+
 func (a *Agent) init() {
 	a.initOnce.Do(func() {
 		a.nonce = rand.Uint64()
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,6 +31,8 @@
 	Bootstrap bool
 	// Voters is the number of voters that the leader keeps by itself; 0 leaves changes of the voters to operators.
 	Voters int
+	// ExchangeTimeout bounds one exchange of the client with a control host; 0 means the client's default.
+	ExchangeTimeout time.Duration
 }
 
 // Participant connects a host with the control part.
@@ -40,6 +43,7 @@
 	sequencer *sequencer.Sequencer
 	service   *controller.Service
 	relay     *distributor.Relay
+	running   atomic.Bool
 }
 
 // New builds the parts of a host over its transport.
@@ -48,7 +52,7 @@
 	p.agent = &controller.Agent{
 		HostID: o.HostID, Zone: o.Zone, Addr: t.Addr(), CallersAddr: o.CallersAddr, Control: o.DataDir != "", Network: t,
 	}
-	p.client = &controller.Client{Network: t, Known: p.known}
+	p.client = &controller.Client{Network: t, Known: p.known, ExchangeTimeout: o.ExchangeTimeout}
 	if o.DataDir != "" {
 		p.machine = controller.NewMachine()
 		p.sequencer = &sequencer.Sequencer{
@@ -62,11 +66,13 @@
 	return p
 }
 
-// SetControllers sets the ids and addresses of the control hosts. Call it before Run.
+// SetControllers sets the ids and addresses of the control hosts. While the participant runs, it changes only where the hosts
+// look for the leader when all control hosts they know are gone.
 func (p *Participant) SetControllers(controllers map[string]string) {
 	addrs := slices.Sorted(maps.Values(controllers))
-	p.agent.Controllers, p.client.Controllers = addrs, addrs
-	if p.sequencer != nil {
+	p.agent.SetControllers(addrs)
+	p.client.SetControllers(addrs)
+	if p.sequencer != nil && !p.running.Load() {
 		p.sequencer.Voters = maps.Clone(controllers)
 	}
 }
@@ -102,6 +108,7 @@
 
 // Run takes part until ctx ends. It returns an error when the replicated log cannot go on.
 func (p *Participant) Run(ctx context.Context) error {
+	p.running.Store(true)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.agent.Run(ctx) })
 	group.Go(func() error { return p.relay.Run(ctx) })
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -158,9 +158,16 @@
 }
 
 // targets returns the addresses to try, the presumed leader first.
+// SetControllers replaces the addresses of the control hosts from the settings.
+func (c *Client) SetControllers(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Controllers = addrs
+}
+
 func (c *Client) targets() []string {
 	c.mu.Lock()
-	leader := c.leader
+	leader, controllers := c.leader, c.Controllers
 	c.mu.Unlock()
 	var all []string
 	if leader != "" {
@@ -169,7 +176,7 @@
 	if c.Known != nil {
 		all = append(all, c.Known()...)
 	}
-	all = append(all, c.Controllers...)
+	all = append(all, controllers...)
 	seen := map[string]bool{"": true}
 	out := all[:0]
 	for _, addr := range all {
