--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -19,6 +19,8 @@
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter bounds what a caller is asked to wait.
 	maxRetryAfter = 5 * time.Second
+	// floodPause is the time without a refusal that ends a flood.
+	floodPause = time.Second
 	// spread is the part by which retry times vary, so that refused callers do not return at one moment.
 	spread = 0.5
 )
@@ -76,11 +78,15 @@
 	waiting  map[string][]*ticket
 	seq      uint64
 	grants   map[string][]time.Time
+	floods   map[string]flood
 }
 
+// flood is a time in which a pool refuses requests.
+type flood struct{ since, last time.Time }
+
 // New returns an admitter that owns a balancer.
 func New(b *balancer.Balancer) *Admitter {
-	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}}
+	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}, floods: map[string]flood{}}
 }
 
 // Grant is the right to send a request to an endpoint. End or Refuse must be called once.
@@ -110,11 +116,19 @@
 	g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
 }
 
-// Refuse counts a request that the endpoint did not begin.
-func (g *Grant) Refuse(now time.Time) {
+// Refuse counts a request that the endpoint did not begin; replaced tells that another endpoint answers at its address.
+func (g *Grant) Refuse(now time.Time, replaced bool) {
+	g.admitter.mu.Lock()
+	defer g.admitter.mu.Unlock()
+	g.admitter.balancer.Refuse(now, g.run, replaced)
+	g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
+}
+
+// Unreachable counts a request of which nothing could be sent.
+func (g *Grant) Unreachable(now time.Time) {
 	g.admitter.mu.Lock()
 	defer g.admitter.mu.Unlock()
-	g.admitter.balancer.Refuse(g.run)
+	g.admitter.balancer.Unreachable(now, g.run)
 	g.admitter.dispatch(now, g.Choice.Endpoint.Pool)
 }
 
@@ -160,6 +174,10 @@
 		if x.ask.Tier != y.ask.Tier {
 			return x.ask.Tier - y.ask.Tier
 		}
+		// A caller that returns after a refusal has less time left than a new one, and goes first.
+		if c := x.ask.Work.Deadline.Compare(y.ask.Work.Deadline); c != 0 {
+			return c
+		}
 		if x.seq < y.seq {
 			return -1
 		}
@@ -206,13 +224,25 @@
 
 func (a *Admitter) refusalLocked(ask Ask, reason Reason, waited time.Duration) *RefusedError {
 	queue := len(a.waiting[ask.Pool])
-	wait := a.predict(time.Now(), ask.Pool, queue+1)
+	wait := max(a.predict(time.Now(), ask.Pool, queue+1), a.floodLeft(time.Now(), ask.Pool))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait += time.Duration(spread * rand.Float64() * float64(wait))
 	taken, places := a.balancer.Places(ask.Pool)
 	return &RefusedError{Reason: reason, Waited: waited, RetryAfter: wait, Queue: queue, Taken: taken, Places: places}
 }
 
+// floodLeft notes a refusal and predicts how long the pool will go on refusing: about as long as it has done so already. A
+// caller that returns earlier would be refused again.
+func (a *Admitter) floodLeft(now time.Time, pool string) time.Duration {
+	f := a.floods[pool]
+	if now.Sub(f.last) > floodPause {
+		f.since = now
+	}
+	f.last = now
+	a.floods[pool] = f
+	return now.Sub(f.since)
+}
+
 func (a *Admitter) remove(t *ticket) {
 	queue := a.waiting[t.ask.Pool]
 	if at := slices.Index(queue, t); at >= 0 {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -25,6 +25,19 @@
 	crowdMS = 2
 	// zoneMS is the cost of the way to another availability zone, with the price of the bytes between them.
 	zoneMS = 6
+	// readStepMS is the time of a step of an engine of median speed that also reads a chunk of a prompt. All streams of the
+	// engine advance by one token in it.
+	readStepMS = 19
+	// readStepTokenMS is what a step grows by for each token of the prompt before the chunk that it reads.
+	readStepTokenMS = 0.00025
+	// harmMS is the cost of each running stream whose pauses a prompt would make too long. It is about half of the shortest
+	// target of a first event, so that a prompt rather waits a little than spoils several streams.
+	harmMS = 150
+	// lateShare is the part of the remaining time beyond which a predicted end counts as late: lengths are known only within
+	// a factor of two.
+	lateShare = 0.6
+	// lateMS is the cost of an end predicted at the deadline.
+	lateMS = 2000
 	// memoryShare is the part of an engine's memory that placed requests may fill. The rest covers longer answers.
 	memoryShare = 0.9
 	// serviceQueue is the number of requests per place of a plain service that may wait there: their work is short, and an
@@ -40,6 +53,13 @@
 	failureStep = 0.25
 	// failureHalfLife is the time in which an endpoint without new outcomes regains half of its standing.
 	failureHalfLife = 2 * time.Second
+	// minDown and maxDown bound the time in which an endpoint that refused a connect takes no work. A restart takes seconds.
+	minDown      = 100 * time.Millisecond
+	maxDown      = time.Second
+	maxDownSteps = 4
+	// replacedFor is how long an endpoint is left out after another one has answered at its address. The list drops it within
+	// that time.
+	replacedFor = 10 * time.Second
 	// paceStep is the weight of the newest stream in the learned pace.
 	paceStep = 0.2
 	// peerFor is the silence after which the load of a peer no longer counts.
@@ -62,11 +82,21 @@
 
 // Work is what a request asks of an endpoint. The token counts are 0 for plain services.
 type Work struct {
-	Prompt  int
+	Prompt int
+	// Output is the expected number of answer tokens.
 	Output  int
 	Session string
+	// TokensPerEvent is the number of tokens in an event of the answer.
+	TokensPerEvent int
+	// Deadline is the time after which an answer is of no use.
+	Deadline time.Time
+	// EventGap is the longest pause between two events that the streams of this kind of work may have; 0 for no bound.
+	EventGap time.Duration
 }
 
+// events returns the expected number of events of the answer.
+func (w Work) events() float64 { return float64(w.Output) / float64(max(w.TokensPerEvent, 1)) }
+
 // Load is what one host has in progress at an endpoint.
 type Load struct {
 	Running int
@@ -86,6 +116,9 @@
 	paces    int
 	failures float64
 	failedAt time.Time
+	// downUntil is the time before which the endpoint takes no work, and unreachable the number of failed connects in a row.
+	downUntil   time.Time
+	unreachable int
 }
 
 type session struct {
@@ -156,17 +189,23 @@
 	Unread  int
 	// Kept is true if the prompt of the session is expected in the engine's memory.
 	Kept bool
+	// End is the predicted time to the last event.
+	End time.Duration
 }
 
 // Pick returns the endpoint at which work is predicted to begin first, or false if it should wait. Endpoints that except
 // returns true for are left out.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
 	best, found := Choice{Cost: math.Inf(1)}, false
+	timely := b.anyTimely(now, pool, w)
 	for _, e := range b.pools[pool] {
-		if e.Leaving || except != nil && except(e.ID) || !b.hasRoom(e, w) {
+		if !e.usable(now) || except != nil && except(e.ID) {
 			continue
 		}
 		c := b.choice(now, e, w)
+		if timely && c.End > w.Deadline.Sub(now) || !b.hasRoom(e, w) {
+			continue
+		}
 		if c.Cost < best.Cost {
 			best, found = c, true
 		}
@@ -174,6 +213,20 @@
 	return best, found
 }
 
+// anyTimely reports whether some endpoint of a pool, busy or not, is predicted to end work before its deadline. Work then waits
+// for such an endpoint rather than take one that would run it in vain.
+func (b *Balancer) anyTimely(now time.Time, pool string, w Work) bool {
+	if w.Deadline.IsZero() || w.Output == 0 {
+		return false
+	}
+	for _, e := range b.pools[pool] {
+		if e.usable(now) && b.choice(now, e, w).End <= w.Deadline.Sub(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Usable reports whether any endpoint of a pool may take work at all.
 func (b *Balancer) Usable(pool string, except func(id string) bool) bool {
 	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.Leaving && (except == nil || !except(e.ID)) })
@@ -190,6 +243,11 @@
 	return taken, all
 }
 
+// usable reports whether an endpoint may take work at all. One that could not be reached is tried by one request at a time.
+func (e *endpoint) usable(now time.Time) bool {
+	return !e.Leaving && !now.Before(e.downUntil) && (e.unreachable == 0 || e.own.Running == 0)
+}
+
 func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
 	running := e.own.Running + e.peers.Running
 	if !e.Engine {
@@ -216,7 +274,16 @@
 		if s, ok := b.sessions[w.Session]; ok && w.Session != "" && s.endpoint == e.ID && now.Sub(s.at) < sessionFor {
 			read, c.Kept = 0, true
 		}
-		c.Cost = b.slowness(e) * (firstEventMS + float64(unread+read)/promptTokensPerMS + crowdMS*float64(running))
+		slow := b.slowness(e)
+		c.Cost = slow * (firstEventMS + float64(unread+read)/promptTokensPerMS + crowdMS*float64(running))
+		c.End = time.Duration((c.Cost + w.events()*e.pace()) * float64(time.Millisecond))
+		gap := slow * float64(w.TokensPerEvent) * (readStepMS + readStepTokenMS*float64(read))
+		if w.EventGap > 0 && gap > float64(w.EventGap.Milliseconds()) {
+			c.Cost += harmMS * float64(running)
+		}
+		if left := w.Deadline.Sub(now); !w.Deadline.IsZero() && left > 0 {
+			c.Cost += lateMS * max(0, float64(c.End)/float64(left)-lateShare) / (1 - lateShare)
+		}
 	} else {
 		c.Cost = 30 * float64(running) / float64(max(e.Slots, 1))
 	}
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -60,14 +60,11 @@
 // End counts the end of a run. Failed is true if the endpoint broke its answer off, did not answer or answered with a failure
 // of its own.
 func (b *Balancer) End(now time.Time, r *Run, failed bool) {
-	if r.ended || r.endpoint == nil {
+	if !r.release() {
 		return
 	}
-	r.ended = true
-	r.read()
 	e := r.endpoint
-	e.own.Running--
-	e.own.Memory -= r.memory
+	e.unreachable = 0
 	rate := e.failing(now) * (1 - failureStep)
 	if failed {
 		rate += failureStep
@@ -87,15 +84,37 @@
 	b.learnTypical(e.Pool)
 }
 
-// Refuse counts the end of a run that the endpoint did not begin. It says nothing about later answers.
-func (b *Balancer) Refuse(r *Run) {
-	if r.ended || r.endpoint == nil {
+// Refuse counts the end of a run that the endpoint did not begin. If another endpoint answers at the address, this one is gone
+// although the list still has it, and takes no more work.
+func (b *Balancer) Refuse(now time.Time, r *Run, replaced bool) {
+	if !r.release() || !replaced {
+		return
+	}
+	r.endpoint.downUntil = now.Add(replacedFor)
+}
+
+// Unreachable counts the end of a run of which nothing could be sent. The endpoint takes no work for a time that grows while
+// connects fail; after it, one request at a time finds out whether it is back.
+func (b *Balancer) Unreachable(now time.Time, r *Run) {
+	if !r.release() {
 		return
 	}
+	e := r.endpoint
+	e.unreachable++
+	wait := min(minDown<<min(e.unreachable-1, maxDownSteps), maxDown)
+	e.downUntil = now.Add(wait)
+}
+
+// release ends a run without an outcome. It returns false if the run had ended before.
+func (r *Run) release() bool {
+	if r.ended || r.endpoint == nil {
+		return false
+	}
 	r.ended = true
 	r.read()
 	r.endpoint.own.Running--
 	r.endpoint.own.Memory -= r.memory
+	return true
 }
 
 // Placed notes that a peer sent the request of a session to an endpoint.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,8 @@
 	orderProven = time.Second
 	// repeatAfter is the silence, in targets, after which an idempotent request goes to another endpoint.
 	repeatAfter = 2.5
+	// waitShare is the part of the target that a request may wait for an endpoint; the rest is for its first event.
+	waitShare = 0.6
 	// maxAnswerBytes bounds an answer that is held before it is passed on.
 	maxAnswerBytes = 8 << 20
 	// refusedRetry is the time after which a caller may return when an endpoint has refused its request.
@@ -85,7 +87,7 @@
 
 // acquire waits for an endpoint for as long as the request can still be prompt.
 func (q *request) acquire() (*admitter.Grant, error) {
-	patience := min(q.rule.Target, time.Until(q.deadline))
+	patience := min(time.Duration(waitShare*float64(q.rule.Target)), time.Until(q.deadline))
 	if q.streaming {
 		patience = min(q.rule.EventGap*2, time.Until(q.deadline))
 	}
@@ -121,7 +123,8 @@
 	case q.ran || q.streaming:
 		q.refuse(http.StatusBadGateway, "no_endpoint_for_repeat", 0)
 	case errors.As(err, &refused):
-		klog.V(1).Infof("gateway: no endpoint request=%s pool=%s reason=%q", q.id, q.pool, refused)
+		klog.InfoS("gateway: no endpoint", "request", q.id, "pool", q.pool, "reason", refused.Reason, "queue", refused.Queue,
+			"taken", refused.Taken, "places", refused.Places, "waited", refused.Waited)
 		q.refuse(http.StatusServiceUnavailable, string(refused.Reason), refused.RetryAfter)
 	default:
 		q.abandoned(err)
@@ -185,7 +188,7 @@
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err == nil {
 			response.Finish()
 		}
-		grant.Refuse(time.Now())
+		grant.Refuse(time.Now(), response.Status == http.StatusMisdirectedRequest)
 		return notRun, held{}, eris.Errorf("endpoint refused with status %d", response.Status)
 	}
 	if response.Header.Get(q.g.Headers.Signature) == "" || response.Header.Get("Content-Encoding") != "" {
@@ -213,7 +216,9 @@
 func (q *request) broken(grant *admitter.Grant, err error) (verdict, held, error) {
 	if q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent {
 		// The caller left; that says nothing about the endpoint.
-		grant.Refuse(time.Now())
+		grant.Refuse(time.Now(), false)
+	} else if !exchanger.Sent(err) {
+		grant.Unreachable(time.Now())
 	} else {
 		grant.End(time.Now(), true)
 	}
@@ -282,13 +287,8 @@
 func (q *request) log(grant *admitter.Grant, v verdict, err error) {
 	c := grant.Choice
 	outcome := [...]string{"answered", "not_run", "interrupted", "failed"}[v]
-	if v == answered {
-		klog.V(1).InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
-			"cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept, "queued", grant.Queued, "waited", q.wait,
-			"after", time.Since(q.started))
-		return
-	}
 	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
 		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept,
-		"queued", grant.Queued, "waited", q.wait, "reason", err, "after", time.Since(q.started))
+		"queued", grant.Queued, "prompt", q.work.Prompt, "output", q.work.Output, "most", q.units-float64(q.work.Prompt), "events", q.events, "first_event", q.firstEvent,
+		"waited", q.wait, "reason", err, "after", time.Since(q.started))
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,9 @@
 	lastEvent string
 	streaming bool
 	wait      time.Duration
+	// events counts the whole events passed on, and firstEvent is the time from the arrival to the first one.
+	events     int
+	firstEvent time.Duration
 }
 
 // serve handles one request.
@@ -98,7 +101,8 @@
 	q.pool = q.rule.Choose(q.id)
 	q.tier = q.rule.Tier
 	if q.workspace != nil && q.workspace.TierSet {
-		q.tier = q.workspace.Tier
+		// Workspaces go before rules; the rules rank the requests of workspaces with the same tier.
+		q.tier += q.workspace.Tier * router.MaxTiers
 	}
 	q.readDeadline()
 	limit := index.Table().Limits.MaxBodyBytes
@@ -108,7 +112,7 @@
 	if !q.readBody(limit) {
 		return false
 	}
-	q.readWork()
+	q.readWork(index)
 	return q.charge()
 }
 
@@ -165,7 +169,7 @@
 }
 
 // readWork reads what the request asks of an engine.
-func (q *request) readWork() {
+func (q *request) readWork(index *router.Index) {
 	h := q.g.Headers
 	prompt, output, stated := strings.Cut(q.r.Header.Get(h.Tokens), ",")
 	in, errIn := strconv.Atoi(strings.TrimSpace(prompt))
@@ -183,7 +187,10 @@
 	if hint, err := strconv.Atoi(q.r.Header.Get(h.Expected)); err == nil && hint > 0 {
 		out = min(out, hint)
 	}
-	q.work = balancer.Work{Prompt: in, Output: out}
+	q.work = balancer.Work{Prompt: in, Output: out, TokensPerEvent: 1, Deadline: q.deadline, EventGap: q.rule.EventGap}
+	if p := index.Pool(q.pool); p != nil && p.Engine != nil {
+		q.work.TokensPerEvent = p.Engine.TokensPerEvent
+	}
 	parts := q.r.Header.Get(h.Parts)
 	last := parts[strings.LastIndexByte(parts, ',')+1:]
 	q.work.Session, _, _ = strings.Cut(strings.TrimSpace(last), ":")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,12 +41,13 @@
 		silence.Reset(limit)
 		if whole := lastEventEnd(buffer); whole > 0 {
 			events := q.fresh(buffer[:whole])
-			buffer = append(buffer[:0], buffer[whole:]...)
 			if err := q.write(control, response, events); err != nil {
-				grant.Refuse(time.Now())
+				grant.Refuse(time.Now(), false)
 				return interrupted, held{}, err
 			}
+			q.countEvents(events)
 			grant.Event(time.Now())
+			buffer = append(buffer[:0], buffer[whole:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(buffer) == 0:
@@ -100,6 +101,16 @@
 	return out
 }
 
+func (q *request) countEvents(events []byte) {
+	if q.events == 0 {
+		q.firstEvent = time.Since(q.started)
+	}
+	for len(events) > 0 {
+		events = events[eventEnd(events):]
+		q.events++
+	}
+}
+
 // after compares two event ids, which are increasing numbers.
 func after(id, than string) bool {
 	a, errA := strconv.ParseInt(id, 10, 64)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -29,6 +29,9 @@
 	Limits     Limits
 }
 
+// MaxTiers is above the tier of every rule, so that tiers of workspaces and rules can be combined in one number.
+const MaxTiers = 1000
+
 // Rule sends the requests of a host and path prefix to pools.
 type Rule struct {
 	Name       string
@@ -160,6 +163,9 @@
 	default:
 		return &InvalidError{Path: path, Reason: fmt.Sprintf("kind %q is not known", r.Kind)}
 	}
+	if r.Tier < 0 || r.Tier >= MaxTiers {
+		return &InvalidError{Path: path, Reason: fmt.Sprintf("tier %d is not from 0 to %d", r.Tier, MaxTiers-1)}
+	}
 	if r.Timeout <= 0 {
 		return &InvalidError{Path: path, Reason: "the timeout must be above 0"}
 	}
