gossiper: small datagrams each 25 ms

Cause: a place that became free stayed empty until the other hosts had heard of it, up to 60 ms of the 100 ms that a lookup holds one. Placements of sessions are not sent any more, since the engines do not keep their prompts.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -129,6 +129,7 @@
 type peer struct {
 	at    time.Time
 	loads map[string]Load
+	paces map[string]float64
 }
 
 // Balancer holds the endpoints of all pools. It is not safe for concurrent use.
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -117,11 +117,6 @@
 	return true
 }
 
-// Placed notes that a peer sent the request of a session to an endpoint.
-func (b *Balancer) Placed(now time.Time, session, endpoint string) {
-	b.remember(now, session, endpoint)
-}
-
 func (b *Balancer) remember(now time.Time, id, endpointID string) {
 	if id == "" {
 		return
@@ -149,7 +144,12 @@
 
 // SetPeer replaces what a peer has in progress.
 func (b *Balancer) SetPeer(now time.Time, host string, loads map[string]Load) {
-	b.peers[host] = peer{at: now, loads: loads}
+	p := b.peers[host]
+	if p.paces == nil {
+		p.paces = map[string]float64{}
+	}
+	p.at, p.loads = now, loads
+	b.peers[host] = p
 	for name, p := range b.peers {
 		if now.Sub(p.at) > peerFor {
 			delete(b.peers, name)
@@ -158,6 +158,13 @@
 	b.sumPeers()
 }
 
+// SetPeerPace notes the pace of an endpoint that a peer has learned, in milliseconds between two events.
+func (b *Balancer) SetPeerPace(host, endpoint string, pace float64) {
+	if p, known := b.peers[host]; known {
+		p.paces[endpoint] = pace
+	}
+}
+
 func (b *Balancer) sumPeers() {
 	for _, e := range b.endpoints {
 		e.peers, e.peerPace = Load{}, 0
@@ -167,8 +174,8 @@
 			e.peers.Running += l.Running
 			e.peers.Unread += l.Unread
 			e.peers.Memory += l.Memory
-			if l.Pace > 0 {
-				e.peerPace += l.Pace
+			if pace := p.paces[e.ID]; pace > 0 {
+				e.peerPace += pace
 				n++
 			}
 		}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +22,6 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/gossiper"
-	"github.com/dragonflycroft/dragonflycroft/internal/gossiper/gossiperpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -32,8 +30,6 @@
 const (
 	// dialTimeout bounds a connect to an endpoint: several round trips between availability zones.
 	dialTimeout = 300 * time.Millisecond
-	// placementsFor is how long placements are repeated to peers, so that a few lost datagrams lose none.
-	placementsFor = 250 * time.Millisecond
 	// leaveTimeout bounds the last heartbeat of a stop.
 	leaveTimeout = 500 * time.Millisecond
 	// stopReserve is kept of the grace of a stop for the end of the process.
@@ -71,6 +67,7 @@
 	entries     atomic.Pointer[[]cataloguer.Entry]
 	stopping    atomic.Bool
 	running     atomic.Pointer[participant.Participant]
+	told        int
 }
 
 // SetControllers replaces the control hosts of the settings while the host runs.
@@ -200,49 +197,6 @@
 	return out
 }
 
-// state is what this host tells its peers.
-func (h *Host) state() *gossiperpb.State {
-	s := &gossiperpb.State{Leaving: h.stopping.Load()}
-	h.admitter.View(func(b *balancer.Balancer) {
-		for id, l := range b.Loads() {
-			s.Loads = append(s.Loads, &gossiperpb.Load{
-				Endpoint: id, Running: uint32(l.Running), Unread: uint32(max(l.Unread, 0)), Memory: uint32(max(l.Memory, 0)),
-				PaceUs: uint32(l.Pace * 1000),
-			})
-		}
-	})
-	for workspace, units := range h.gateway.Used() {
-		s.Uses = append(s.Uses, &gossiperpb.Use{Workspace: workspace, Units: uint64(units)})
-	}
-	for _, p := range h.gateway.Placements(time.Now().Add(-placementsFor)) {
-		s.Placements = append(s.Placements, &gossiperpb.Placement{Session: p.Session, Endpoint: p.Endpoint})
-	}
-	return s
-}
-
-// heard takes the state of a peer.
-func (h *Host) heard(s *gossiperpb.State) {
-	loads := make(map[string]balancer.Load, len(s.GetLoads()))
-	for _, l := range s.GetLoads() {
-		loads[l.GetEndpoint()] = balancer.Load{
-			Running: int(l.GetRunning()), Unread: int(l.GetUnread()), Memory: int(l.GetMemory()), Pace: float64(l.GetPaceUs()) / 1000,
-		}
-	}
-	now := time.Now()
-	h.admitter.Update(func(b *balancer.Balancer) {
-		b.SetPeer(now, s.GetHost(), loads)
-		for _, p := range s.GetPlacements() {
-			b.Placed(now, p.GetSession(), p.GetEndpoint())
-		}
-	})
-	used := make(map[string]float64, len(s.GetUses()))
-	for _, u := range s.GetUses() {
-		used[u.GetWorkspace()] = float64(u.GetUnits())
-	}
-	process := s.GetHost() + "/" + strconv.FormatUint(s.GetProcess(), 36)
-	h.gateway.HeardUse(process, time.Duration(s.GetAgeMs())*time.Millisecond, used)
-}
-
 // unready returns an empty text, or why this host should receive no more connections.
 func (h *Host) unready() string {
 	index, fresh := h.table()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,6 @@
 		if first {
 			q.g.sent(q.pool)
 		}
-		q.g.notePlaced(q.work.Session, e.ID)
 	}
 	if err != nil {
 		return q.broken(grant, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,22 +77,13 @@
 	Client *exchanger.Client
 	// RepeatLimit bounds the requests that are sent once more.
 	RepeatLimit allotter.RepeatLimit
-	// KnownKey reports whether a key may belong to a table that this host does not have yet; it may be nil.
+
 	server   *http.Server
 	mu       sync.Mutex
 	allots   *allotter.Allotter
 	repeats  map[string]*allotter.Repeats
-	placed   []Placed
 	stopping atomic.Bool
 	active   atomic.Int64
-	body     chan struct{}
-}
-
-// Placed tells where the prompt of a session was sent.
-type Placed struct {
-	Session  string
-	Endpoint string
-	At       time.Time
 }
 
 // Init prepares the state that Run and the callers of other methods use.
@@ -199,29 +190,6 @@
 	g.allots.Heard(time.Now(), process, age, used)
 }
 
-// Placements returns where sessions were sent since a time.
-func (g *Gateway) Placements(since time.Time) []Placed {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for len(g.placed) > 0 && g.placed[0].At.Before(since) {
-		g.placed = g.placed[1:]
-	}
-	return append([]Placed(nil), g.placed...)
-}
-
-func (g *Gateway) notePlaced(session, endpoint string) {
-	if session == "" {
-		return
-	}
-	const maxPlaced = 256
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.placed) >= maxPlaced {
-		g.placed = g.placed[1:]
-	}
-	g.placed = append(g.placed, Placed{Session: session, Endpoint: endpoint, At: time.Now()})
-}
-
 // sent counts a first send to a pool.
 func (g *Gateway) sent(pool string) {
 	g.mu.Lock()
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// DefaultInterval is the time between two datagrams to each peer. A peer places about as many requests in it as an engine
-	// has places for, divided by the number of engines.
-	DefaultInterval = 60 * time.Millisecond
+	// DefaultInterval is the time between two datagrams to each peer. A place that a peer's request leaves stays empty for this
+	// time; it is a few percent of the time that a stream holds a place.
+	DefaultInterval = 25 * time.Millisecond
 	// maxDatagram is the largest payload of a datagram.
 	maxDatagram = 60 << 10
 	macBytes    = 16
@@ -59,7 +59,6 @@
 
 type lastSeen struct {
 	process, seq uint64
-	age          uint64
 }
 
 // Listen binds the address.
@@ -165,7 +164,7 @@
 	return s, eris.Wrap(proto.Unmarshal(body, s), "decode")
 }
 
-// newer drops a datagram that a later one of its process, or a later process of its host, has overtaken.
+// newer drops a datagram that a later one of its process has overtaken, and those that come back to their sender.
 func (g *Gossiper) newer(s *gossiperpb.State) bool {
 	last, known := g.last[s.GetHost()]
 	if s.GetHost() == g.HostID {
@@ -174,6 +173,6 @@
 	if known && last.process == s.GetProcess() && s.GetSeq() <= last.seq {
 		return false
 	}
-	g.last[s.GetHost()] = lastSeen{process: s.GetProcess(), seq: s.GetSeq(), age: s.GetAgeMs()}
+	g.last[s.GetHost()] = lastSeen{process: s.GetProcess(), seq: s.GetSeq()}
 	return true
 }
