--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,119 @@
+package admitter_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+)
+
+func oneSlot() *admitter.Admitter {
+	b := balancer.New("z")
+	b.SetEndpoints([]balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 1, Engine: true}})
+	return admitter.New(b)
+}
+
+// In a flood the most urgent waiting request goes first, and within a tier the one with the earliest deadline, which is the
+// one that was refused before.
+func TestOrderInFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := oneSlot()
+		held, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		for _, w := range []struct {
+			name string
+			tier int
+			left time.Duration
+		}{{"low", 2, time.Second}, {"new", 1, 15 * time.Second}, {"returned", 1, 9 * time.Second}, {"urgent", 0, 20 * time.Second}} {
+			wg.Go(func() {
+				g, err := a.Acquire(t.Context(), admitter.Ask{
+					Pool: "p", Tier: w.tier, Patience: time.Minute, Work: balancer.Work{Deadline: time.Now().Add(w.left)},
+				})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				order = append(order, w.name)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				g.End(time.Now(), false)
+			})
+			synctest.Wait()
+		}
+		held.End(time.Now(), false)
+		wg.Wait()
+		if diff := cmp.Diff([]string{"urgent", "returned", "new", "low"}, order); diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A request that cannot be placed is refused once its patience ends, and never holds a place afterwards. The retry time grows
+// with the age of the flood and differs between callers.
+func TestRefusalInFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := oneSlot()
+		held, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var retries []time.Duration
+		for range 20 {
+			_, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: 100 * time.Millisecond})
+			var refused *admitter.RefusedError
+			if !errors.As(err, &refused) || refused.Reason != admitter.Waited || refused.Waited != 100*time.Millisecond {
+				t.Fatalf("error %v, want a refusal after 100ms", err)
+			}
+			retries = append(retries, refused.RetryAfter)
+		}
+		if retries[0] < 100*time.Millisecond || retries[len(retries)-1] < 1500*time.Millisecond || retries[18] == retries[19] {
+			t.Errorf("retry times %v do not follow the flood", retries)
+		}
+		held.End(time.Now(), false)
+		if _, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second}); err != nil {
+			t.Errorf("a place is lost: %v", err)
+		}
+	})
+}
+
+// A caller that leaves while it waits takes no place.
+func TestCallerLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := oneSlot()
+		held, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		if _, err := a.Acquire(ctx, admitter.Ask{Pool: "p", Patience: time.Second}); !errors.Is(err, context.Canceled) {
+			t.Errorf("error %v, want canceled", err)
+		}
+		held.End(time.Now(), false)
+		if _, err := a.Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second}); err != nil {
+			t.Errorf("a place is lost: %v", err)
+		}
+	})
+}
+
+// A pool without endpoints refuses at once instead of holding its callers.
+func TestNoEndpoint(t *testing.T) {
+	_, err := admitter.New(balancer.New("z")).Acquire(t.Context(), admitter.Ask{Pool: "p", Patience: time.Second})
+	var refused *admitter.RefusedError
+	if !errors.As(err, &refused) || refused.Reason != admitter.NoEndpoint {
+		t.Errorf("error %v, want no endpoint", err)
+	}
+}
--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -15,6 +15,8 @@
 const (
 	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
 	silentAfter = 500 * time.Millisecond
+	// minBurst is the burst of a limit that names none. A bucket without any room would never admit a request.
+	minBurst = 100 * time.Millisecond
 	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
 	// nothing.
 	forgetAfter = 5 * time.Second
@@ -56,6 +58,7 @@
 // SetLimits replaces the limits by workspace. A workspace without one is not limited.
 func (a *Allotter) SetLimits(now time.Time, limits map[string]Limit) {
 	for name, l := range limits {
+		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		b := a.buckets[name]
 		if b == nil {
 			b = &bucket{at: a.started}
--- /dev/null
+++ b/internal/allotter/allotter_test.go
@@ -0,0 +1,140 @@
+package allotter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
+)
+
+const (
+	rate   = 1000.0
+	burst  = 1000.0
+	window = 8.0
+	cost   = 40.0
+	tick   = 5 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+type fleet struct {
+	hosts []*allotter.Allotter
+	ran   []float64 // units admitted per tick, over all hosts
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for range n {
+		a := allotter.New(start)
+		a.SetLimits(start, map[string]allotter.Limit{"w": {Rate: rate, Burst: burst}})
+		f.hosts = append(f.hosts, a)
+	}
+	return f
+}
+
+// run offers demand units a second at random hosts and exchanges counters each interval between hosts that connected joins.
+func (f *fleet) run(from, length time.Duration, demand float64, interval time.Duration, connected func(a, b int) bool) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	due := 0.0
+	for at := from; at < from+length; at += tick {
+		now := start.Add(at)
+		admitted := 0.0
+		for due += demand * tick.Seconds(); due >= cost; due -= cost {
+			if ok, _ := f.hosts[rng.IntN(len(f.hosts))].Take(now, "w", cost); ok {
+				admitted += cost
+			}
+		}
+		f.ran = append(f.ran, admitted)
+		if at%interval != 0 {
+			continue
+		}
+		for i, a := range f.hosts {
+			for j, b := range f.hosts {
+				if i != j && connected(i, j) {
+					b.Heard(now, string(rune('a'+i)), at, a.Used())
+				}
+			}
+		}
+	}
+}
+
+// most returns the largest number of units in any window.
+func (f *fleet) most() float64 {
+	n, sum, most := int(window/tick.Seconds()), 0.0, 0.0
+	for i, units := range f.ran {
+		sum += units
+		if i >= n {
+			sum -= f.ran[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func all(int, int) bool { return true }
+
+// Six hosts that each know only their own use would admit six times the allotment.
+func TestAllotmentOverAllHosts(t *testing.T) {
+	f := newFleet(6)
+	f.run(0, 30*time.Second, 6*rate, 100*time.Millisecond, all)
+	if limit := (rate*window + burst) * 1.1; f.most() > limit {
+		t.Errorf("%.0f units in a window, want at most %.0f", f.most(), limit)
+	}
+}
+
+// What is below the allotment is not refused: the counters must not take it twice.
+func TestDemandBelowAllotment(t *testing.T) {
+	f := newFleet(6)
+	f.run(0, 5*time.Second, 0, 100*time.Millisecond, all)
+	f.run(5*time.Second, 20*time.Second, 0.9*rate, 100*time.Millisecond, all)
+	total := 0.0
+	for _, units := range f.ran {
+		total += units
+	}
+	if want := 0.9 * rate * 20 * 0.99; total < want {
+		t.Errorf("%.0f units admitted, want at least %.0f", total, want)
+	}
+}
+
+// Hosts that cannot hear each other must not each use the whole allotment. A host without a confirmed configuration admits
+// nothing after three seconds, so a longer cut does not matter.
+func TestAllotmentInCut(t *testing.T) {
+	f := newFleet(6)
+	f.run(0, 12*time.Second, 6*rate, 100*time.Millisecond, all)
+	f.run(12*time.Second, 3*time.Second, 6*rate, 100*time.Millisecond, func(a, b int) bool { return a%2 == b%2 })
+	f.run(15*time.Second, 10*time.Second, 6*rate, 100*time.Millisecond, all)
+	if limit := (rate*window+burst)*1.1 + rate; f.most() > limit {
+		t.Errorf("%.0f units in a window, want at most %.0f", f.most(), limit)
+	}
+}
+
+// A process that restarts does not know what its peers have admitted just before; it must not begin with a full burst.
+func TestRestartBeginsEmpty(t *testing.T) {
+	f := newFleet(1)
+	if ok, _ := f.hosts[0].Take(start, "w", cost); ok {
+		t.Error("a new host admitted a request before any time had passed")
+	}
+}
+
+// Repeats of all hosts together stay within the ratio and the slack of a window.
+func TestRepeats(t *testing.T) {
+	const hosts, requests = 6, 600
+	limit := allotter.RepeatLimit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
+	taken, now := 0, start
+	parts := make([]*allotter.Repeats, hosts)
+	for i := range parts {
+		parts[i] = allotter.NewRepeats(start, limit, hosts)
+	}
+	for i := range requests {
+		now = start.Add(limit.Window * time.Duration(i) / requests)
+		part := parts[i%hosts]
+		part.Sent(hosts)
+		for part.Take(now, hosts) {
+			taken++
+		}
+	}
+	if most := limit.Ratio*requests + limit.Slack; float64(taken) > most {
+		t.Errorf("%d repeats of %d requests, want at most %.0f", taken, requests, most)
+	}
+}
--- /dev/null
+++ b/internal/enroller/enroller_test.go
@@ -0,0 +1,67 @@
+package enroller_test
+
+import (
+	"embed"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/enroller"
+	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
+)
+
+//go:embed testdata/*.txt
+var cases embed.FS
+
+var options = enroller.Options{Voters: 5, AliveFor: time.Second, RemoveAfter: 5 * time.Second}
+
+// Each block of the file is a membership, the control hosts that were heard, and the change that must follow. It guards against
+// voters that never become enough, a lost folder that keeps its vote, and a removal that leaves no quorum.
+func TestNext(t *testing.T) {
+	raw, err := cases.ReadFile("testdata/next.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for block := range strings.SplitSeq(strings.TrimSpace(string(raw)), "\n\n") {
+		lines := strings.Split(block, "\n")
+		name := strings.TrimPrefix(lines[0], "# ")
+		t.Run(name, func(t *testing.T) {
+			var members journaler.Membership
+			var heard []enroller.Host
+			want := ""
+			for _, line := range lines[1:] {
+				kind, rest, _ := strings.Cut(line, " ")
+				var id string
+				var folder uint64
+				var silence time.Duration
+				switch kind {
+				case "voter", "learner":
+					if _, err := fmt.Sscanf(rest, "%s %d", &id, &folder); err != nil {
+						t.Fatalf("line %q: %v", line, err)
+					}
+					members = append(members, journaler.Member{ID: id, Addr: id, Voter: kind == "voter", Incarnation: folder})
+				case "heard":
+					var ago string
+					if _, err := fmt.Sscanf(rest, "%s %d %s", &id, &folder, &ago); err != nil {
+						t.Fatalf("line %q: %v", line, err)
+					}
+					if silence, err = time.ParseDuration(ago); err != nil {
+						t.Fatalf("line %q: %v", line, err)
+					}
+					heard = append(heard, enroller.Host{ID: id, Addr: id, Folder: folder, Silence: silence})
+				case "next":
+					want = rest
+				default:
+					t.Fatalf("line %q is not known", line)
+				}
+			}
+			c := enroller.Next(members, heard, options)
+			if diff := cmp.Diff(want, strings.TrimSpace(string(c.Action)+" "+c.ID)); diff != "" {
+				t.Errorf("change (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,420 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+)
+
+var testHeaders = gateway.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", Expected: "X-Expected", Parts: "X-Parts", Workspace: "X-Workspace",
+	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEvent: "Last-Event-Id", KeyScheme: "Token",
+	Internal: []string{"X-Hold"},
+}
+
+// endpoint is a stand-in that answers each connection's requests with scripted bytes.
+type endpoint struct {
+	id, addr string
+
+	mu       sync.Mutex
+	requests []string
+	// answer returns the pieces to write for a request; after the last one the connection is closed if done is true.
+	answer func(n int, r *http.Request) (pieces []string, done bool)
+}
+
+func startEndpoint(t *testing.T, id string, answer func(n int, r *http.Request) ([]string, bool)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{id: id, addr: l.Addr().String(), answer: answer}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { e.serve(c) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		e.mu.Lock()
+		n := len(e.requests)
+		e.requests = append(e.requests, fmt.Sprintf("%s %s id=%s workspace=%q hold=%q auth=%q last=%q body=%q", r.Method, r.RequestURI,
+			r.Header.Get("X-Id"), r.Header.Get("X-Workspace"), r.Header.Get("X-Hold"), r.Header.Get("Authorization"),
+			r.Header.Get("Last-Event-Id"), body))
+		e.mu.Unlock()
+		pieces, done := e.answer(n, r)
+		for _, p := range pieces {
+			if _, err := io.WriteString(c, p); err != nil {
+				return
+			}
+			// Each piece reaches the reader by itself.
+			time.Sleep(5 * time.Millisecond)
+		}
+		if done {
+			return
+		}
+	}
+}
+
+func (e *endpoint) seen() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.requests...)
+}
+
+// answer is a whole answer with a length.
+func answer(r *http.Request, status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Id"), header, len(body), body)
+}
+
+const signed = "X-Signature: s\r\n"
+
+// stream is the head of a stream whose pieces are chunks.
+func stream(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+type host struct {
+	addr    string
+	gateway *gateway.Gateway
+	fresh   bool
+}
+
+// startHost runs a gateway with the rules /order/, /read/, /chat/ and /resume/ before the endpoints.
+func startHost(t *testing.T, endpoints ...*endpoint) *host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rule := func(path string, kind router.Kind, attempts int, resumable bool) router.Rule {
+		return router.Rule{
+			Name: path, Host: "h", PathPrefix: "/" + path + "/", Kind: kind, Timeout: 2 * time.Second, Target: 300 * time.Millisecond,
+			Attempts: attempts, Resumable: resumable, EventGap: 200 * time.Millisecond, Targets: []router.Target{{Pool: "p", Weight: 1}},
+		}
+	}
+	table := &router.Table{
+		Revision: 1,
+		Rules: []router.Rule{
+			rule("order", router.NonIdempotent, 1, false), rule("read", router.Idempotent, 2, false),
+			rule("chat", router.Streaming, 1, false), rule("resume", router.Streaming, 2, true),
+		},
+		Pools: []router.Pool{{Name: "p"}},
+		Workspaces: []router.Workspace{
+			{Name: "w", Keys: []string{"k"}, PlainCost: 1},
+			{Name: "small", Keys: []string{"small-key"}, Rate: 0.001, Burst: 0.001, PlainCost: 1},
+		},
+	}
+	if err := table.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	index := router.NewIndex(table)
+	b := balancer.New("z")
+	var list []balancer.Endpoint
+	for _, e := range endpoints {
+		list = append(list, balancer.Endpoint{ID: e.id, Addr: e.addr, Zone: "z", Pool: "p", Slots: 4})
+	}
+	b.SetEndpoints(list)
+	h := &host{addr: l.Addr().String(), fresh: true}
+	h.gateway = &gateway.Gateway{
+		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return index, h.fresh }, Admitter: admitter.New(b),
+		Client: &exchanger.Client{DialTimeout: time.Second}, RepeatLimit: allotter.RepeatLimit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}
+	h.gateway.Init()
+	h.gateway.SetTable(index)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := h.gateway.Run(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = h.gateway.Close(ctx)
+		wg.Wait()
+	})
+	return h
+}
+
+// send writes a raw request and returns the head and body of the answer, with how it ended.
+func (h *host) send(t *testing.T, raw string) (status int, header http.Header, body string, whole bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, raw); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil, "", false
+	}
+	got, err := io.ReadAll(r.Body)
+	return r.StatusCode, r.Header, string(got), err == nil
+}
+
+func post(path, key string, more ...string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nAuthorization: Token " + key + "\r\n" + strings.Join(more, "") +
+		"Content-Length: 2\r\n\r\nhi"
+}
+
+// A wrong status, a key that reaches an endpoint or a header that only the system may set would be found here.
+func TestForward(t *testing.T) {
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, http.StatusOK, signed, "done")}, false
+	})
+	h := startHost(t, e)
+	status, header, body, whole := h.send(t, post("/order/a?b=c", "k", "X-Hold: forged\r\nX-Workspace: forged\r\n"))
+	got := []any{status, header.Get("X-Signature"), body, whole, e.seen()}
+	want := []any{200, "s", "done", true, []string{`POST /order/a?b=c id=1 workspace="w" hold="" auth="" last="" body="hi"`}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("forwarded request (-want +got):\n%s", diff)
+	}
+}
+
+// Refusals are true and come with the status that tells callers what to do; nothing reaches an endpoint.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		raw    string
+		stale  bool
+		status int
+		retry  bool
+	}{
+		"unknown path":        {raw: post("/none/", "k"), status: 404},
+		"unknown key":         {raw: post("/order/", "x"), status: 401},
+		"empty allotment":     {raw: post("/order/", "small-key"), status: 429, retry: true},
+		"unconfirmed table":   {raw: post("/order/", "k"), stale: true, status: 503, retry: true},
+		"two lengths":         {raw: post("/order/", "k", "Content-Length: 3\r\n"), status: 400},
+		"length and encoding": {raw: post("/order/", "k", "Transfer-Encoding: chunked\r\n"), status: 400},
+		"long header":         {raw: post("/order/", "k", "X-Long: "+strings.Repeat("a", 64<<10)+"\r\n"), status: 431},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+				return []string{answer(r, http.StatusOK, signed, "done")}, false
+			})
+			h := startHost(t, e)
+			h.fresh = !c.stale
+			var spent []string
+			if strings.Contains(c.raw, "small-key") {
+				// One request may take the allotment below zero; the next one is refused.
+				h.send(t, c.raw)
+				spent = e.seen()
+			}
+			status, header, _, _ := h.send(t, c.raw)
+			got := []any{status, header.Get("Retry-After") != "", header.Get("X-Signature"), e.seen()}
+			if diff := cmp.Diff([]any{c.status, c.retry, "", spent}, got); diff != "" {
+				t.Errorf("refusal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A stream is cut into pieces at any byte. An event that is overwritten by the beginning of the next one, or one that is lost
+// at a boundary, would be found here.
+func TestStreamInPieces(t *testing.T) {
+	var events strings.Builder
+	for i := range 40 {
+		fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", i, strings.Repeat(string(rune('a'+i%26)), i*3))
+	}
+	text := events.String()
+	for _, size := range []int{1, 7, 33, 250} {
+		e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+			pieces := []string{stream(r)}
+			var batch string
+			for at := 0; at < len(text); at += size {
+				batch += chunk(text[at:min(at+size, len(text))])
+				if len(batch) > 600 {
+					pieces, batch = append(pieces, batch), ""
+				}
+			}
+			return append(pieces, batch, "0\r\n\r\n"), false
+		})
+		h := startHost(t, e)
+		status, _, body, whole := h.send(t, post("/chat/", "k"))
+		if diff := cmp.Diff([]any{200, text, true}, []any{status, body, whole}); diff != "" {
+			t.Errorf("pieces of %d bytes (-want +got):\n%s", size, diff)
+		}
+	}
+}
+
+// resumable answers the first request with a stream that breaks off within an event.
+func resumable(n int, r *http.Request) ([]string, bool) {
+	if n == 0 {
+		return []string{stream(r), chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")}, true
+	}
+	return nil, true
+}
+
+// A stream that may be resumed goes on at another endpoint after its last whole event, in one answer.
+func TestResume(t *testing.T) {
+	first := startEndpoint(t, "e1", resumable)
+	second := startEndpoint(t, "e2", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{stream(r), chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"), "0\r\n\r\n"}, false
+	})
+	h := startHost(t, first, second)
+	status, _, body, whole := h.send(t, post("/resume/", "k"))
+	want := []any{200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", true}
+	if diff := cmp.Diff(want, []any{status, body, whole}); diff != "" {
+		t.Errorf("resumed stream (-want +got):\n%s", diff)
+	}
+	if got := second.seen(); len(got) != 1 || !strings.Contains(got[0], `last="2"`) {
+		t.Errorf("second endpoint saw %q, want one request that goes on after event 2", got)
+	}
+}
+
+// The endpoint at which a stream should go on answers with a failure. Its body must not follow the events that the caller has,
+// and the answer must not look complete.
+func TestResumeMeetsFailure(t *testing.T) {
+	first := startEndpoint(t, "e1", resumable)
+	second := startEndpoint(t, "e2", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, http.StatusInternalServerError, signed, "failed")}, false
+	})
+	h := startHost(t, first, second)
+	status, _, body, whole := h.send(t, post("/resume/", "k"))
+	if diff := cmp.Diff([]any{200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false}, []any{status, body, whole}); diff != "" {
+		t.Errorf("stream (-want +got):\n%s", diff)
+	}
+}
+
+// Faulty answers of endpoints: what may have run is never answered with a status that promises that it has not, is not sent
+// again unless that is allowed, and no foreign bytes reach the caller.
+func TestFaultyAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		answer func(n int, r *http.Request) ([]string, bool)
+		status int
+		body   string
+		runs   int
+	}{
+		"order cut off": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{strings.TrimSuffix(answer(r, 200, signed, "done"), "ne")}, true
+		}, 502, "", 1},
+		"order closed": {"/order/", func(int, *http.Request) ([]string, bool) { return nil, true }, 502, "", 1},
+		"order without signature": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 200, "", "forged")}, false
+		}, 502, "", 1},
+		"order refused": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 503, "X-Not-Run: 1\r\n", "")}, false
+		}, 503, "", 1},
+		"order that ran with status 503": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 503, signed, "failed")}, false
+		}, 502, "", 1},
+		"order that failed": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 500, signed, "failed")}, false
+		}, 500, "failed", 1},
+		"order after a stray answer": {"/order/", func(_ int, r *http.Request) ([]string, bool) {
+			stray := &http.Request{Header: http.Header{"X-Id": {"0"}}}
+			return []string{answer(stray, 200, signed, "stray") + answer(r, 200, signed, "own")}, false
+		}, 200, "own", 1},
+		"read that fails once": {"/read/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 500, signed, "failed")}, false
+		}, 500, "failed", 1},
+		"stream with another encoding": {"/chat/", func(_ int, r *http.Request) ([]string, bool) {
+			return []string{answer(r, 200, signed+"Content-Encoding: br\r\n", "x")}, false
+		}, 502, "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndpoint(t, "e1", c.answer)
+			h := startHost(t, e)
+			status, _, body, _ := h.send(t, post(c.path, "k"))
+			if status != c.status || c.body != "" && body != c.body || len(e.seen()) != c.runs {
+				t.Errorf("status %d body %q after %d runs, want %d %q after %d", status, body, len(e.seen()), c.status, c.body, c.runs)
+			}
+		})
+	}
+}
+
+// A repeatable request goes to a second endpoint after a failure, and to no third one.
+func TestAttempts(t *testing.T) {
+	fail := func(_ int, r *http.Request) ([]string, bool) { return []string{answer(r, 500, signed, "failed")}, false }
+	a, b, c := startEndpoint(t, "e1", fail), startEndpoint(t, "e2", fail), startEndpoint(t, "e3", fail)
+	h := startHost(t, a, b, c)
+	status, _, _, _ := h.send(t, post("/read/", "k"))
+	if runs := len(a.seen()) + len(b.seen()) + len(c.seen()); status != 500 || runs != 2 {
+		t.Errorf("status %d after %d runs, want 500 after 2", status, runs)
+	}
+}
+
+// A caller that leaves ends the run of a stream at the endpoint, whose place is then free.
+func TestCallerLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{stream(r), chunk("id: 1\n\n")}, false
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, stream(r)+chunk("id: 1\n\n"))
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	}()
+	e.addr = l.Addr().String()
+	h := startHost(t, e)
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, post("/chat/", "k")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the endpoint still works for a caller that has left")
+	}
+}
