--- a/cmd/dragonflycroft/platform.go
+++ b/cmd/dragonflycroft/platform.go
@@ -1,18 +1,27 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"flag"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
-	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/logwriter"
 	"github.com/dragonflycroft/dragonflycroft/platform"
 )
 
+// logFlush bounds the writing of the last log lines at the end of the process.
+const logFlush = 200 * time.Millisecond
+
 type platformCommand struct {
-	SharedKey string `help:"Key that all hosts share, at least 16 bytes; use the environment." default:""`
+	SharedKey   string `help:"Key that all hosts share, at least 16 bytes; use the environment." default:""`
+	MetricsPort string `help:"Port of the metrics; 0 for none." default:"0"`
+	Verbosity   string `help:"Log verbosity, 0 to 4." default:"0" short:"v"`
 }
 
 // Help is shown by platform --help.
@@ -22,15 +31,47 @@
 }
 
 // Run runs the role until a signal ends it.
-func (c *platformCommand) Run() error {
+func (p *platformCommand) Run() error {
+	c := &checker{}
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
-		return &settingsError{problems: []string{platform.SettingsVariable + ": is required"}}
+		c.problems = append(c.problems, "the environment variable "+platform.SettingsVariable+" is required")
+	}
+	if len(p.SharedKey) < minKeyBytes {
+		c.add("shared-key", "must have at least %d bytes", minKeyBytes)
+	}
+	const maxPort = 65535
+	port := c.number("metrics-port", p.MetricsPort, 0)
+	if port > maxPort {
+		c.add("metrics-port", "is %d; it must be at most %d", port, maxPort)
+	}
+	if n := c.number("verbosity", p.Verbosity, 0); n > 4 {
+		c.add("verbosity", "is %d; it must be at most 4", n)
 	}
-	if len(c.SharedKey) < minKeyBytes {
-		return eris.Errorf("--shared-key must have at least %d bytes", minKeyBytes)
+	if err := c.err(); err != nil {
+		return err
 	}
+	logs, err := logToStdout(p.Verbosity)
+	if err != nil {
+		return err
+	}
+	defer logs.Close(logFlush)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return platform.Run(ctx, path, []byte(c.SharedKey))
+	return platform.Run(ctx, platform.Options{SettingsPath: path, Key: []byte(p.SharedKey), MetricsPort: port})
+}
+
+// logToStdout makes the log go to standard output through a writer that never blocks.
+func logToStdout(verbosity string) (*logwriter.Writer, error) {
+	logging := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logging)
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "v": verbosity} {
+		if err := logging.Set(name, value); err != nil {
+			return nil, err
+		}
+	}
+	answered := []byte(`outcome="answered"`)
+	w := &logwriter.Writer{Output: os.Stdout, Routine: func(line []byte) bool { return bytes.Contains(line, answered) }}
+	klog.SetOutput(w)
+	return w, nil
 }
--- a/internal/allotter/allotter_test.go
+++ b/internal/allotter/allotter_test.go
@@ -121,13 +121,13 @@
 func TestRepeats(t *testing.T) {
 	const hosts, requests = 6, 600
 	limit := allotter.RepeatLimit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
-	taken, now := 0, start
+	taken := 0
 	parts := make([]*allotter.Repeats, hosts)
 	for i := range parts {
 		parts[i] = allotter.NewRepeats(start, limit, hosts)
 	}
 	for i := range requests {
-		now = start.Add(limit.Window * time.Duration(i) / requests)
+		now := start.Add(limit.Window * time.Duration(i) / requests)
 		part := parts[i%hosts]
 		part.Sent(hosts)
 		for part.Take(now, hosts) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,7 @@
 		switch v {
 		case answered:
 			countRequests.Add("answered", 1)
+			answerTimes.Observe(q.label(), time.Since(q.started))
 			return
 		case failed:
 			last = answer
@@ -97,6 +98,7 @@
 		Except: func(id string) bool { return q.tried[id] },
 	})
 	q.wait += time.Since(began)
+	waitTimes.Observe(q.label(), time.Since(began))
 	return grant, err
 }
 
@@ -283,9 +285,13 @@
 	}
 }
 
+// label names the kind of request in metrics.
+func (q *request) label() string { return string(q.rule.Kind) + "/" + strconv.Itoa(q.rule.Tier) }
+
 func (q *request) log(grant *admitter.Grant, v verdict, err error) {
 	c := grant.Choice
 	outcome := [...]string{"answered", "not_run", "interrupted", "failed"}[v]
+	countSends.Add(outcome, 1)
 	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
 		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept,
 		"queued", grant.Queued, "prompt", q.work.Prompt, "output", q.work.Output, "most", q.units-float64(q.work.Prompt), "events", q.events, "first_event", q.firstEvent,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/observer"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 )
 
@@ -35,7 +36,15 @@
 	unknownRetry = 500 * time.Millisecond
 )
 
-var countRequests = expvar.NewMap("gateway_requests")
+// Metrics of the gateway. The histograms have a label KIND/TIER of the rule.
+var (
+	countRequests   = expvar.NewMap("gateway_requests")
+	countSends      = expvar.NewMap("gateway_sends")
+	countDials      = expvar.NewInt("gateway_endpoint_connects")
+	waitTimes       = observer.NewHistogram("gateway_wait_ms")
+	firstEventTimes = observer.NewHistogram("gateway_first_event_ms")
+	answerTimes     = observer.NewHistogram("gateway_answer_ms")
+)
 
 // Headers names the headers of the installation. A name that is empty is not used.
 type Headers struct {
@@ -88,6 +97,7 @@
 
 // Init prepares the state that Run and the callers of other methods use.
 func (g *Gateway) Init() {
+	g.Client.OnDial = func(string) { countDials.Add(1) }
 	g.allots = allotter.New(time.Now())
 	g.repeats = map[string]*allotter.Repeats{}
 	g.server = &http.Server{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -366,7 +366,9 @@
 
 // A repeatable request goes to a second endpoint after a failure, and to no third one.
 func TestAttempts(t *testing.T) {
-	fail := func(_ int, r *http.Request) ([]string, bool) { return []string{answer(r, 500, signed, "failed")}, false }
+	fail := func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, 500, signed, "failed")}, false
+	}
 	a, b, c := startEndpoint(t, "e1", fail), startEndpoint(t, "e2", fail), startEndpoint(t, "e3", fail)
 	h := startHost(t, a, b, c)
 	status, _, _, _ := h.send(t, post("/read/", "k"))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,6 +104,7 @@
 func (q *request) countEvents(events []byte) {
 	if q.events == 0 {
 		q.firstEvent = time.Since(q.started)
+		firstEventTimes.Observe(q.label(), q.firstEvent)
 	}
 	for len(events) > 0 {
 		events = events[eventEnd(events):]
--- /dev/null
+++ b/internal/logwriter/logwriter_test.go
@@ -0,0 +1,78 @@
+package logwriter_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/logwriter"
+)
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// A reader that stops reading must not hold up the requests whose lines nobody takes.
+func TestReaderStops(t *testing.T) {
+	r, out := io.Pipe()
+	defer func() { _ = r.Close() }()
+	w := &logwriter.Writer{Output: out, Lines: 1e6, Bytes: 1e9}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for range 5000 {
+			_, _ = w.Write([]byte("a line\n"))
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing a line blocks")
+	}
+}
+
+// In a flood the lines of routine are dropped first, and the log tells how many are missing.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &buffer{}
+		w := &logwriter.Writer{Output: out, Lines: 50, Routine: func(line []byte) bool { return bytes.HasPrefix(line, []byte("routine")) }}
+		for range 10 {
+			for range 100 {
+				_, _ = w.Write([]byte("routine\n"))
+			}
+			for range 10 {
+				_, _ = w.Write([]byte("failure\n"))
+			}
+			time.Sleep(time.Second)
+		}
+		_, _ = w.Write([]byte("last\n"))
+		w.Close(time.Second)
+		got := out.String()
+		if n := strings.Count(got, "failure"); n != 100 {
+			t.Errorf("%d of 100 failures are in the log", n)
+		}
+		if n := strings.Count(got, "routine\n"); n > 600 || n < 200 {
+			t.Errorf("%d lines of routine are in the log, want at most the budget", n)
+		}
+		if !strings.Contains(got, "lines dropped budget=") {
+			t.Error("the log does not tell what is missing")
+		}
+	})
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -11,7 +11,8 @@
 // The longest prefix of a host decides; a wrong one sends requests to another pool.
 func TestRule(t *testing.T) {
 	x := router.NewIndex(&router.Table{Rules: []router.Rule{
-		{Name: "a", Host: "h.example", PathPrefix: "/a/"}, {Name: "ab", Host: "h.example", PathPrefix: "/a/b/"},
+		{Name: "a", Host: "h.example", PathPrefix: "/a/"},
+		{Name: "ab", Host: "h.example", PathPrefix: "/a/b/"},
 		{Name: "other", Host: "other.example", PathPrefix: "/a/"},
 	}})
 	got := map[string]string{}
@@ -35,9 +36,10 @@
 	const requests = 10_000
 	for i := range requests {
 		id := string(rune(i)) + "x"
-		got[r.Choose(id)]++
-		if r.Choose(id) != r.Choose(id) {
-			t.Fatalf("request %q has two pools", id)
+		pool := r.Choose(id)
+		got[pool]++
+		if again := r.Choose(id); again != pool {
+			t.Fatalf("request %q has the pools %q and %q", id, pool, again)
 		}
 	}
 	if share := float64(got["b"]) / requests; share < 0.08 || share > 0.12 || got["none"] != 0 {
--- a/internal/submitter/client.go
+++ b/internal/submitter/client.go
@@ -16,9 +16,13 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
+	"github.com/dragonflycroft/dragonflycroft/internal/observer"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 )
 
+// importTimes are the times until an import was durable or had failed, by author.
+var importTimes = observer.NewHistogram("submitter_import_ms")
+
 // Methods of the control service.
 const (
 	MethodSubmit = "control.submit"
@@ -157,7 +161,6 @@
 	return nil
 }
 
-// targets returns the addresses to try, the presumed leader first.
 // SetControllers replaces the addresses of the control hosts from the settings.
 func (c *Client) SetControllers(addrs []string) {
 	c.mu.Lock()
@@ -165,6 +168,7 @@
 	c.Controllers = addrs
 }
 
+// targets returns the addresses to try, the presumed leader first.
 func (c *Client) targets() []string {
 	c.mu.Lock()
 	leader, controllers := c.leader, c.Controllers
@@ -214,6 +218,8 @@
 // ImportConfig puts a document of an outside operator interface in force unless a revision as high is in force already. It
 // returns the version of the configuration afterwards.
 func (c *Client) ImportConfig(ctx context.Context, revision uint64, document []byte, author string) (uint64, error) {
+	started := time.Now()
+	defer func() { importTimes.Observe(author, time.Since(started)) }()
 	result, err := c.submit(ctx, &controllerpb.Command{Body: &controllerpb.Command_ImportConfig{
 		ImportConfig: &controllerpb.ImportConfig{Revision: revision, Document: document, Author: author},
 	}})
