gateway: end connections between two requests when a host stops

Change: idle connections are ended by waking their read, so that a request that has been read is always answered; responses of a stopping host carry Connection: close, and idle connections end once the balancer has taken the host out.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	defaultIdleTimeout    = 15 * time.Second
 	// sweepInterval is the time between two searches for kept connections that are no longer needed.
 	sweepInterval = time.Second
+	// closePoll is the time between two looks at the connections that are still open while the gateway closes.
+	closePoll = 10 * time.Millisecond
 	// unknownRetry is the time after which a caller may return to a host that has no confirmed table.
 	unknownRetry = 500 * time.Millisecond
 )
@@ -91,7 +93,9 @@
 	mu       sync.Mutex
 	allots   *allotter.Allotter
 	repeats  map[string]*allotter.Repeats
+	guard    *guardListener
 	stopping atomic.Bool
+	closed   atomic.Bool
 	active   atomic.Int64
 }
 
@@ -100,6 +104,7 @@
 	g.Client.OnDial = func(string) { countDials.Add(1) }
 	g.allots = allotter.New(time.Now())
 	g.repeats = map[string]*allotter.Repeats{}
+	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: defaultHeaderTimeout,
@@ -137,8 +142,8 @@
 			}
 		}
 	}()
-	err := g.server.Serve(&guardListener{Listener: g.Listener})
-	if errors.Is(err, http.ErrServerClosed) {
+	err := g.server.Serve(g.guard)
+	if errors.Is(err, http.ErrServerClosed) || g.closed.Load() {
 		return nil
 	}
 	return eris.Wrap(err, "serve callers")
@@ -155,19 +160,25 @@
 }
 
 // Drain asks callers to leave: every further response closes its connection. New requests are still served.
-func (g *Gateway) Drain() {
-	g.stopping.Store(true)
-	g.server.SetKeepAlivesEnabled(false)
-}
+func (g *Gateway) Drain() { g.stopping.Store(true) }
 
-// Close takes no new connections, waits for the requests in progress until ctx ends and closes the rest.
+// Close takes no new connections, ends those without a request, waits for the requests in progress until ctx ends and closes
+// the rest.
 func (g *Gateway) Close(ctx context.Context) error {
-	err := g.server.Shutdown(ctx)
-	if err != nil {
-		klog.Warningf("gateway: requests cut off at the end of a stop active=%d reason=%q", g.active.Load(), err)
-		_ = g.server.Close()
+	g.stopping.Store(true)
+	g.closed.Store(true)
+	err := g.Listener.Close()
+	g.guard.leave()
+	tick := time.NewTicker(closePoll)
+	defer tick.Stop()
+	for g.guard.remaining() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			klog.InfoS("gateway: requests cut off at the end of a stop", "active", g.active.Load(), "connections", g.guard.remaining())
+		case <-tick.C:
+		}
 	}
-	return errors.Join(err, g.Client.Close())
+	return errors.Join(err, g.server.Close(), g.Client.Close())
 }
 
 // Active returns the number of requests in progress.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -165,7 +165,7 @@
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_ = h.gateway.Close(ctx)
+		_ = h.gateway.Close(ctx) // a second time in some tests
 		wg.Wait()
 	})
 	return h
@@ -420,3 +420,66 @@
 		t.Error("the endpoint still works for a caller that has left")
 	}
 }
+
+// Callers keep using their connections while a host stops. A request that has reached an endpoint must be answered: the HTTP
+// library closes idle connections without a look at a request that has just been read.
+func TestPlannedStop(t *testing.T) {
+	const callers = 16
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, http.StatusOK, signed, "done")}, false
+	})
+	h := startHost(t, e)
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			for n := 0; ; {
+				c, err := net.Dial("tcp", h.addr)
+				if err != nil {
+					return
+				}
+				reader := bufio.NewReader(c)
+				for {
+					id := fmt.Sprintf("%d-%d", caller, n)
+					n++
+					raw := "POST /order/ HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\nAuthorization: Token k\r\nContent-Length: 2\r\n\r\nhi"
+					if _, err := io.WriteString(c, raw); err != nil {
+						break
+					}
+					r, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						break
+					}
+					body, err := io.ReadAll(r.Body)
+					mu.Lock()
+					answered[id] = err == nil && (r.StatusCode != http.StatusOK || string(body) == "done")
+					mu.Unlock()
+					if r.Close {
+						break
+					}
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	h.gateway.Drain()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := h.gateway.Close(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	for _, line := range e.seen() {
+		_, rest, _ := strings.Cut(line, "id=")
+		id, _, _ := strings.Cut(rest, " ")
+		if !answered[id] {
+			t.Errorf("request %s reached the endpoint and has no answer", id)
+		}
+	}
+	if n := len(e.seen()); n < callers {
+		t.Errorf("only %d requests were served", n)
+	}
+}
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
 )
 
 type connKey struct{}
@@ -11,40 +15,102 @@
 // maxRecorded bounds the bytes of a request head that are kept for the check of its framing.
 const maxRecorded = 32 << 10
 
-// guardListener keeps the raw head of each request. The HTTP library drops a Content-Length beside a Transfer-Encoding, so
-// that a handler cannot see that a request had both: another program on the way may have read it with the other length.
-type guardListener struct{ net.Listener }
+// guardListener keeps the raw head of each request, and lets connections end between two requests.
+//
+// The HTTP library drops a Content-Length beside a Transfer-Encoding, so that a handler cannot see that a request had both:
+// another program on the way may have read it with the other length. And when it closes idle connections, it may close one
+// whose next request has just been read and is about to be passed on.
+type guardListener struct {
+	net.Listener
+
+	mu      sync.Mutex
+	open    map[*guardConn]struct{}
+	leaving bool
+}
 
 // Accept implements net.Listener.
 func (l *guardListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &guardConn{Conn: c, recording: true}, nil
+	c := &guardConn{Conn: raw, listener: l, recording: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.leaving = l.leaving
+	l.open[c] = struct{}{}
+	return c, nil
+}
+
+// leave ends every connection as soon as no request is in progress on it.
+func (l *guardListener) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+	for c := range l.open {
+		c.leave()
+	}
+}
+
+// remaining returns the number of open connections.
+func (l *guardListener) remaining() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
 type guardConn struct {
 	net.Conn
+	listener *guardListener
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// recording is true from the end of a request until the next one is handled, and head is what was read in that time.
 	recording bool
 	head      []byte
+	leaving   bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Bytes that have been read are always passed on, so that the request they belong to is answered.
 func (c *guardConn) Read(b []byte) (int, error) {
+	if c.ends() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		if c.recording && len(c.head)+n <= maxRecorded {
-			c.head = append(c.head, b[:n]...)
-		}
-		c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.recording && len(c.head)+n <= maxRecorded {
+		c.head = append(c.head, b[:n]...)
 	}
 	return n, err
 }
 
+// ends reports whether the connection is to end and no byte of a further request has been read.
+func (c *guardConn) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving && c.recording && len(c.head) == 0
+}
+
+// leave wakes a read that waits for a further request.
+func (c *guardConn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	if c.recording && len(c.head) == 0 {
+		if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+			klog.V(1).InfoS("gateway: idle connection not ended", "reason", err)
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *guardConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // framing is the result of a check of a request head.
 type framing int
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,6 +65,9 @@
 	q := &request{g: g, w: w, r: r, started: time.Now(), id: r.Header.Get(g.Headers.RequestID), tried: map[string]bool{}}
 	// The library would otherwise guess a type and add it to the endpoint's answer.
 	w.Header()["Content-Type"] = nil
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if c, ok := r.Context().Value(connKey{}).(*guardConn); ok {
 		defer c.next()
 		switch c.check() {
