server, gateway: refuse a length that is stated twice

Cause: the callers' listener took a request with a length and an encoding, or with two lengths, as far as the check of the key. Change: the raw head is inspected first; 400, and nothing more is read from the connection. The gateway uses the same check. A header above its limit still ends the callers' connection without an answer in most cases; that is left.

--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/inspector"
 )
 
 type connKey struct{}
@@ -133,17 +135,7 @@
 	if end < 0 {
 		return framingUnseen
 	}
-	lengths, encodings := 0, 0
-	for line := range bytes.SplitSeq(head[:end], []byte("\r\n")) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	if lengths+encodings > 1 {
+	if inspector.Ambiguous(head[:end]) {
 		return framingAmbiguous
 	}
 	return framingClear
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/describer"
 	"github.com/dragonflycroft/dragonflycroft/internal/drainer"
+	"github.com/dragonflycroft/dragonflycroft/internal/inspector"
 	"github.com/dragonflycroft/dragonflycroft/internal/reserver"
 	"github.com/dragonflycroft/dragonflycroft/internal/responder"
 )
@@ -215,6 +216,15 @@
 			discard(c)
 			s.fail(c, f)
 		}
+		if inspector.Ambiguous(c.Request.Header.RawHeaders()) {
+			// What the library took for the body may hold a further request, so nothing more is read from this connection.
+			c.SetConnectionClose()
+			s.fail(c, &responder.Failure{
+				Status: http.StatusBadRequest, Outcome: answerer.NotRun, Reason: "ambiguous_length",
+				Message: "the length of the body is stated more than once",
+			})
+			return
+		}
 		index := s.lookup()
 		if reason := s.Accepting(); isNew && reason != "" || index == nil {
 			if reason == "" {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -315,3 +316,35 @@
 		}
 	}
 }
+
+// A request with a length and an encoding, or with two lengths, was taken as far as the check of the key. What follows it may
+// be a request of its own to another program on the way.
+func TestAmbiguousLength(t *testing.T) {
+	for name, lines := range map[string]string{
+		"length and encoding": "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+		"two lengths":         "Content-Length: 5\r\nContent-Length: 6\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, url := start(t, &Server{})
+			c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			raw := "POST /v1/services/s/a/b HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n" + lines + "\r\n0\r\n\r\nGET /v1/models HTTP/1.1\r\nHost: h\r\n\r\n"
+			if _, err := io.WriteString(c, raw); err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(c)
+			if err != nil && len(got) == 0 {
+				t.Fatal(err)
+			}
+			if n := strings.Count(string(got), "HTTP/1.1 "); !strings.HasPrefix(string(got), "HTTP/1.1 400 ") || n != 1 || r.count() != 0 {
+				t.Errorf("%d answers, %d requests accepted: %q", n, r.count(), got)
+			}
+		})
+	}
+}
