--- /dev/null
+++ b/cmd/dragonflycroft/explain.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/narrator"
+)
+
+type explainCommand struct {
+	ID    string   `arg:"" help:"Id of the request."`
+	Files []string `arg:"" help:"Log files, one for each host; the name of a file is taken for the name of its host."`
+}
+
+// Help is shown by explain --help.
+func (explainCommand) Help() string {
+	return `Reads log files and prints what they say of one request, in order of time: what its hosts believed, each decision with its
+inputs, and the outcome. Lines that cannot be read are skipped and counted. Ends with code 1 if no line names the request.`
+}
+
+// Run prints the story of the request.
+func (e *explainCommand) Run(out io.Writer) error {
+	logs := make([]narrator.Log, 0, len(e.Files))
+	for _, path := range e.Files {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		name := filepath.Base(path)
+		logs = append(logs, narrator.Log{Host: strings.TrimSuffix(name, filepath.Ext(name)), Reader: f})
+	}
+	story, err := narrator.Tell(e.ID, logs)
+	if err != nil {
+		return err
+	}
+	if len(story.Lines) == 0 {
+		return fmt.Errorf("no line of %d files names the request %s (%d lines could not be read)", len(e.Files), e.ID, story.Skipped)
+	}
+	return story.Write(out)
+}
--- a/cmd/dragonflycroft/main.go
+++ b/cmd/dragonflycroft/main.go
@@ -48,6 +48,7 @@
 	Status   statusCommand   `cmd:"" help:"Show the state of a host."`
 	Drain    drainCommand    `cmd:"" help:"Stop new work at endpoints, or allow it again."`
 	Platform platformCommand `cmd:"" help:"Run the role that the settings file of the platform names."`
+	Explain  explainCommand  `cmd:"" help:"Tell the story of one request from log files."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -174,6 +174,9 @@
 		if x.ask.Tier != y.ask.Tier {
 			return x.ask.Tier - y.ask.Tier
 		}
+		if c := x.ask.Work.SizeClass() - y.ask.Work.SizeClass(); c != 0 {
+			return c
+		}
 		// A caller that returns after a refusal has less time left than a new one, and goes first.
 		if c := x.ask.Work.Deadline.Compare(y.ask.Work.Deadline); c != 0 {
 			return c
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -16,6 +17,9 @@
 	// promptTokensPerMS is the rate at which an engine of median speed reads a prompt beside running streams, until it is
 	// learned. It is a common rate of the engines that the pools are made of.
 	promptTokensPerMS = 50
+	// promptTokensPerAnswerToken is the number of prompt tokens that take as much of an engine's time as one token of an
+	// answer beside the streams of a full engine.
+	promptTokensPerAnswerToken = 24
 	// firstEventMS is the time of an engine of median speed from a read prompt to the first event.
 	firstEventMS = 40
 	// maxBacklog is the longest predicted wait for other prompts that a request is placed behind. A longer queue waits at the
@@ -94,6 +98,12 @@
 	EventGap time.Duration
 }
 
+// SizeClass returns the class of the place time that the work is expected to take; each class takes about twice as long as
+// the one before.
+func (w Work) SizeClass() int {
+	return bits.Len(uint(w.Output + w.Prompt/promptTokensPerAnswerToken))
+}
+
 // events returns the expected number of events of the answer.
 func (w Work) events() float64 { return float64(w.Output) / float64(max(w.TokensPerEvent, 1)) }
 
@@ -190,6 +200,9 @@
 	Unread  int
 	// Kept is true if the prompt of the session is expected in the engine's memory.
 	Kept bool
+	// Peers is the number of peers whose loads were counted, and PeersAge the age of the oldest of them.
+	Peers    int
+	PeersAge time.Duration
 	// End is the predicted time to the last event.
 	End time.Duration
 }
@@ -211,9 +224,19 @@
 			best, found = c, true
 		}
 	}
+	best.Peers, best.PeersAge = len(b.peers), b.peersAge(now)
 	return best, found
 }
 
+// peersAge returns the age of the oldest loads of a peer that are counted.
+func (b *Balancer) peersAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range b.peers {
+		oldest = max(oldest, now.Sub(p.at))
+	}
+	return oldest
+}
+
 // anyTimely reports whether some endpoint of a pool, busy or not, is predicted to end work before its deadline. Work then waits
 // for such an endpoint rather than take one that would run it in vain.
 func (b *Balancer) anyTimely(now time.Time, pool string, w Work) bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,7 @@
 	started time.Time
 
 	id        string
+	revision  uint64
 	rule      *router.Rule
 	pool      string
 	workspace *router.Workspace
@@ -93,6 +94,7 @@
 		q.refuse(http.StatusServiceUnavailable, "no_confirmed_table", unknownRetry)
 		return false
 	}
+	q.revision = index.Table().Revision
 	if q.rule = index.Rule(q.r.Host, q.r.URL.EscapedPath()); q.rule == nil {
 		q.refuse(http.StatusNotFound, "no_rule", 0)
 		return false
@@ -226,15 +228,12 @@
 // refuse answers a request with a failure of this system.
 func (q *request) refuse(status int, reason string, retryAfter time.Duration) {
 	countRequests.Add(reason, 1)
-	rule, pool, workspace := "", q.pool, ""
+	rule := ""
 	if q.rule != nil {
 		rule = q.rule.Name
 	}
-	if q.workspace != nil {
-		workspace = q.workspace.Name
-	}
-	klog.InfoS("gateway: request refused", "request", q.id, "status", status, "reason", reason, "rule", rule, "pool", pool,
-		"workspace", workspace, "tier", q.tier, "sends", q.sends, "may_have_run", q.ran, "retry_after", retryAfter,
+	klog.InfoS("gateway: request refused", "request", q.id, "status", status, "reason", reason, "revision", q.revision, "rule", rule,
+		"pool", q.pool, "workspace", q.workspaceName(), "tier", q.tier, "sends", q.sends, "may_have_run", q.ran, "retry_after", retryAfter,
 		"after", time.Since(q.started))
 	if q.streaming {
 		// The head of a success is out; only a broken connection tells the caller that the answer is not whole.
@@ -256,6 +255,13 @@
 	}
 }
 
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
 // forwardHeader builds the header for an endpoint.
 func (q *request) forwardHeader(endpoint string) http.Header {
 	names := q.g.Headers
