--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -28,7 +28,7 @@
 	// crowdMS is the cost of each request that runs beside another one.
 	crowdMS = 2
 	// zoneMS is the cost of the way to another availability zone, with the price of the bytes between them.
-	zoneMS = 6
+	zoneMS = 25
 	// readStepMS is the time of a step of an engine of median speed that also reads a chunk of a prompt. All streams of the
 	// engine advance by one token in it.
 	readStepMS = 19
@@ -272,6 +272,17 @@
 	return !e.Leaving && !now.Before(e.downUntil) && (e.unreachable == 0 || e.own.Running == 0)
 }
 
+// Busiest returns the part of the places that are taken in the busiest pool.
+func (b *Balancer) Busiest() float64 {
+	most := 0.0
+	for pool := range b.pools {
+		if taken, all := b.Places(pool); all > 0 {
+			most = max(most, float64(taken)/float64(all))
+		}
+	}
+	return most
+}
+
 func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
 	running := e.own.Running + e.peers.Running
 	if !e.Engine {
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -68,6 +68,7 @@
 	stopping    atomic.Bool
 	running     atomic.Pointer[participant.Participant]
 	told        int
+	usesAt      time.Time
 }
 
 // SetControllers replaces the control hosts of the settings while the host runs.
@@ -138,7 +139,7 @@
 		h.applyEndpoints()
 	}}
 	h.gossiper = &gossiper.Gossiper{
-		HostID: h.HostID, Addr: h.PeerAddr, Key: h.Key, Peers: h.peers, State: h.state, Heard: h.heard,
+		HostID: h.HostID, Addr: h.PeerAddr, Key: h.Key, Peers: h.peers, Busy: h.busy, State: h.state, Heard: h.heard,
 	}
 	return h.gossiper.Listen()
 }
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -11,15 +11,25 @@
 )
 
 const (
-	// usesEvery and pacesEvery are the numbers of datagrams between two that carry the use of allotments and learned paces.
-	// Uses follow every 100 ms, well below the window of an allotment; paces change over seconds.
-	usesEvery  = 4
-	pacesEvery = 40
+	// pacesEvery is the number of datagrams between two that carry learned paces, which change over seconds.
+	pacesEvery = 20
+	// usesInterval is the time between two datagrams that carry the use of allotments, well below the window of an allotment.
+	usesInterval = 90 * time.Millisecond
 	// unreadUnit and memoryUnit are the numbers of tokens in a unit of a datagram.
 	unreadUnit = 100
 	memoryUnit = 1000
 )
 
+// busyShare is the part of the places of a pool above which every free place counts.
+const busyShare = 0.6
+
+// busy reports whether the places of some pool of engines are scarce.
+func (h *Host) busy() bool {
+	scarce := false
+	h.admitter.View(func(b *balancer.Balancer) { scarce = b.Busiest() > busyShare })
+	return scarce
+}
+
 // digest names an endpoint or workspace in datagrams. Two names of one installation with the same digest would add up their
 // loads, which makes a choice worse and breaks nothing.
 func digest(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -44,7 +54,8 @@
 			}
 		}
 	})
-	if h.told%usesEvery == 0 {
+	if now := time.Now(); now.Sub(h.usesAt) >= usesInterval {
+		h.usesAt = now
 		s.Uses = &gossiperpb.Uses{}
 		for workspace, n := range h.gateway.Used() {
 			s.Uses.Workspace = append(s.Uses.Workspace, digest(workspace))
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -25,6 +25,9 @@
 	// DefaultInterval is the time between two datagrams to each peer. A place that a peer's request leaves stays empty for this
 	// time; it is a few percent of the time that a stream holds a place.
 	DefaultInterval = 25 * time.Millisecond
+	// calmTicks is the number of intervals between two datagrams while there are places enough. Nobody waits for one then, and
+	// the bytes between availability zones have a price.
+	calmTicks = 4
 	// maxDatagram is the largest payload of a datagram.
 	maxDatagram = 60 << 10
 	macBytes    = 16
@@ -44,6 +47,8 @@
 	Interval time.Duration
 	// Peers returns the addresses of the other entry hosts.
 	Peers func() []string
+	// Busy reports whether places are scarce, so that peers should hear of each one at once.
+	Busy func() bool
 	// State returns what to tell; host, process, sequence and age are filled in.
 	State func() *gossiperpb.State
 	// Heard takes the newest state of a peer.
@@ -80,14 +85,17 @@
 	}
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	for {
+	for calm := 0; ; {
 		select {
 		case <-ctx.Done():
 			err := g.conn.Close()
 			g.wg.Wait()
 			return err
 		case <-tick.C:
-			g.tell()
+			if calm++; calm >= calmTicks || g.Busy() {
+				calm = 0
+				g.tell()
+			}
 		}
 	}
 }
