gateway: limits of the table; forwarder: the whole path on real sockets in a test

Limits on heads, bodies and idle connections follow the table in force. TestHost runs a control host and an entry host with a stand-in endpoint: 503 before a configuration, the newest revision, a revoked key, and no service without confirmation.

--- /dev/null
+++ b/internal/forwarder/host_test.go
@@ -0,0 +1,211 @@
+package forwarder_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
+	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
+	"github.com/dragonflycroft/dragonflycroft/internal/forwarder"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
+)
+
+var key = []byte("a key of sixteen bytes or more")
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+type source struct{ addr string }
+
+func (s source) Read(context.Context) ([]cataloguer.Entry, error) {
+	return []cataloguer.Entry{{ID: "e", Pool: "p", Addr: s.addr, Zone: "z", Slots: 4}}, nil
+}
+
+// decode reads the table itself in JSON.
+func decode(document []byte) (*router.Table, error) {
+	t := &router.Table{}
+	if err := json.Unmarshal(document, t); err != nil {
+		return nil, err
+	}
+	return t, t.Validate()
+}
+
+func document(t *testing.T, revision uint64, keys ...string) []byte {
+	t.Helper()
+	raw, err := json.Marshal(router.Table{
+		Revision: revision,
+		Rules: []router.Rule{{
+			Name: "r", Host: "h", PathPrefix: "/a/", Kind: router.Idempotent, Timeout: time.Second, Target: 500 * time.Millisecond,
+			Attempts: 1, Targets: []router.Target{{Pool: "p", Weight: 1}},
+		}},
+		Pools: []router.Pool{{Name: "p"}}, Workspaces: []router.Workspace{{Name: "w", Keys: keys}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// startEndpoint answers every request with its own signature and the name of the workspace.
+func startEndpoint(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signature", "s")
+		_, _ = io.WriteString(w, r.Header.Get("X-Workspace"))
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+type control struct {
+	participant *participant.Participant
+	stop        func()
+}
+
+// startControl runs a control host that forms the cluster by itself.
+func startControl(t *testing.T, addr string) *control {
+	t.Helper()
+	tr := &transporter.Transport{HostID: "c", Zone: "z", ListenAddr: addr, Key: key}
+	if err := tr.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	p := participant.New(tr, participant.Options{
+		HostID: "c", Zone: "z", Controllers: map[string]string{"c": addr}, DataDir: t.TempDir(), Bootstrap: true, Voters: 1,
+	})
+	p.Register()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context) error{tr.Run, p.Run} {
+		wg.Go(func() {
+			if err := run(ctx); err != nil && ctx.Err() == nil {
+				t.Error(err)
+			}
+		})
+	}
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			cancel()
+			_ = tr.Close()
+			wg.Wait()
+		})
+	}
+	t.Cleanup(stop)
+	return &control{participant: p, stop: stop}
+}
+
+// eventually waits until a request with a key ends with a status.
+func eventually(t *testing.T, addr, apiKey string, status int, within time.Duration) {
+	t.Helper()
+	last := 0
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if last, _ = get(t, addr, apiKey); last == status {
+			return
+		}
+	}
+	t.Fatalf("key %s: status %d after %v, want %d", apiKey, last, within, status)
+}
+
+func get(t *testing.T, addr, apiKey string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/a/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Token "+apiKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// The whole path on real sockets: a host answers 503 before it knows a configuration, serves by the newest one, refuses a key
+// that was taken away, and stops serving once it cannot confirm its configuration: a key may have been taken away meanwhile.
+func TestHost(t *testing.T) {
+	peer, caller, ready := freeAddr(t), freeAddr(t), freeAddr(t)
+	controlAddr := freeAddr(t)
+	c := startControl(t, controlAddr)
+	h := &forwarder.Host{
+		HostID: "h1", Zone: "z", PeerAddr: peer, CallerAddr: caller, ReadyAddr: ready, ReadyPath: "/ready", Key: key,
+		Controllers: map[string]string{"c": controlAddr}, Decode: decode, Endpoints: source{addr: startEndpoint(t)},
+		Headers: gateway.Headers{
+			RequestID: "X-Id", Deadline: "X-Deadline-Ms", Workspace: "X-Workspace", Instance: "X-Instance", NotRun: "X-Not-Run",
+			Signature: "X-Signature", KeyScheme: "Token",
+		},
+		RepeatLimit: allotter.RepeatLimit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: 2 * time.Second,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() {
+		err := h.Run(ctx)
+		stopped <- err
+	}()
+	eventually(t, caller, "k1", http.StatusServiceUnavailable, 10*time.Second)
+	submit := func(revision uint64, keys ...string) {
+		t.Helper()
+		limit, done := context.WithTimeout(context.Background(), 10*time.Second)
+		defer done()
+		if _, err := c.participant.Client().ImportConfig(limit, revision, document(t, revision, keys...), "operator"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit(3, "k1", "k2")
+	eventually(t, caller, "k1", http.StatusOK, 5*time.Second)
+	submit(2, "k1", "k3")
+	submit(5, "k1")
+	eventually(t, caller, "k2", http.StatusUnauthorized, 2*time.Second)
+	status, body := get(t, caller, "k1")
+	none, _ := get(t, caller, "k3")
+	if diff := cmp.Diff([]any{200, "w", 401}, []any{status, body, none}); diff != "" {
+		t.Errorf("answers under revision 5 (-want +got):\n%s", diff)
+	}
+	c.stop()
+	eventually(t, caller, "k1", http.StatusServiceUnavailable, 5*time.Second)
+	resp, err := http.Get("http://" + ready + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a host without a confirmed configuration is ready: status %d", resp.StatusCode)
+	}
+	cancel()
+	select {
+	case err := <-stopped:
+		if err != nil {
+			t.Errorf("a planned stop ends with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the host does not stop")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,11 +25,14 @@
 )
 
 const (
-	// defaultMaxHeaderBytes, defaultMaxBodyBytes, defaultHeaderTimeout and defaultIdleTimeout hold until a table names limits.
+	// defaultMaxHeaderBytes, defaultMaxBodyBytes and defaultIdleTimeout hold where a table names no limits.
 	defaultMaxHeaderBytes = 16 << 10
 	defaultMaxBodyBytes   = 4 << 20
-	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
+	// headerTimeout bounds the reading of a request head.
+	headerTimeout = 3 * time.Second
+	// longestIdle bounds an idle connection whatever the table says.
+	longestIdle = 5 * time.Minute
 	// sweepInterval is the time between two searches for kept connections that are no longer needed.
 	sweepInterval = time.Second
 	// closePoll is the time between two looks at the connections that are still open while the gateway closes.
@@ -109,9 +112,9 @@
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultMaxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       longestIdle,
+		MaxHeaderBytes:    maxRecorded,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          log.New(errorLog{}, "", 0),
 	}
@@ -152,6 +155,7 @@
 }
 
 func (g *Gateway) sweep() {
+	g.guard.endIdle(g.limits().IdleTimeout)
 	addrs := map[string]bool{}
 	g.Admitter.View(func(b *balancer.Balancer) {
 		for _, e := range b.Endpoints() {
@@ -161,6 +165,24 @@
 	g.Client.Sweep(func(addr string) bool { return addrs[addr] })
 }
 
+// limits returns the bounds on what callers send, from the table in force where it names them.
+func (g *Gateway) limits() router.Limits {
+	l := router.Limits{}
+	if index, _ := g.Table(); index != nil {
+		l = index.Table().Limits
+	}
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
 // Drain asks callers to leave: every further response closes its connection. New requests are still served.
 func (g *Gateway) Drain() { g.stopping.Store(true) }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -226,7 +226,8 @@
 		"unconfirmed table":   {raw: post("/order/", "k"), stale: true, status: 503, retry: true},
 		"two lengths":         {raw: post("/order/", "k", "Content-Length: 3\r\n"), status: 400},
 		"length and encoding": {raw: post("/order/", "k", "Transfer-Encoding: chunked\r\n"), status: 400},
-		"long header":         {raw: post("/order/", "k", "X-Long: "+strings.Repeat("a", 64<<10)+"\r\n"), status: 431},
+		"long header":         {raw: post("/order/", "k", "X-Long: "+strings.Repeat("a", 20<<10)+"\r\n"), status: 431},
+		"endless header":      {raw: post("/order/", "k", "X-Long: "+strings.Repeat("a", 80<<10)+"\r\n"), status: 431},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -14,8 +14,8 @@
 
 type connKey struct{}
 
-// maxRecorded bounds the bytes of a request head that are kept for the check of its framing.
-const maxRecorded = 32 << 10
+// maxRecorded bounds the bytes of a request head that are kept for the checks. The HTTP library refuses longer heads.
+const maxRecorded = 64 << 10
 
 // guardListener keeps the raw head of each request, and lets connections end between two requests.
 //
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &guardConn{Conn: raw, listener: l, recording: true}
+	c := &guardConn{Conn: raw, listener: l, recording: true, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.leaving = l.leaving
@@ -54,6 +54,18 @@
 	}
 }
 
+// endIdle ends the connections that have waited for a request for longer than a limit.
+func (l *guardListener) endIdle(limit time.Duration) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.idleFor(now) > limit {
+			c.leave()
+		}
+	}
+}
+
 // remaining returns the number of open connections.
 func (l *guardListener) remaining() int {
 	l.mu.Lock()
@@ -70,6 +82,7 @@
 	recording bool
 	head      []byte
 	leaving   bool
+	idleSince time.Time
 }
 
 // Read implements net.Conn. Bytes that have been read are always passed on, so that the request they belong to is answered.
@@ -93,6 +106,15 @@
 	return c.leaving && c.recording && len(c.head) == 0
 }
 
+func (c *guardConn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.recording || len(c.head) > 0 {
+		return 0
+	}
+	return now.Sub(c.idleSince)
+}
+
 // leave wakes a read that waits for a further request.
 func (c *guardConn) leave() {
 	c.mu.Lock()
@@ -125,25 +147,25 @@
 	framingUnseen
 )
 
-// check judges the head of the request that is handled now and stops recording until next is called.
-func (c *guardConn) check() framing {
+// check judges the head of the request that is handled now, with its length, and stops recording until next is called.
+func (c *guardConn) check() (f framing, headBytes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	head := c.head
 	c.recording, c.head = false, nil
 	end := bytes.Index(head, []byte("\r\n\r\n"))
 	if end < 0 {
-		return framingUnseen
+		return framingUnseen, 0
 	}
 	if inspector.Ambiguous(head[:end]) {
-		return framingAmbiguous
+		return framingAmbiguous, end
 	}
-	return framingClear
+	return framingClear, end
 }
 
 // next begins to record the head of the next request.
 func (c *guardConn) next() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recording, c.head = true, nil
+	c.recording, c.head, c.idleSince = true, nil, time.Now()
 }
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -65,8 +65,26 @@
 		"with an earlier one": {"", framingUnseen},
 	} {
 		g := &guardConn{recording: true, head: []byte(c.head)}
-		if got := g.check(); got != c.want {
+		if got, _ := g.check(); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
 }
+
+// A connection that is idle for longer than the operators allow ends; one with a request in progress stays.
+func TestEndIdle(t *testing.T) {
+	idle, _ := guarded(t)
+	busy, peer := guarded(t)
+	go func() { _, _ = io.WriteString(peer, "POST ") }()
+	if _, err := busy.Read(make([]byte, 16)); err != nil {
+		t.Fatal(err)
+	}
+	idle.listener.endIdle(0)
+	busy.listener.endIdle(0)
+	if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: %v, want EOF", err)
+	}
+	if busy.ends() {
+		t.Error("a connection with a request ends")
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,15 +71,18 @@
 	}
 	if c, ok := r.Context().Value(connKey{}).(*guardConn); ok {
 		defer c.next()
-		switch c.check() {
-		case framingAmbiguous:
+		f, head := c.check()
+		switch {
+		case f == framingAmbiguous:
 			w.Header().Set("Connection", "close")
 			q.refuse(http.StatusBadRequest, "ambiguous_length", 0)
 			return
-		case framingUnseen:
-			if len(r.TransferEncoding) > 0 {
-				w.Header().Set("Connection", "close")
-			}
+		case head > g.limits().MaxHeaderBytes:
+			w.Header().Set("Connection", "close")
+			q.refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0)
+			return
+		case f == framingUnseen && len(r.TransferEncoding) > 0:
+			w.Header().Set("Connection", "close")
 		}
 	}
 	if q.accept() {
@@ -110,11 +113,7 @@
 		q.tier += q.workspace.Tier * router.MaxTiers
 	}
 	q.readDeadline()
-	limit := index.Table().Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if !q.readBody(limit) {
+	if !q.readBody(q.g.limits().MaxBodyBytes) {
 		return false
 	}
 	q.readWork(index)
