--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -94,7 +94,7 @@
 	a.assumeSilent(now)
 	b.window.advance(now)
 	if b.window.sum >= b.capacity() {
-		return false, b.window.until(now, b.capacity()-units/2)
+		return false, b.window.until(b.capacity() - units/2)
 	}
 	b.window.add(now, units)
 	b.used += units
--- a/internal/allotter/window.go
+++ b/internal/allotter/window.go
@@ -60,7 +60,7 @@
 }
 
 // until returns the time until enough has left the window that its sum is below a limit.
-func (w *window) until(now time.Time, limit float64) time.Duration {
+func (w *window) until(limit float64) time.Duration {
 	part := w.length / slots
 	sum := w.sum
 	for i := int64(1); i <= slots+1; i++ {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -214,16 +215,29 @@
 	return streamSilence
 }
 
+// errCallerLeft and errSilent say why this host itself ended an exchange, which shows as a closed connection only.
+var (
+	errCallerLeft = eris.New("the caller has left")
+	errSilent     = eris.New("the endpoint was silent for too long")
+)
+
+// broken counts an exchange without a whole answer.
 func (q *request) broken(grant *admitter.Grant, err error) (verdict, held, error) {
-	if q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent {
-		// The caller left; that says nothing about the endpoint.
+	sent := exchanger.Sent(err)
+	switch {
+	case q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent:
+		// That says nothing about the endpoint.
 		grant.Refuse(time.Now(), false)
-	} else if !exchanger.Sent(err) {
+		err = errCallerLeft
+	case !sent:
 		grant.Unreachable(time.Now())
-	} else {
+	default:
 		grant.End(time.Now(), true)
+		if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+			err = errSilent
+		}
 	}
-	if exchanger.Sent(err) {
+	if sent {
 		q.ran = true
 	}
 	return interrupted, held{}, err
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -121,7 +121,7 @@
 	defer c.mu.Unlock()
 	c.leaving = true
 	if c.recording && len(c.head) == 0 {
-		if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			klog.V(1).InfoS("gateway: idle connection not ended", "reason", err)
 		}
 	}
