allotter: back to buckets (revert of the sliding windows)

The log lines show a host that had started during the flood admitting 98,000 tokens while older ones refused: it takes the average rate for the window before its start, while the others had used theirs within two seconds. Ruled out: loss of datagrams (all peers are heard) and double returns. Conclusion: a host must learn the window of its peers before it may use one. A bucket forgets nothing that it needs: it begins empty.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -1,9 +1,9 @@
 // Package allotter holds the limits that all hosts keep together without asking each other: the allotments of workspaces and
 // the budget of repeated requests. It is pure: time and the counters of peers are inputs.
 //
-// Each host adds up the use of every allotment in a sliding window: what it admits itself, and what its peers say they have
-// admitted. A window may be exceeded by what several hosts admit at the same moment; nothing is admitted then until it is made
-// up for.
+// Each host follows every allotment with a bucket of its own, from which it takes what it admits itself and what its peers
+// say they have admitted. A bucket may go below zero, so what hosts admit at the same moment is paid back afterwards and the
+// sum over all hosts stays within the allotment but for the delay of the counters.
 package allotter
 
 import (
@@ -15,29 +15,26 @@
 const (
 	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
 	silentAfter = 500 * time.Millisecond
-	// minBurst is the burst of a limit that names none. A window at its rate would otherwise have no room at all.
+	// minBurst is the burst of a limit that names none. A bucket without any room would never admit a request.
 	minBurst = 100 * time.Millisecond
-	// defaultWindow is the length of the windows unless it is set.
-	defaultWindow = 8 * time.Second
 	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
 	// nothing.
 	forgetAfter = 5 * time.Second
 )
 
-// Limit is the allotment of a workspace over all hosts: within a window, Rate units a second and Burst units beyond them.
+// Limit is the allotment of a workspace over all hosts, in units per second and units.
 type Limit struct {
 	Rate  float64
 	Burst float64
 }
 
 type bucket struct {
-	limit  Limit
-	window window
-	used   float64 // by this host since its start
+	limit Limit
+	level float64
+	at    time.Time
+	used  float64 // by this host since its start
 }
 
-func (b *bucket) capacity() float64 { return b.limit.Rate*b.window.length.Seconds() + b.limit.Burst }
-
 type peerUse struct {
 	used  map[string]float64
 	at    time.Time
@@ -48,17 +45,14 @@
 // Allotter follows the allotments. It is not safe for concurrent use.
 type Allotter struct {
 	started time.Time
-	length  time.Duration
 	buckets map[string]*bucket
 	peers   map[string]*peerUse
 }
 
-// New returns an allotter of a host that starts now, with the length of the windows.
-func New(now time.Time, length time.Duration) *Allotter {
-	if length <= 0 {
-		length = defaultWindow
-	}
-	return &Allotter{started: now, length: length, buckets: map[string]*bucket{}, peers: map[string]*peerUse{}}
+// New returns an allotter of a host that starts now. Its buckets begin empty, since the host does not know what its peers have
+// admitted just before.
+func New(now time.Time) *Allotter {
+	return &Allotter{started: now, buckets: map[string]*bucket{}, peers: map[string]*peerUse{}}
 }
 
 // SetLimits replaces the limits by workspace. A workspace without one is not limited.
@@ -67,24 +61,25 @@
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		b := a.buckets[name]
 		if b == nil {
-			b = &bucket{limit: l, window: window{length: a.length}}
-			if now.Sub(a.started) < a.length {
-				// What was admitted before this host started is unknown to it; it may have been the whole rate.
-				b.window.fill(a.started, l.Rate)
-			}
+			b = &bucket{at: a.started}
 			a.buckets[name] = b
 		}
-		b.window.advance(now)
-		if l.Rate < b.limit.Rate {
-			// Use that was allowed does not count against a lower limit; the workspace would be refused for a whole window.
-			b.window.scale(l.Rate / b.limit.Rate)
-		}
+		b.refill(now)
 		b.limit = l
+		b.refill(now)
+		b.level = min(b.level, l.Burst)
 	}
 	maps.DeleteFunc(a.buckets, func(name string, _ *bucket) bool { _, kept := limits[name]; return !kept })
 }
 
-// Take admits units of a workspace, or returns when to try again. A request is admitted while the window has any room,
+func (b *bucket) refill(now time.Time) {
+	if now.After(b.at) {
+		b.level = min(b.limit.Burst, b.level+b.limit.Rate*now.Sub(b.at).Seconds())
+		b.at = now
+	}
+}
+
+// Take admits units of a workspace, or returns when to try again. A request is admitted while the bucket is above zero
 // whatever its size, so that large requests are refused no more often than small ones.
 func (a *Allotter) Take(now time.Time, workspace string, units float64) (admitted bool, retryAfter time.Duration) {
 	b := a.buckets[workspace]
@@ -92,19 +87,19 @@
 		return true, 0
 	}
 	a.assumeSilent(now)
-	b.window.advance(now)
-	if b.window.sum >= b.capacity() {
-		return false, b.window.until(b.capacity() - units/2)
+	b.refill(now)
+	if b.level <= 0 {
+		return false, time.Duration((units/2 - b.level) / max(b.limit.Rate, 1) * float64(time.Second))
 	}
-	b.window.add(now, units)
+	b.level -= units
 	b.used += units
 	return true, 0
 }
 
 // Return gives back the units of a request that did not run.
-func (a *Allotter) Return(now time.Time, workspace string, units float64) {
+func (a *Allotter) Return(workspace string, units float64) {
 	if b := a.buckets[workspace]; b != nil {
-		b.window.add(now, -units)
+		b.level = min(b.limit.Burst, b.level+units)
 		b.used -= units
 	}
 }
@@ -139,7 +134,8 @@
 		if b == nil {
 			continue
 		}
-		b.window.add(now, total-p.used[name]-p.owed[name])
+		b.refill(now)
+		b.level = min(b.limit.Burst, b.level-(total-p.used[name])+p.owed[name])
 	}
 	clear(p.owed)
 	p.used, p.at, p.since = maps.Clone(used), now, now
@@ -160,8 +156,9 @@
 			continue
 		}
 		for workspace, b := range a.buckets {
+			b.refill(now)
 			share := b.limit.Rate / hosts * now.Sub(p.since).Seconds()
-			b.window.add(now, share)
+			b.level -= share
 			p.owed[workspace] += share
 		}
 		p.since = now
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -53,8 +53,6 @@
 	Headers     gateway.Headers
 	Endpoints   cataloguer.Source
 	RepeatLimit allotter.RepeatLimit
-	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
-	AllotmentWindow time.Duration
 	// BalancerDelay is how long a stopping host still takes new connections, and Grace bounds the whole stop.
 	BalancerDelay time.Duration
 	Grace         time.Duration
@@ -134,7 +132,6 @@
 	h.gateway = &gateway.Gateway{
 		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter,
 		Client: &exchanger.Client{DialTimeout: dialTimeout}, RepeatLimit: h.RepeatLimit,
-		AllotmentWindow: h.AllotmentWindow,
 	}
 	h.gateway.Init()
 	h.cataloguer = &cataloguer.Cataloguer{Source: h.Endpoints, Changed: func(list []cataloguer.Entry) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,8 +91,6 @@
 	Client *exchanger.Client
 	// RepeatLimit bounds the requests that are sent once more.
 	RepeatLimit allotter.RepeatLimit
-	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
-	AllotmentWindow time.Duration
 
 	server   *http.Server
 	mu       sync.Mutex
@@ -107,7 +105,7 @@
 // Init prepares the state that Run and the callers of other methods use.
 func (g *Gateway) Init() {
 	g.Client.OnDial = func(string) { countDials.Add(1) }
-	g.allots = allotter.New(time.Now(), g.AllotmentWindow)
+	g.allots = allotter.New(time.Now())
 	g.repeats = map[string]*allotter.Repeats{}
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
