gateway: quarantine of requests that crash endpoints, over all hosts

Cause: a request that crashes each endpoint that runs it comes again at any host; forwarded requests had no limit on that. Ruled out: taking every broken answer for a crash; endpoints also lose single answers. Change: after a broken answer a connect shows whether the endpoint still takes connections; if not, the requests that it broke off are counted, peers hear of it in datagrams, and one that has cost two endpoints is refused for 15 s with a 503.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// promptTokensPerMS is the rate at which an engine of median speed reads a prompt beside running streams, until it is
-	// learned. It is a common rate of the engines that the pools are made of.
+	// promptTokensPerMS is the rate at which an engine of median speed reads a prompt beside running streams, from the rates
+	// that the installations state for their engines. Speeds relative to the median are learned.
 	promptTokensPerMS = 50
 	// promptTokensPerAnswerToken is the number of prompt tokens that take as much of an engine's time as one token of an
 	// answer beside the streams of a full engine.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -249,6 +249,10 @@
 		}
 		_ = k.Close()
 	}
+	return c.dial(ctx, addr)
+}
+
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial(addr)
 	}
@@ -260,6 +264,17 @@
 	return &conn{Conn: raw, addr: addr, reader: bufio.NewReader(raw)}, nil
 }
 
+// Reachable opens a connection to an address and keeps it for a later exchange.
+func (c *Client) Reachable(ctx context.Context, addr string) error {
+	k, err := c.dial(ctx, addr)
+	if err != nil {
+		return &NotSentError{Addr: addr, Err: err}
+	}
+	k.provenAt, k.idleFor = time.Now(), defaultIdle
+	c.put(k)
+	return nil
+}
+
 func (c *Client) take(addr string, proven time.Duration) *conn {
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/gossiper/gossiperpb"
 )
 
@@ -61,6 +62,10 @@
 			s.Uses.Workspace = append(s.Uses.Workspace, digest(workspace))
 			s.Uses.Units = append(s.Uses.Units, uint64(n))
 		}
+		for _, c := range h.gateway.Crashes() {
+			s.Uses.CrashRequest = append(s.Uses.CrashRequest, c.Fingerprint)
+			s.Uses.CrashEndpoint = append(s.Uses.CrashEndpoint, c.Endpoint)
+		}
 	}
 	return s
 }
@@ -83,6 +88,7 @@
 	if s.GetUses() == nil {
 		return
 	}
+	h.gateway.HeardCrashes(crashesOf(s.GetUses()))
 	used := map[string]float64{}
 	if index := h.index.Load(); index != nil {
 		for _, w := range index.Table().Workspaces {
@@ -110,3 +116,11 @@
 	}
 	return out
 }
+
+func crashesOf(in *gossiperpb.Uses) []gateway.Crash {
+	out := make([]gateway.Crash, min(len(in.GetCrashRequest()), len(in.GetCrashEndpoint())))
+	for i := range out {
+		out[i] = gateway.Crash{Fingerprint: in.GetCrashRequest()[i], Endpoint: in.GetCrashEndpoint()[i]}
+	}
+	return out
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,12 @@
 	failed
 )
 
+// replacedError reports that another endpoint answers at an address.
+type replacedError struct{ Endpoint string }
+
+// Error implements error.
+func (e *replacedError) Error() string { return "another endpoint answers in place of " + e.Endpoint }
+
 // held is an endpoint's own answer that was read whole.
 type held struct {
 	status int
@@ -65,6 +71,10 @@
 		}
 		v, answer, err := q.send(grant)
 		q.log(grant, v, err)
+		var unreachable *exchanger.NotSentError
+		var replaced *replacedError
+		q.watchCrash(grant.Choice.Endpoint, v, errors.As(err, &unreachable), errors.As(err, &replaced),
+			v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent))
 		switch v {
 		case answered:
 			countRequests.Add("answered", 1)
@@ -191,6 +201,9 @@
 			response.Finish()
 		}
 		grant.Refuse(time.Now(), response.Status == http.StatusMisdirectedRequest)
+		if response.Status == http.StatusMisdirectedRequest {
+			return notRun, held{}, &replacedError{Endpoint: e.ID}
+		}
 		return notRun, held{}, eris.Errorf("endpoint refused with status %d", response.Status)
 	}
 	if response.Header.Get(q.g.Headers.Signature) == "" || response.Header.Get("Content-Encoding") != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,14 +92,18 @@
 	// RepeatLimit bounds the requests that are sent once more.
 	RepeatLimit allotter.RepeatLimit
 
-	server   *http.Server
-	mu       sync.Mutex
-	allots   *allotter.Allotter
-	repeats  map[string]*allotter.Repeats
-	guard    *guardListener
-	stopping atomic.Bool
-	closed   atomic.Bool
-	active   atomic.Int64
+	server  *http.Server
+	mu      sync.Mutex
+	allots  *allotter.Allotter
+	repeats map[string]*allotter.Repeats
+	crashes *crashWatch
+	// confirming are the endpoints whose crash is being confirmed.
+	confirming map[string]bool
+	confirms   sync.WaitGroup
+	guard      *guardListener
+	stopping   atomic.Bool
+	closed     atomic.Bool
+	active     atomic.Int64
 }
 
 // Init prepares the state that Run and the callers of other methods use.
@@ -107,6 +111,8 @@
 	g.Client.OnDial = func(string) { countDials.Add(1) }
 	g.allots = allotter.New(time.Now())
 	g.repeats = map[string]*allotter.Repeats{}
+	g.crashes = newCrashWatch(time.Now())
+	g.confirming = map[string]bool{}
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
@@ -200,7 +206,9 @@
 		case <-tick.C:
 		}
 	}
-	return errors.Join(err, g.server.Close(), g.Client.Close())
+	err = errors.Join(err, g.server.Close())
+	g.confirms.Wait()
+	return errors.Join(err, g.Client.Close())
 }
 
 // Active returns the number of requests in progress.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -484,3 +484,65 @@
 		t.Errorf("only %d requests were served", n)
 	}
 }
+
+// A request that crashes each endpoint that runs it comes again. Without a limit one caller empties the pool. An endpoint that
+// only broke one answer off has not crashed, and other requests are not refused.
+func TestCrashingRequest(t *testing.T) {
+	var listeners []net.Listener
+	var endpoints []*endpoint
+	var mu sync.Mutex
+	runs := 0
+	for i := range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		endpoints = append(endpoints, &endpoint{id: fmt.Sprintf("e%d", i), addr: l.Addr().String()})
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if strings.HasPrefix(r.RequestURI, "/order/poison") {
+					mu.Lock()
+					runs++
+					mu.Unlock()
+					_ = l.Close()
+				} else {
+					_, _ = io.WriteString(c, answer(r, 200, signed, "done"))
+				}
+				_ = c.Close()
+			}
+		}()
+	}
+	t.Cleanup(func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	})
+	h := startHost(t, endpoints...)
+	statuses := map[int]int{}
+	for range 12 {
+		status, _, _, _ := h.send(t, post("/order/poison", "k"))
+		statuses[status]++
+		// Other work meets the dead endpoint, which shows that it has crashed.
+		for range 6 {
+			h.send(t, post("/order/other", "k"))
+		}
+		time.Sleep(120 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if runs > 2 || statuses[http.StatusServiceUnavailable] == 0 {
+		t.Errorf("the request crashed %d endpoints, want at most 2; statuses %v", runs, statuses)
+	}
+	if status, _, body, _ := h.send(t, post("/order/other", "k")); status != 200 || body != "done" {
+		t.Errorf("another request: status %d, %q", status, body)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -117,7 +117,7 @@
 		return false
 	}
 	q.readWork(index)
-	return q.charge()
+	return q.admitSuspect() && q.charge()
 }
 
 // authenticate finds the workspace of the key. Public rules take any caller.
