--- /dev/null
+++ b/internal/exchanger/exchanger_test.go
@@ -0,0 +1,205 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// server answers each request of each connection with the bytes that answer returns; an empty text closes the connection.
+func server(t *testing.T, answer func(conn, request int) string) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for i := 1; ; i++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := answer(n, i)
+					if text == "" {
+						return
+					}
+					if _, err := io.WriteString(c, text); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func request() *Request {
+	return &Request{Method: http.MethodPost, URI: "/a", Host: "h", Header: http.Header{"X-Id": {"7"}}, Body: []byte("hi"), EchoHeader: "X-Id"}
+}
+
+func do(t *testing.T, c *Client, addr string, req *Request) (string, error) {
+	t.Helper()
+	r, err := c.Do(t.Context(), addr, req)
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		r.Finish()
+	}
+	return string(body), err
+}
+
+const whole = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok"
+
+// What decides about a second send is whether a byte may have reached the endpoint.
+func TestSent(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := closed.Addr().String()
+	_ = closed.Close()
+	breaking, _ := server(t, func(int, int) string { return "" })
+	c := &Client{DialTimeout: time.Second}
+	_, notSent := do(t, c, refusing, request())
+	_, broken := do(t, c, breaking, request())
+	var interrupted *InterruptedError
+	if Sent(notSent) || !Sent(broken) || !errors.As(broken, &interrupted) {
+		t.Errorf("refused connect: sent %t; closed connection: sent %t (%v)", Sent(notSent), Sent(broken), broken)
+	}
+}
+
+// A connection is used again only while nothing unexpected has happened on it; otherwise the bytes of one answer would be
+// taken for another one.
+func TestReuse(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		conns  int32
+	}{
+		"whole":            {whole, 1},
+		"asked to close":   {"HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 3},
+		"extra bytes":      {whole + "extra", 3},
+		"second answer":    {whole + whole, 3},
+		"short idle time":  {"HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 3},
+		"without a length": {"HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		"after other ones": {strings.ReplaceAll(whole, "X-Id: 7", "X-Id: 6") + whole, 1},
+		"after a continue": {"HTTP/1.1 100 Continue\r\n\r\n" + whole, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := server(t, func(int, int) string { return c.answer })
+			client := &Client{DialTimeout: time.Second}
+			var bodies []string
+			for range 3 {
+				body, err := do(t, client, addr, request())
+				if err != nil {
+					t.Fatal(err)
+				}
+				bodies = append(bodies, body)
+				time.Sleep(10 * time.Millisecond)
+			}
+			if diff := cmp.Diff([]any{[]string{"ok", "ok", "ok"}, c.conns}, []any{bodies, conns.Load()}); diff != "" {
+				t.Errorf("bodies and connections (-want +got):\n%s", diff)
+			}
+			if err := client.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A request that must not run twice does not trust a connection that has been quiet for longer than allowed.
+func TestProvenWithin(t *testing.T) {
+	addr, conns := server(t, func(int, int) string { return whole })
+	c := &Client{DialTimeout: time.Second}
+	for range 2 {
+		req := request()
+		req.ProvenWithin = time.Millisecond
+		if _, err := do(t, c, addr, req); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if conns.Load() != 2 {
+		t.Errorf("%d connections, want 2", conns.Load())
+	}
+}
+
+// An answer that is cut off must not look whole, whatever its framing.
+func TestCutOff(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 9\r\n\r\nok",
+		"chunks": "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, text)
+				}
+				_ = c.Close()
+			}()
+			if body, err := do(t, &Client{DialTimeout: time.Second}, l.Addr().String(), request()); err == nil {
+				t.Errorf("%q counts as whole", body)
+			}
+		})
+	}
+}
+
+// The end of the context closes the connection, so that the endpoint stops its work.
+func TestCancel(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := (&Client{DialTimeout: time.Second}).Do(ctx, l.Addr().String(), request()); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v, want canceled", err)
+	}
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
