cataloguer: lock in a test

Ruled out: a race in the cataloguer, whose own state is locked; the report names only the test's variables.

--- a/internal/cataloguer/cataloguer_test.go
+++ b/internal/cataloguer/cataloguer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +21,20 @@
 // without a change does not disturb the pools.
 func TestLostList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
 		list, lost := []cataloguer.Entry{{ID: "a", Slots: 1}}, error(nil)
+		set := func(l []cataloguer.Entry, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			list, lost = l, err
+		}
 		var changes [][]cataloguer.Entry
 		c := &cataloguer.Cataloguer{
-			Source:  source(func() ([]cataloguer.Entry, error) { return list, lost }),
+			Source: source(func() ([]cataloguer.Entry, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				return list, lost
+			}),
 			Changed: func(l []cataloguer.Entry) { changes = append(changes, l) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -33,12 +44,12 @@
 			_ = c.Run(ctx)
 		}()
 		time.Sleep(5 * time.Second)
-		list, lost = nil, errors.New("no answer")
+		set(nil, errors.New("no answer"))
 		time.Sleep(5 * time.Second)
 		if !c.Known() {
 			t.Error("a list that was read once is no longer known")
 		}
-		list, lost = []cataloguer.Entry{{ID: "a", Slots: 1, Leaving: true}}, nil
+		set([]cataloguer.Entry{{ID: "a", Slots: 1, Leaving: true}}, nil)
 		time.Sleep(3 * time.Second)
 		cancel()
 		<-ended
