gateway, allotter: callers after a start of all hosts, and when a refused caller returns

Cause: after a power-off of all hosts 420 requests were refused because no host had a table yet, and then 300 by their allotments: a new bucket began to fill only with its first limits, 0.7 s after the start of its process. Refused requests of a workspace were all told to return at about the same moment, where all but the first were refused again.

Ruled out: a shorter election, since voters withhold their vote for one election timeout after a start because of the lease of a leader before.

Change: requests before the first table wait for it, up to a second and half of their stated deadline. A bucket fills from the start of the process. A refused request is given its turn behind those refused before.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,6 +21,12 @@
 	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
 	// nothing.
 	forgetAfter = 5 * time.Second
+	// recentWindow is the time over which the rate of admissions is averaged.
+	recentWindow = time.Second
+	// minReturnShare is the least part of an allotment that is expected to be left for requests that return.
+	minReturnShare = 0.25
+	// maxRetryAfter bounds what a caller is asked to wait; a longer forecast says nothing.
+	maxRetryAfter = 10 * time.Second
 )
 
 // Limit is the allotment of a workspace over all hosts, in units per second and units.
@@ -33,6 +40,10 @@
 	level float64
 	at    time.Time
 	used  float64 // by this host since its start
+	// promised are the units of refused requests that this host has told to return and whose time has not come yet.
+	promised float64
+	// recent is the rate at which all hosts have admitted units lately.
+	recent float64
 }
 
 type peerUse struct {
@@ -61,24 +72,48 @@
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		b := a.buckets[name]
 		if b == nil {
-			b = &bucket{at: a.started}
+			b = &bucket{at: a.started, limit: l}
 			a.buckets[name] = b
 		}
-		b.refill(now)
+		b.refill(now, a.hosts())
 		b.limit = l
-		b.refill(now)
+		b.refill(now, a.hosts())
 		b.level = min(b.level, l.Burst)
 	}
 	maps.DeleteFunc(a.buckets, func(name string, _ *bucket) bool { _, kept := limits[name]; return !kept })
 }
 
-func (b *bucket) refill(now time.Time) {
+func (b *bucket) refill(now time.Time, hosts int) {
 	if now.After(b.at) {
-		b.level = min(b.limit.Burst, b.level+b.limit.Rate*now.Sub(b.at).Seconds())
+		past := now.Sub(b.at).Seconds()
+		b.level = min(b.limit.Burst, b.level+b.limit.Rate*past)
+		b.promised = max(0, b.promised-b.returnRate(hosts)*past)
+		b.recent *= math.Exp(-past / recentWindow.Seconds())
 		b.at = now
 	}
 }
 
+func (b *bucket) take(units float64) {
+	b.level = min(b.limit.Burst, b.level-units)
+	b.recent = max(0, b.recent+units/recentWindow.Seconds())
+}
+
+// returnRate is the part of the allotment that is left for the requests that one of the hosts has refused before.
+func (b *bucket) returnRate(hosts int) float64 {
+	return max(b.limit.Rate-b.recent, minReturnShare*b.limit.Rate, 1) / float64(hosts)
+}
+
+// promise returns when a refused request may return. Those refused before it come first: without their turn, all that return
+// would meet an allotment that the first of them have used up.
+func (b *bucket) promise(units float64, hosts int) time.Duration {
+	wait := max(0, -b.level)/max(b.limit.Rate, 1) + (b.promised+units/2)/b.returnRate(hosts)
+	if wait >= maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	b.promised += units
+	return time.Duration(wait * float64(time.Second))
+}
+
 // Take admits units of a workspace, or returns when to try again. A request is admitted while the bucket is above zero
 // whatever its size, so that large requests are refused no more often than small ones.
 func (a *Allotter) Take(now time.Time, workspace string, units float64) (admitted bool, retryAfter time.Duration) {
@@ -87,11 +122,11 @@
 		return true, 0
 	}
 	a.assumeSilent(now)
-	b.refill(now)
+	b.refill(now, a.hosts())
 	if b.level <= 0 {
-		return false, time.Duration((units/2 - b.level) / max(b.limit.Rate, 1) * float64(time.Second))
+		return false, b.promise(units, a.hosts())
 	}
-	b.level -= units
+	b.take(units)
 	b.used += units
 	return true, 0
 }
@@ -99,7 +134,7 @@
 // Return gives back the units of a request that did not run.
 func (a *Allotter) Return(workspace string, units float64) {
 	if b := a.buckets[workspace]; b != nil {
-		b.level = min(b.limit.Burst, b.level+units)
+		b.take(-units)
 		b.used -= units
 	}
 }
@@ -115,6 +150,16 @@
 	return out
 }
 
+// Level returns the units that a workspace may still use at once; it is below zero while it has used too much.
+func (a *Allotter) Level(workspace string) float64 {
+	if b := a.buckets[workspace]; b != nil {
+		return b.level
+	}
+	return 0
+}
+
+func (a *Allotter) hosts() int { return len(a.peers) + 1 }
+
 // Peers returns the number of peers heard lately.
 func (a *Allotter) Peers() int { return len(a.peers) }
 
@@ -134,8 +179,8 @@
 		if b == nil {
 			continue
 		}
-		b.refill(now)
-		b.level = min(b.limit.Burst, b.level-(total-p.used[name])+p.owed[name])
+		b.refill(now, a.hosts())
+		b.take(total - p.used[name] - p.owed[name])
 	}
 	clear(p.owed)
 	p.used, p.at, p.since = maps.Clone(used), now, now
@@ -144,7 +189,7 @@
 // assumeSilent takes an equal share for each peer that has fallen silent, until it is heard again or is gone. Two hosts that
 // cannot hear each other would otherwise each use the whole allotment.
 func (a *Allotter) assumeSilent(now time.Time) {
-	hosts := float64(len(a.peers) + 1)
+	hosts := float64(a.hosts())
 	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
 		p := a.peers[name]
 		silence := now.Sub(p.at)
@@ -156,9 +201,9 @@
 			continue
 		}
 		for workspace, b := range a.buckets {
-			b.refill(now)
+			b.refill(now, a.hosts())
 			share := b.limit.Rate / hosts * now.Sub(p.since).Seconds()
-			b.level -= share
+			b.take(share)
 			p.owed[workspace] += share
 		}
 		p.since = now
--- a/internal/allotter/allotter_test.go
+++ b/internal/allotter/allotter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +167,43 @@
 		t.Errorf("%d repeats of %d requests, want at most %.0f", taken, requests, most)
 	}
 }
+
+// A host learns its limits only when it has a configuration, up to a second after its start. Nothing was admitted meanwhile, so
+// the bucket has filled; begun at that moment, it refused most of those who returned after a start of all hosts.
+func TestBucketFillsBeforeFirstLimits(t *testing.T) {
+	a := allotter.New(start)
+	now := start.Add(time.Second)
+	a.SetLimits(now, map[string]allotter.Limit{"w": {Rate: rate, Burst: burst}})
+	admitted := 0.0
+	for range int(burst/cost) + 10 {
+		if ok, _ := a.Take(now, "w", cost); ok {
+			admitted += cost
+		}
+	}
+	if admitted != burst {
+		t.Errorf("%.0f units admitted one second after the start, want %.0f", admitted, burst)
+	}
+}
+
+// Requests refused in a burst were all told to return at about the same moment, and all but the first were refused again.
+func TestRefusedReturnInTurn(t *testing.T) {
+	a := allotter.New(start)
+	now := start.Add(time.Second)
+	a.SetLimits(now, map[string]allotter.Limit{"w": {Rate: rate, Burst: burst}})
+	var returns []time.Time
+	for range 3 * int(burst/cost) {
+		if ok, retry := a.Take(now, "w", cost); !ok {
+			returns = append(returns, now.Add(retry))
+		}
+	}
+	slices.SortFunc(returns, time.Time.Compare)
+	again := 0
+	for _, at := range returns {
+		if ok, _ := a.Take(at, "w", cost); !ok {
+			again++
+		}
+	}
+	if again*10 > len(returns) {
+		t.Errorf("%d of %d requests were refused again at the time they were told", again, len(returns))
+	}
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -164,6 +164,7 @@
 	h.gateway.SetTable(x)
 	h.index.Store(x)
 	h.applyEndpoints()
+	h.gateway.Open()
 	klog.InfoS("forwarder: configuration in force", "version", version, "revision", table.Revision, "rules", len(table.Rules),
 		"pools", len(table.Pools), "workspaces", len(table.Workspaces))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,8 @@
 	// confirming are the endpoints whose crash is being confirmed.
 	confirming map[string]bool
 	confirms   sync.WaitGroup
+	opened     chan struct{}
+	openOnce   sync.Once
 	guard      *guardListener
 	stopping   atomic.Bool
 	closed     atomic.Bool
@@ -113,6 +115,7 @@
 	g.repeats = map[string]*allotter.Repeats{}
 	g.crashes = newCrashWatch(time.Now())
 	g.confirming = map[string]bool{}
+	g.opened = make(chan struct{})
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
@@ -227,6 +230,9 @@
 	g.allots.SetLimits(time.Now(), limits)
 }
 
+// Open lets the requests go on that wait for the first table. Call it once Table returns one and its endpoints are set.
+func (g *Gateway) Open() { g.openOnce.Do(func() { close(g.opened) }) }
+
 // Used returns the units of allotments that this host has admitted.
 func (g *Gateway) Used() map[string]float64 {
 	g.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,6 +113,8 @@
 	addr    string
 	gateway *gateway.Gateway
 	fresh   bool
+	// index is nil until the first table.
+	index atomic.Pointer[router.Index]
 }
 
 // startHost runs a gateway with the rules /order/, /read/, /chat/ and /resume/ before the endpoints.
@@ -150,8 +153,9 @@
 	}
 	b.SetEndpoints(list)
 	h := &host{addr: l.Addr().String(), fresh: true}
+	h.index.Store(index)
 	h.gateway = &gateway.Gateway{
-		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return index, h.fresh }, Admitter: admitter.New(b),
+		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return h.index.Load(), h.fresh }, Admitter: admitter.New(b),
 		Client: &exchanger.Client{DialTimeout: time.Second}, RepeatLimit: allotter.RepeatLimit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 	h.gateway.Init()
@@ -212,6 +216,26 @@
 	}
 }
 
+// After a start of all hosts callers come before the control plane has agreed on a table again. Sent away, they mostly met a
+// host without one again and were lost; held, they are answered as soon as there is a table, or else in time to go elsewhere.
+func TestBeforeFirstTable(t *testing.T) {
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, http.StatusOK, signed, "done")}, false
+	})
+	h := startHost(t, e)
+	index := h.index.Swap(nil)
+	early, header, _, _ := h.send(t, post("/read/", "k", "X-Deadline-Ms: 200\r\n"))
+	time.AfterFunc(100*time.Millisecond, func() {
+		h.index.Store(index)
+		h.gateway.Open()
+	})
+	held, _, _, _ := h.send(t, post("/read/", "k", "X-Deadline-Ms: 2000\r\n"))
+	got := []any{early, header.Get("Retry-After") != "", held, len(e.seen())}
+	if diff := cmp.Diff([]any{503, true, 200, 1}, got); diff != "" {
+		t.Errorf("answers before the first table (-want +got):\n%s", diff)
+	}
+}
+
 // Refusals are true and come with the status that tells callers what to do; nothing reaches an endpoint.
 func TestRefusals(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,6 +18,8 @@
 const (
 	// bodyTimeout bounds the reading of a whole request body.
 	bodyTimeout = 10 * time.Second
+	// firstTableWait bounds the wait for the first table of a host: an election after a start of all hosts takes 400 to 800 ms.
+	firstTableWait = time.Second
 	// maxDeadline bounds what callers may ask for.
 	maxDeadline = 10 * time.Minute
 )
@@ -57,6 +59,9 @@
 	// events counts the whole events passed on, and firstEvent is the time from the arrival to the first one.
 	events     int
 	firstEvent time.Duration
+	// lastAt is the time of the last event, and longestGap the longest time between two events.
+	lastAt     time.Time
+	longestGap time.Duration
 }
 
 // serve handles one request.
@@ -93,6 +98,13 @@
 // accept checks a request and reads its body. It returns false after it has answered.
 func (q *request) accept() bool {
 	index, fresh := q.g.Table()
+	if index == nil {
+		q.awaitTable()
+		index, fresh = q.g.Table()
+	}
+	if q.r.Context().Err() != nil {
+		q.abandoned(q.r.Context().Err())
+	}
 	if index == nil || !fresh {
 		q.refuse(http.StatusServiceUnavailable, "no_confirmed_table", unknownRetry)
 		return false
@@ -120,6 +132,23 @@
 	return q.admitSuspect() && q.charge()
 }
 
+// awaitTable holds a request that came before the first table. After a start of all hosts the table is agreed again within a
+// second, and a caller that is sent away meanwhile mostly finds another host that has none either.
+func (q *request) awaitTable() {
+	limit := firstTableWait
+	if stated, ok := q.statedDeadline(); ok {
+		limit = min(limit, stated/2)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-q.g.opened:
+	case <-timer.C:
+	case <-q.r.Context().Done():
+	}
+	klog.InfoS("gateway: request waited for the first configuration", "request", q.id, "waited", time.Since(q.started))
+}
+
 // authenticate finds the workspace of the key. Public rules take any caller.
 func (q *request) authenticate(index *router.Index) bool {
 	if !index.HasKeys() {
@@ -134,12 +163,21 @@
 
 func (q *request) readDeadline() {
 	limit := q.rule.Timeout
-	if ms, err := strconv.ParseInt(q.r.Header.Get(q.g.Headers.Deadline), 10, 64); err == nil && ms >= 0 {
-		limit = min(limit, time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond)
+	if stated, ok := q.statedDeadline(); ok {
+		limit = min(limit, stated)
 	}
 	q.deadline = q.started.Add(limit)
 }
 
+// statedDeadline returns how long the caller says it will wait.
+func (q *request) statedDeadline() (time.Duration, bool) {
+	ms, err := strconv.ParseInt(q.r.Header.Get(q.g.Headers.Deadline), 10, 64)
+	if err != nil || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond, true
+}
+
 func (q *request) readBody(limit int64) bool {
 	if q.r.ContentLength == 0 {
 		return true
@@ -207,8 +245,11 @@
 	}
 	q.g.mu.Lock()
 	ok, retry := q.g.allots.Take(time.Now(), q.workspace.Name, q.units)
+	level, peers := q.g.allots.Level(q.workspace.Name), q.g.allots.Peers()
 	q.g.mu.Unlock()
 	if !ok {
+		klog.InfoS("gateway: allotment used up", "request", q.id, "workspace", q.workspace.Name, "units", q.units, "level", level,
+			"rate", q.workspace.Rate, "burst", q.workspace.Burst, "peers", peers)
 		q.refuse(http.StatusTooManyRequests, "allotment", retry)
 	}
 	return ok
@@ -233,7 +274,7 @@
 	}
 	klog.InfoS("gateway: request refused", "request", q.id, "status", status, "reason", reason, "revision", q.revision, "rule", rule,
 		"pool", q.pool, "workspace", q.workspaceName(), "tier", q.tier, "sends", q.sends, "may_have_run", q.ran, "retry_after", retryAfter,
-		"after", time.Since(q.started))
+		"units", q.units, "prompt", q.work.Prompt, "output", q.work.Output, "left", q.deadline.Sub(q.started), "after", time.Since(q.started))
 	if q.streaming {
 		// The head of a success is out; only a broken connection tells the caller that the answer is not whole.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,11 @@
 }
 
 func (q *request) countEvents(events []byte) {
+	now := time.Now()
+	if q.events > 0 {
+		q.longestGap = max(q.longestGap, now.Sub(q.lastAt))
+	}
+	q.lastAt = now
 	if q.events == 0 {
 		q.firstEvent = time.Since(q.started)
 		firstEventTimes.Observe(q.label(), q.firstEvent)
