balancer: long prompts spare the streams of slow engines

The cost of that harm was the same for any prompt and was outbid in floods, when only slow engines had room.

Ruled out: crowding as such; the pace of an engine is the same with 3 and with 12 streams (18 ms between events on the fastest).

Change: the pause is predicted from the unread tokens, and a prompt that would cause one waits for another engine if there is one.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,13 +29,16 @@
 	crowdMS = 2
 	// zoneMS is the cost of the way to another availability zone, with the price of the bytes between them.
 	zoneMS = 25
-	// readStepMS is the time of a step of an engine of median speed that also reads a chunk of a prompt. All streams of the
-	// engine advance by one token in it.
-	readStepMS = 19
-	// readStepTokenMS is what a step grows by for each token of the prompt before the chunk that it reads.
-	readStepTokenMS = 0.00025
+	// stepMS is the time of a step of an engine of median speed, in which each of its streams advances by one token, and
+	// readMS what each prompt token adds to the step that reads it. At most chunkTokens are read in a step. The figures are
+	// those of large models on present accelerators; they decide only which engines are too slow to read a prompt unnoticed.
+	stepMS      = 4.0
+	readMS      = 0.0146
+	chunkTokens = 1024
+	// gapShare is the part of the longest allowed pause that a predicted one may take.
+	gapShare = 0.9
 	// harmMS is the cost of each running stream whose pauses a prompt would make too long. It is about half of the shortest
-	// target of a first event, so that a prompt rather waits a little than spoils several streams.
+	// target of a first event.
 	harmMS = 150
 	// lateShare is the part of the remaining time beyond which a predicted end counts as late: lengths are known only within
 	// a factor of two.
@@ -205,19 +208,21 @@
 	PeersAge time.Duration
 	// End is the predicted time to the last event.
 	End time.Duration
+	// harms is true if the running streams would pause for too long while the prompt is read.
+	harms bool
 }
 
 // Pick returns the endpoint at which work is predicted to begin first, or false if it should wait. Endpoints that except
 // returns true for are left out.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
 	best, found := Choice{Cost: math.Inf(1)}, false
-	timely := b.anyTimely(now, pool, w)
+	timely, gentle := b.anyTimely(now, pool, w), b.anyGentle(now, pool, w)
 	for _, e := range b.pools[pool] {
 		if !e.usable(now) || except != nil && except(e.ID) {
 			continue
 		}
 		c := b.choice(now, e, w)
-		if timely && c.End > w.Deadline.Sub(now) || !b.hasRoom(e, w) {
+		if timely && c.End > w.Deadline.Sub(now) || gentle && c.harms || !b.hasRoom(e, w) {
 			continue
 		}
 		if c.Cost < best.Cost {
@@ -251,6 +256,25 @@
 	return false
 }
 
+// anyGentle reports whether some endpoint of a pool, busy or not, could read the prompt of work without a long pause of its
+// streams. The work then waits for such an endpoint rather than spoil several streams of a slow one.
+func (b *Balancer) anyGentle(now time.Time, pool string, w Work) bool {
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool {
+		return e.Engine && e.usable(now) && !b.gapTooLong(b.slowness(e), w.Prompt, w)
+	})
+}
+
+// gapTooLong reports whether the streams of an engine would pause for longer than work allows while a number of prompt tokens
+// is read. All tokens of an event may fall into steps that read.
+func (b *Balancer) gapTooLong(slow float64, unread int, w Work) bool {
+	if w.EventGap <= 0 {
+		return false
+	}
+	steps := float64(max(w.TokensPerEvent, 1))
+	gap := slow * (steps*stepMS + min(float64(unread), steps*chunkTokens)*readMS)
+	return gap > gapShare*float64(w.EventGap.Milliseconds())
+}
+
 // Usable reports whether any endpoint of a pool may take work at all.
 func (b *Balancer) Usable(pool string, except func(id string) bool) bool {
 	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.Leaving && (except == nil || !except(e.ID)) })
@@ -312,8 +336,8 @@
 		slow := b.slowness(e)
 		c.Cost = slow * (firstEventMS + float64(unread+read)/promptTokensPerMS + crowdMS*float64(running))
 		c.End = time.Duration((c.Cost + w.events()*e.pace()) * float64(time.Millisecond))
-		gap := slow * float64(w.TokensPerEvent) * (readStepMS + readStepTokenMS*float64(read))
-		if w.EventGap > 0 && gap > float64(w.EventGap.Milliseconds()) {
+		if running > 0 && b.gapTooLong(slow, unread+read, w) {
+			c.harms = true
 			c.Cost += harmMS * float64(running)
 		}
 		if left := w.Deadline.Sub(now); !w.Deadline.IsZero() && left > 0 {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -134,6 +134,32 @@
 	}
 }
 
+// While a slow engine reads a long prompt, each event of its streams takes several times as long. In the floods of an
+// installation half of the streams of slow engines missed their targets by such pauses. Long prompts wait for another engine
+// then; short ones and an engine without streams do no harm.
+func TestLongPromptSparesStreamsOfSlowEngine(t *testing.T) {
+	work := func(prompt int) balancer.Work {
+		return balancer.Work{Prompt: prompt, Output: 60, TokensPerEvent: 6, EventGap: 250 * time.Millisecond}
+	}
+	b := balancer.New("z")
+	b.SetEndpoints(engines("fast", "normal", "slow"))
+	learn(b, "fast", 20)
+	learn(b, "normal", 30)
+	learn(b, "slow", 90)
+	for _, id := range []string{"fast", "fast", "normal", "normal"} {
+		c, _ := b.Pick(now, "p", work(10), func(other string) bool { return other != id })
+		b.Start(now, c, work(10))
+	}
+	got := []string{pick(b, work(6000)), pick(b, work(500))}
+	c, _ := b.Pick(now, "p", work(500), nil)
+	run := b.Start(now, c, work(500))
+	run.Event(now)
+	got = append(got, pick(b, work(6000)), pick(b, work(500)))
+	if diff := cmp.Diff([]string{"slow", "slow", "wait", "slow"}, got); diff != "" {
+		t.Errorf("placement (-want +got):\n%s", diff)
+	}
+}
+
 // An endpoint that fails a part of its requests while its health is good gets less work, and gets it back with time.
 func TestFailingEndpointIsAvoided(t *testing.T) {
 	b := balancer.New("z")
