balancer: the last free places of an engine are taken in turn

All hosts hear of a free place with the same datagram and all have requests for it.

Change: a host leaves as many free places as there are hosts before it, in an order that differs between endpoints; its turn comes after 30 ms for each of them. The place that its own run has left is its own for 25 ms.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -69,6 +69,13 @@
 	replacedFor = 10 * time.Second
 	// paceStep is the weight of the newest stream in the learned pace.
 	paceStep = 0.2
+	// turnStep is the time after which a free place that the host before in turn has not taken passes to the next one. It
+	// covers the time until a host that has taken the place tells the others.
+	turnStep = 30 * time.Millisecond
+	// maxTurn bounds the turns, so that a place is open to all hosts after a fifth of a second however many they are.
+	maxTurn = 7
+	// ownFor is the time for which a place that a run of this host has left is known to this host only.
+	ownFor = 25 * time.Millisecond
 	// peerFor is the silence after which the load of a peer no longer counts.
 	peerFor = 3 * time.Second
 )
@@ -132,6 +139,13 @@
 	// downUntil is the time before which the endpoint takes no work, and unreachable the number of failed connects in a row.
 	downUntil   time.Time
 	unreachable int
+	// turn is the number of hosts that come before this one at the last free places, and freeAt the time since when those
+	// places are known to all.
+	turn   int
+	freeAt time.Time
+	// left is the number of places that runs of this host have left since leftAt.
+	left   int
+	leftAt time.Time
 }
 
 type session struct {
@@ -149,6 +163,8 @@
 type Balancer struct {
 	// Zone is the availability zone of this host.
 	Zone string
+	// HostID names this host among its peers.
+	HostID string
 
 	endpoints map[string]*endpoint
 	pools     map[string][]*endpoint
@@ -156,6 +172,8 @@
 	sessions  map[string]session
 	order     []string
 	typical   map[string]float64
+	// hosts are the peers for which the turns were computed.
+	hosts []string
 }
 
 // New returns an empty balancer of a host in a zone.
@@ -183,7 +201,8 @@
 		slices.SortFunc(members, func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
 	}
 	b.endpoints, b.pools = next, pools
-	b.sumPeers()
+	b.sumPeers(time.Time{})
+	b.setTurns()
 }
 
 // Endpoint returns an endpoint by id.
@@ -222,7 +241,7 @@
 			continue
 		}
 		c := b.choice(now, e, w)
-		if timely && c.End > w.Deadline.Sub(now) || gentle && c.harms || !b.hasRoom(e, w) {
+		if timely && c.End > w.Deadline.Sub(now) || gentle && c.harms || !b.hasRoom(now, e, w) {
 			continue
 		}
 		if c.Cost < best.Cost {
@@ -307,7 +326,7 @@
 	return most
 }
 
-func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
+func (b *Balancer) hasRoom(now time.Time, e *endpoint, w Work) bool {
 	running := e.own.Running + e.peers.Running
 	if !e.Engine {
 		return float64(running) < serviceQueue*float64(max(e.Slots, 1))
@@ -315,7 +334,7 @@
 	if running == 0 {
 		return true
 	}
-	if running >= max(e.Slots, 1) {
+	if free := max(e.Slots, 1) - running; free <= 0 || free <= e.turnAt(now) && !e.ownPlace(now) {
 		return false
 	}
 	if e.MemoryTokens > 0 && float64(e.own.Memory+e.peers.Memory+w.Prompt+w.Output) > memoryShare*float64(e.MemoryTokens) {
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -25,6 +27,7 @@
 	}
 	r.endpoint = e
 	e.own.Running++
+	e.left = max(0, e.left-1)
 	if e.Engine {
 		r.memory = w.Prompt + w.Output
 		if !c.Kept {
@@ -64,6 +67,7 @@
 		return
 	}
 	e := r.endpoint
+	e.leave(now)
 	e.unreachable = 0
 	rate := e.failing(now) * (1 - failureStep)
 	if failed {
@@ -155,7 +159,11 @@
 			delete(b.peers, name)
 		}
 	}
-	b.sumPeers()
+	b.sumPeers(now)
+	if hosts := slices.Sorted(maps.Keys(b.peers)); !slices.Equal(hosts, b.hosts) {
+		b.hosts = hosts
+		b.setTurns()
+	}
 }
 
 // SetPeerPace notes the pace of an endpoint that a peer has learned, in milliseconds between two events.
@@ -165,8 +173,9 @@
 	}
 }
 
-func (b *Balancer) sumPeers() {
+func (b *Balancer) sumPeers(now time.Time) {
 	for _, e := range b.endpoints {
+		before := e.peers.Running
 		e.peers, e.peerPace = Load{}, 0
 		n := 0
 		for _, p := range b.peers {
@@ -182,6 +191,9 @@
 		if n > 0 {
 			e.peerPace /= float64(n)
 		}
+		if e.peers.Running < before {
+			e.freeAt = now
+		}
 	}
 	for pool := range b.pools {
 		b.learnTypical(pool)
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -53,6 +53,8 @@
 	Headers     gateway.Headers
 	Endpoints   cataloguer.Source
 	RepeatLimit allotter.RepeatLimit
+	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
+	AllotmentWindow time.Duration
 	// BalancerDelay is how long a stopping host still takes new connections, and Grace bounds the whole stop.
 	BalancerDelay time.Duration
 	Grace         time.Duration
@@ -124,7 +126,9 @@
 	h.participant.Register()
 	h.running.Store(h.participant)
 	h.participant.Subscribe(h.applyConfig)
-	h.admitter = admitter.New(balancer.New(h.Zone))
+	b := balancer.New(h.Zone)
+	b.HostID = h.HostID
+	h.admitter = admitter.New(b)
 	listener, err := net.Listen("tcp", h.CallerAddr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", h.CallerAddr)
@@ -132,6 +136,7 @@
 	h.gateway = &gateway.Gateway{
 		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter,
 		Client: &exchanger.Client{DialTimeout: dialTimeout}, RepeatLimit: h.RepeatLimit,
+		AllotmentWindow: h.AllotmentWindow,
 	}
 	h.gateway.Init()
 	h.cataloguer = &cataloguer.Cataloguer{Source: h.Endpoints, Changed: func(list []cataloguer.Entry) {
