allotter: sliding windows that a started host learns from its peers

Ruled out: a larger bucket, which would admit more than the allotment in a window.

Change: each host adds up the use of all hosts in the platform's window. A host that runs for two seconds or less learns the windows from the datagrams of hosts that know them; until then it takes the whole allotment as used. A refused request gets the time at which the window has room for it behind those refused before.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -1,14 +1,14 @@
 // Package allotter holds the limits that all hosts keep together without asking each other: the allotments of workspaces and
 // the budget of repeated requests. It is pure: time and the counters of peers are inputs.
 //
-// Each host follows every allotment with a bucket of its own, from which it takes what it admits itself and what its peers
-// say they have admitted. A bucket may go below zero, so what hosts admit at the same moment is paid back afterwards and the
-// sum over all hosts stays within the allotment but for the delay of the counters.
+// Each host adds up the use of an allotment by all hosts in a sliding window: what it admits itself, and what its peers say
+// they have admitted. What hosts admit at the same moment may exceed the allotment by little and is paid back, since it fills
+// the window for the time after. A host that has just started learns the window from a peer that has run for longer, and
+// admits nothing beyond the average rate until then.
 package allotter
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -16,38 +16,66 @@
 const (
 	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
 	silentAfter = 500 * time.Millisecond
-	// minBurst is the burst of a limit that names none. A bucket without any room would never admit a request.
+	// minBurst is the burst of a limit that names none. Without any room no request would be admitted.
 	minBurst = 100 * time.Millisecond
+	// defaultWindow is the length of the windows unless it is set.
+	defaultWindow = 8 * time.Second
+	// historyFor is the time after its start in which a host learns the windows of its peers.
+	historyFor = 2 * time.Second
 	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
 	// nothing.
 	forgetAfter = 5 * time.Second
-	// recentWindow is the time over which the rate of admissions is averaged.
-	recentWindow = time.Second
-	// minReturnShare is the least part of an allotment that is expected to be left for requests that return.
-	minReturnShare = 0.25
 	// maxRetryAfter bounds what a caller is asked to wait; a longer forecast says nothing.
 	maxRetryAfter = 10 * time.Second
 )
 
-// Limit is the allotment of a workspace over all hosts, in units per second and units.
+// Limit is the allotment of a workspace over all hosts: within a window, Rate units a second and Burst units beyond them.
 type Limit struct {
 	Rate  float64
 	Burst float64
 }
 
-type bucket struct {
-	limit Limit
-	level float64
-	at    time.Time
-	used  float64 // by this host since its start
-	// promised are the units of refused requests that this host has told to return and whose time has not come yet.
+// account is the use of one workspace.
+type account struct {
+	limit  Limit
+	window window
+	used   float64 // by this host since its start
+	// assumed is true while the use before the start of this host is not known.
+	assumed bool
+	// promises are the refused requests that this host has told to return and whose time has not come yet, and promised is
+	// the sum of their units.
+	promises []promise
 	promised float64
-	// recent is the rate at which all hosts have admitted units lately.
-	recent float64
+}
+
+type promise struct {
+	due   time.Time
+	units float64
+}
+
+func (c *account) capacity() float64 { return c.limit.Rate*c.window.length.Seconds() + c.limit.Burst }
+
+// promise returns when a refused request may return. Those refused before it come first, and each host is assumed to have
+// refused as much as this one. Without their turn, all that return would meet an allotment that the first of them have used up.
+func (c *account) promise(now time.Time, units float64, hosts int) time.Duration {
+	for len(c.promises) > 0 && !now.Before(c.promises[0].due) {
+		c.promised -= c.promises[0].units
+		c.promises = c.promises[1:]
+	}
+	wait := c.window.until(c.capacity() - units/2 - c.promised*float64(hosts))
+	if wait >= min(maxRetryAfter, c.window.length) {
+		return wait
+	}
+	due := now.Add(wait)
+	at, _ := slices.BinarySearchFunc(c.promises, due, func(p promise, due time.Time) int { return p.due.Compare(due) })
+	c.promises = slices.Insert(c.promises, at, promise{due: due, units: units})
+	c.promised += units
+	return wait
 }
 
 type peerUse struct {
 	used  map[string]float64
+	born  time.Time
 	at    time.Time
 	since time.Time // the time up to which the use of a silent peer was assumed
 	owed  map[string]float64
@@ -55,96 +83,75 @@
 
 // Allotter follows the allotments. It is not safe for concurrent use.
 type Allotter struct {
-	started time.Time
-	buckets map[string]*bucket
-	peers   map[string]*peerUse
+	started  time.Time
+	length   time.Duration
+	accounts map[string]*account
+	peers    map[string]*peerUse
 }
 
-// New returns an allotter of a host that starts now. Its buckets begin empty, since the host does not know what its peers have
-// admitted just before.
-func New(now time.Time) *Allotter {
-	return &Allotter{started: now, buckets: map[string]*bucket{}, peers: map[string]*peerUse{}}
+// New returns an allotter of a host that starts now, with the length of the windows; 0 means the default.
+func New(now time.Time, length time.Duration) *Allotter {
+	if length <= 0 {
+		length = defaultWindow
+	}
+	return &Allotter{started: now, length: length, accounts: map[string]*account{}, peers: map[string]*peerUse{}}
 }
 
 // SetLimits replaces the limits by workspace. A workspace without one is not limited.
 func (a *Allotter) SetLimits(now time.Time, limits map[string]Limit) {
 	for name, l := range limits {
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
-		b := a.buckets[name]
-		if b == nil {
-			b = &bucket{at: a.started, limit: l}
-			a.buckets[name] = b
+		c := a.accounts[name]
+		if c == nil {
+			c = &account{limit: l, window: window{length: a.length, epoch: a.started}}
+			if now.Sub(a.started) < a.length {
+				// What was admitted before this host started is unknown to it; it may have been all of the allotment.
+				c.window.fill(a.started, c.capacity()/a.length.Seconds())
+				c.assumed = true
+			}
+			a.accounts[name] = c
 		}
-		b.refill(now, a.hosts())
-		b.limit = l
-		b.refill(now, a.hosts())
-		b.level = min(b.level, l.Burst)
-	}
-	maps.DeleteFunc(a.buckets, func(name string, _ *bucket) bool { _, kept := limits[name]; return !kept })
-}
-
-func (b *bucket) refill(now time.Time, hosts int) {
-	if now.After(b.at) {
-		past := now.Sub(b.at).Seconds()
-		b.level = min(b.limit.Burst, b.level+b.limit.Rate*past)
-		b.promised = max(0, b.promised-b.returnRate(hosts)*past)
-		b.recent *= math.Exp(-past / recentWindow.Seconds())
-		b.at = now
-	}
-}
-
-func (b *bucket) take(units float64) {
-	b.level = min(b.limit.Burst, b.level-units)
-	b.recent = max(0, b.recent+units/recentWindow.Seconds())
-}
-
-// returnRate is the part of the allotment that is left for the requests that one of the hosts has refused before.
-func (b *bucket) returnRate(hosts int) float64 {
-	return max(b.limit.Rate-b.recent, minReturnShare*b.limit.Rate, 1) / float64(hosts)
-}
-
-// promise returns when a refused request may return. Those refused before it come first: without their turn, all that return
-// would meet an allotment that the first of them have used up.
-func (b *bucket) promise(units float64, hosts int) time.Duration {
-	wait := max(0, -b.level)/max(b.limit.Rate, 1) + (b.promised+units/2)/b.returnRate(hosts)
-	if wait >= maxRetryAfter.Seconds() {
-		return maxRetryAfter
+		c.window.advance(now)
+		if l.Rate < c.limit.Rate {
+			// Use that was allowed does not count against a lower limit; the workspace would be refused for a whole window.
+			c.window.scale(l.Rate / c.limit.Rate)
+		}
+		c.limit = l
 	}
-	b.promised += units
-	return time.Duration(wait * float64(time.Second))
+	maps.DeleteFunc(a.accounts, func(name string, _ *account) bool { _, kept := limits[name]; return !kept })
 }
 
-// Take admits units of a workspace, or returns when to try again. A request is admitted while the bucket is above zero
+// Take admits units of a workspace, or returns when to try again. A request is admitted while the window has any room,
 // whatever its size, so that large requests are refused no more often than small ones.
 func (a *Allotter) Take(now time.Time, workspace string, units float64) (admitted bool, retryAfter time.Duration) {
-	b := a.buckets[workspace]
-	if b == nil {
+	c := a.accounts[workspace]
+	if c == nil {
 		return true, 0
 	}
 	a.assumeSilent(now)
-	b.refill(now, a.hosts())
-	if b.level <= 0 {
-		return false, b.promise(units, a.hosts())
+	c.window.advance(now)
+	if c.window.sum >= c.capacity() {
+		return false, c.promise(now, units, len(a.peers)+1)
 	}
-	b.take(units)
-	b.used += units
+	c.window.add(now, units)
+	c.used += units
 	return true, 0
 }
 
 // Return gives back the units of a request that did not run.
-func (a *Allotter) Return(workspace string, units float64) {
-	if b := a.buckets[workspace]; b != nil {
-		b.take(-units)
-		b.used -= units
+func (a *Allotter) Return(now time.Time, workspace string, units float64) {
+	if c := a.accounts[workspace]; c != nil {
+		c.window.add(now, -units)
+		c.used -= units
 	}
 }
 
 // Used returns the units that this host has admitted since its start, by workspace.
 func (a *Allotter) Used() map[string]float64 {
-	out := make(map[string]float64, len(a.buckets))
-	for name, b := range a.buckets {
-		if b.used > 0 {
-			out[name] = b.used
+	out := make(map[string]float64, len(a.accounts))
+	for name, c := range a.accounts {
+		if c.used > 0 {
+			out[name] = c.used
 		}
 	}
 	return out
@@ -152,14 +159,12 @@
 
 // Level returns the units that a workspace may still use at once; it is below zero while it has used too much.
 func (a *Allotter) Level(workspace string) float64 {
-	if b := a.buckets[workspace]; b != nil {
-		return b.level
+	if c := a.accounts[workspace]; c != nil {
+		return c.capacity() - c.window.sum
 	}
 	return 0
 }
 
-func (a *Allotter) hosts() int { return len(a.peers) + 1 }
-
 // Peers returns the number of peers heard lately.
 func (a *Allotter) Peers() int { return len(a.peers) }
 
@@ -174,22 +179,58 @@
 			p.used = maps.Clone(used)
 		}
 	}
+	p.born = now.Add(-age)
 	for name, total := range used {
-		b := a.buckets[name]
-		if b == nil {
-			continue
+		if c := a.accounts[name]; c != nil {
+			c.window.add(now, total-p.used[name]-p.owed[name])
 		}
-		b.refill(now, a.hosts())
-		b.take(total - p.used[name] - p.owed[name])
 	}
 	clear(p.owed)
 	p.used, p.at, p.since = maps.Clone(used), now, now
 }
 
+// History returns the windows of the workspaces in equal parts, the newest first, if a peer has just started and this host
+// knows them. Otherwise it returns nil.
+func (a *Allotter) History(now time.Time) map[string][]float64 {
+	young := false
+	for _, p := range a.peers {
+		young = young || now.Sub(p.born) < historyFor
+	}
+	if !young {
+		return nil
+	}
+	out := map[string][]float64{}
+	for name, c := range a.accounts {
+		if !c.assumed || now.Sub(a.started) >= a.length {
+			out[name] = c.window.history(now)
+		}
+	}
+	return out
+}
+
+// Learn takes the windows that a peer knows. Only a host that has just started needs them.
+func (a *Allotter) Learn(now time.Time, history map[string][]float64) {
+	if now.Sub(a.started) >= historyFor {
+		return
+	}
+	for name, parts := range history {
+		c := a.accounts[name]
+		if c == nil {
+			continue
+		}
+		known := time.Time{}
+		if c.assumed {
+			known = a.started
+		}
+		c.window.learn(now, known, parts)
+		c.assumed = false
+	}
+}
+
 // assumeSilent takes an equal share for each peer that has fallen silent, until it is heard again or is gone. Two hosts that
 // cannot hear each other would otherwise each use the whole allotment.
 func (a *Allotter) assumeSilent(now time.Time) {
-	hosts := float64(a.hosts())
+	hosts := float64(len(a.peers) + 1)
 	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
 		p := a.peers[name]
 		silence := now.Sub(p.at)
@@ -200,10 +241,9 @@
 		if silence <= silentAfter || !now.After(p.since) {
 			continue
 		}
-		for workspace, b := range a.buckets {
-			b.refill(now, a.hosts())
-			share := b.limit.Rate / hosts * now.Sub(p.since).Seconds()
-			b.take(share)
+		for workspace, c := range a.accounts {
+			share := c.limit.Rate / hosts * now.Sub(p.since).Seconds()
+			c.window.add(now, share)
 			p.owed[workspace] += share
 		}
 		p.since = now
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -62,6 +62,13 @@
 			s.Uses.Workspace = append(s.Uses.Workspace, digest(workspace))
 			s.Uses.Units = append(s.Uses.Units, uint64(n))
 		}
+		for workspace, parts := range h.gateway.UseHistory() {
+			s.Uses.HistoryWorkspace = append(s.Uses.HistoryWorkspace, digest(workspace))
+			s.Uses.HistoryParts = uint32(len(parts))
+			for _, units := range parts {
+				s.Uses.HistoryUnits = append(s.Uses.HistoryUnits, uint64(max(units, 0)))
+			}
+		}
 		for _, c := range h.gateway.Crashes() {
 			s.Uses.CrashRequest = append(s.Uses.CrashRequest, c.Fingerprint)
 			s.Uses.CrashEndpoint = append(s.Uses.CrashEndpoint, c.Endpoint)
@@ -89,18 +96,41 @@
 		return
 	}
 	h.gateway.HeardCrashes(crashesOf(s.GetUses()))
-	used := map[string]float64{}
+	names := map[uint32]string{}
 	if index := h.index.Load(); index != nil {
 		for _, w := range index.Table().Workspaces {
-			for i, d := range s.GetUses().GetWorkspace() {
-				if d == digest(w.Name) && i < len(s.GetUses().GetUnits()) {
-					used[w.Name] = float64(s.GetUses().GetUnits()[i])
-				}
-			}
+			names[digest(w.Name)] = w.Name
+		}
+	}
+	used := map[string]float64{}
+	for i, d := range s.GetUses().GetWorkspace() {
+		if name, known := names[d]; known && i < len(s.GetUses().GetUnits()) {
+			used[name] = float64(s.GetUses().GetUnits()[i])
 		}
 	}
 	process := s.GetHost() + "/" + strconv.FormatUint(s.GetProcess(), 36)
 	h.gateway.HeardUse(process, time.Duration(s.GetAgeMs())*time.Millisecond, used)
+	if history := historyOf(s.GetUses(), names); len(history) > 0 {
+		h.gateway.LearnUse(history)
+	}
+}
+
+// historyOf decodes the windows of workspaces.
+func historyOf(in *gossiperpb.Uses, names map[uint32]string) map[string][]float64 {
+	parts := int(in.GetHistoryParts())
+	out := map[string][]float64{}
+	for i, d := range in.GetHistoryWorkspace() {
+		name, known := names[d]
+		if !known || parts <= 0 || (i+1)*parts > len(in.GetHistoryUnits()) {
+			continue
+		}
+		units := make([]float64, parts)
+		for j := range units {
+			units[j] = float64(in.GetHistoryUnits()[i*parts+j])
+		}
+		out[name] = units
+	}
+	return out
 }
 
 // loadsOf decodes loads. Endpoints that this host does not know yet are left out; they come with its next list.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,8 @@
 	Client *exchanger.Client
 	// RepeatLimit bounds the requests that are sent once more.
 	RepeatLimit allotter.RepeatLimit
+	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
+	AllotmentWindow time.Duration
 
 	server  *http.Server
 	mu      sync.Mutex
@@ -111,7 +113,7 @@
 // Init prepares the state that Run and the callers of other methods use.
 func (g *Gateway) Init() {
 	g.Client.OnDial = func(string) { countDials.Add(1) }
-	g.allots = allotter.New(time.Now())
+	g.allots = allotter.New(time.Now(), g.AllotmentWindow)
 	g.repeats = map[string]*allotter.Repeats{}
 	g.crashes = newCrashWatch(time.Now())
 	g.confirming = map[string]bool{}
@@ -240,6 +242,20 @@
 	return g.allots.Used()
 }
 
+// UseHistory returns the windows of the allotments if a peer that has just started needs them.
+func (g *Gateway) UseHistory() map[string][]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allots.History(time.Now())
+}
+
+// LearnUse takes the windows of the allotments as a peer knows them.
+func (g *Gateway) LearnUse(history map[string][]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allots.Learn(time.Now(), history)
+}
+
 // HeardUse takes what a peer has admitted.
 func (g *Gateway) HeardUse(process string, age time.Duration, used map[string]float64) {
 	g.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -262,7 +262,7 @@
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	q.g.allots.Return(q.workspace.Name, q.units)
+	q.g.allots.Return(time.Now(), q.workspace.Name, q.units)
 }
 
 // refuse answers a request with a failure of this system.
