forwarder: datagrams between hosts hold what has changed

Cause: in a flood each host tells its loads to each other host 40 times a second, and all of them each time. Adding up the loads of all peers again for each datagram would also take the processor of an installation with 60 entry hosts.

Change: a datagram holds the endpoints whose load has changed since the last one, each tenth all of them; nothing is sent if nothing has changed. Endpoints are found by their digests in a table made with the list.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -89,9 +89,9 @@
 func TestPeersCount(t *testing.T) {
 	b := balancer.New("z")
 	b.SetEndpoints(engines("a", "b"))
-	b.SetPeer(now, "peer", map[string]balancer.Load{"a": {Running: 2}})
+	b.SetPeer(now, "peer", map[string]balancer.Load{"a": {Running: 2}}, true)
 	got := []string{pick(b, balancer.Work{Prompt: 10, Output: 1})}
-	b.SetPeer(now, "peer", map[string]balancer.Load{"a": {Running: 2}, "b": {Running: 2}})
+	b.SetPeer(now, "peer", map[string]balancer.Load{"a": {Running: 2}, "b": {Running: 2}}, true)
 	got = append(got, pick(b, balancer.Work{Prompt: 10, Output: 1}))
 	if diff := cmp.Diff([]string{"b", "wait"}, got); diff != "" {
 		t.Errorf("placement (-want +got):\n%s", diff)
--- a/internal/balancer/turn_test.go
+++ b/internal/balancer/turn_test.go
@@ -28,7 +28,7 @@
 	for i, b := range hosts {
 		for j := range hosts {
 			if name := fmt.Sprintf("host-%d", j); j != i {
-				b.SetPeer(at, name, map[string]balancer.Load{"engine": {Running: running[name]}})
+				b.SetPeer(at, name, map[string]balancer.Load{"engine": {Running: running[name]}}, true)
 			}
 		}
 	}
@@ -71,7 +71,7 @@
 	w := balancer.Work{Prompt: 10, Output: 10}
 	for i, b := range hostsBefore(n, nil) {
 		others := func(at time.Time, running int) {
-			b.SetPeer(at, fmt.Sprintf("host-%d", (i+1)%n), map[string]balancer.Load{"engine": {Running: running}})
+			b.SetPeer(at, fmt.Sprintf("host-%d", (i+1)%n), map[string]balancer.Load{"engine": {Running: running}}, true)
 		}
 		others(now, 3)
 		c, ok := b.Pick(now.Add(time.Second), "p", w, nil)
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -70,7 +70,10 @@
 	stopping    atomic.Bool
 	running     atomic.Pointer[participant.Participant]
 	told        int
-	usesAt      time.Time
+	toldLast    map[string]load
+	// endpointNames finds the endpoints of the list by their digests.
+	endpointNames atomic.Pointer[map[uint32]string]
+	usesAt        time.Time
 }
 
 // SetControllers replaces the control hosts of the settings while the host runs.
@@ -181,6 +184,7 @@
 		return
 	}
 	endpoints := make([]balancer.Endpoint, 0, len(*list))
+	names := make(map[uint32]string, len(*list))
 	for _, e := range *list {
 		endpoint := balancer.Endpoint{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Pool: e.Pool, Slots: e.Slots, Leaving: e.Leaving}
 		if index != nil {
@@ -189,7 +193,9 @@
 			}
 		}
 		endpoints = append(endpoints, endpoint)
+		names[digest(e.ID)] = e.ID
 	}
+	h.endpointNames.Store(&names)
 	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(endpoints) })
 }
 
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -14,6 +14,8 @@
 const (
 	// pacesEvery is the number of datagrams between two that carry learned paces, which change over seconds.
 	pacesEvery = 20
+	// wholeEvery is the number of datagrams between two with all loads, which mend what a lost one has left out.
+	wholeEvery = 10
 	// usesInterval is the time between two datagrams that carry the use of allotments, well below the window of an allotment.
 	usesInterval = 90 * time.Millisecond
 	// unreadUnit and memoryUnit are the numbers of tokens in a unit of a datagram.
@@ -37,24 +39,20 @@
 
 func units(n, unit int) uint32 { return uint32((max(n, 0) + unit - 1) / unit) }
 
-// state is what this host tells its peers.
+// state is what this host tells its peers, or nil if there is nothing new.
 func (h *Host) state() *gossiperpb.State {
 	h.told++
-	s := &gossiperpb.State{Loads: &gossiperpb.Loads{}}
-	h.admitter.View(func(b *balancer.Balancer) {
-		for id, l := range b.Loads() {
-			if l.Running > 0 {
-				s.Loads.Endpoint = append(s.Loads.Endpoint, digest(id))
-				s.Loads.Running = append(s.Loads.Running, uint32(l.Running))
-				s.Loads.Unread = append(s.Loads.Unread, units(l.Unread, unreadUnit))
-				s.Loads.Memory = append(s.Loads.Memory, units(l.Memory, memoryUnit))
-			}
-			if l.Pace > 0 && h.told%pacesEvery == 0 {
+	var loads map[string]balancer.Load
+	h.admitter.View(func(b *balancer.Balancer) { loads = b.Loads() })
+	s := &gossiperpb.State{Loads: h.toldLoads(loads, h.told%wholeEvery == 1)}
+	if h.told%pacesEvery == 1 {
+		for id, l := range loads {
+			if l.Pace > 0 {
 				s.Loads.PacedEndpoint = append(s.Loads.PacedEndpoint, digest(id))
 				s.Loads.PaceUs = append(s.Loads.PaceUs, uint32(l.Pace*1000))
 			}
 		}
-	})
+	}
 	if now := time.Now(); now.Sub(h.usesAt) >= usesInterval {
 		h.usesAt = now
 		s.Uses = &gossiperpb.Uses{}
@@ -74,23 +72,54 @@
 			s.Uses.CrashEndpoint = append(s.Uses.CrashEndpoint, c.Endpoint)
 		}
 	}
+	if s.Uses == nil && !s.Loads.Whole && len(s.Loads.Endpoint) == 0 {
+		return nil
+	}
 	return s
 }
 
+// load is a load as a datagram tells it.
+type load struct{ running, unread, memory uint32 }
+
+// toldLoads encodes the loads, or those that have changed since they were told last.
+func (h *Host) toldLoads(loads map[string]balancer.Load, whole bool) *gossiperpb.Loads {
+	out := &gossiperpb.Loads{Whole: whole}
+	next := make(map[string]load, len(loads))
+	add := func(id string, l load) {
+		out.Endpoint = append(out.Endpoint, digest(id))
+		out.Running = append(out.Running, l.running)
+		out.Unread = append(out.Unread, l.unread)
+		out.Memory = append(out.Memory, l.memory)
+	}
+	for id, l := range loads {
+		if l.Running <= 0 {
+			continue
+		}
+		next[id] = load{running: uint32(l.Running), unread: units(l.Unread, unreadUnit), memory: units(l.Memory, memoryUnit)}
+		if whole || h.toldLast[id] != next[id] {
+			add(id, next[id])
+		}
+	}
+	for id := range h.toldLast {
+		if _, left := next[id]; !left && !whole {
+			add(id, load{})
+		}
+	}
+	h.toldLast = next
+	return out
+}
+
 // heard takes the state of a peer.
 func (h *Host) heard(s *gossiperpb.State) {
 	now := time.Now()
+	var endpoints map[uint32]string
+	if known := h.endpointNames.Load(); known != nil {
+		endpoints = *known
+	}
+	loads, paces := loadsOf(s.GetLoads(), endpoints), pacesOf(s.GetLoads(), endpoints)
 	h.admitter.Update(func(b *balancer.Balancer) {
-		names := map[uint32]string{}
-		for _, e := range b.Endpoints() {
-			names[digest(e.ID)] = e.ID
-		}
-		b.SetPeer(now, s.GetHost(), loadsOf(s.GetLoads(), names))
-		for i, d := range s.GetLoads().GetPacedEndpoint() {
-			if i < len(s.GetLoads().GetPaceUs()) {
-				b.SetPeerPace(s.GetHost(), names[d], float64(s.GetLoads().GetPaceUs()[i])/1000)
-			}
-		}
+		b.SetPeer(now, s.GetHost(), loads, s.GetLoads().GetWhole())
+		b.SetPeerPaces(s.GetHost(), paces)
 	})
 	if s.GetUses() == nil {
 		return
@@ -147,6 +176,17 @@
 	return out
 }
 
+// pacesOf decodes learned paces, in milliseconds between two events.
+func pacesOf(in *gossiperpb.Loads, names map[uint32]string) map[string]float64 {
+	out := make(map[string]float64, len(in.GetPacedEndpoint()))
+	for i, d := range in.GetPacedEndpoint() {
+		if name, known := names[d]; known && i < len(in.GetPaceUs()) {
+			out[name] = float64(in.GetPaceUs()[i]) / 1000
+		}
+	}
+	return out
+}
+
 func crashesOf(in *gossiperpb.Uses) []gateway.Crash {
 	out := make([]gateway.Crash, min(len(in.GetCrashRequest()), len(in.GetCrashEndpoint())))
 	for i := range out {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -49,7 +49,7 @@
 	Peers func() []string
 	// Busy reports whether places are scarce, so that peers should hear of each one at once.
 	Busy func() bool
-	// State returns what to tell; host, process, sequence and age are filled in.
+	// State returns what to tell, or nil if nothing is new; host, process, sequence and age are filled in.
 	State func() *gossiperpb.State
 	// Heard takes the newest state of a peer.
 	Heard func(*gossiperpb.State)
@@ -107,6 +107,9 @@
 		return
 	}
 	s := g.State()
+	if s == nil {
+		return
+	}
 	g.seq++
 	s.Host, s.Process, s.Seq, s.AgeMs = g.HostID, g.process, g.seq, uint64(time.Since(g.started).Milliseconds())
 	raw, err := proto.Marshal(s)
