balancer: own zone preferred by 80 ms; single failures count less

A single failed answer sent the work of a plain service to other zones for about ten seconds.

Change: another zone costs 80 ms instead of 25 ms; the penalty of failures grows with the square of their rate.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -27,8 +27,9 @@
 	maxBacklog = 300 * time.Millisecond
 	// crowdMS is the cost of each request that runs beside another one.
 	crowdMS = 2
-	// zoneMS is the cost of the way to another availability zone, with the price of the bytes between them.
-	zoneMS = 25
+	// zoneMS is the cost of the way to another availability zone. It stands for the price of the bytes between them rather than
+	// for the way itself, which takes a millisecond: it keeps requests at home unless another zone answers much sooner.
+	zoneMS = 80
 	// stepMS is the time of a step of an engine of median speed, in which each of its streams advances by one token, and
 	// readMS what each prompt token adds to the step that reads it. At most chunkTokens are read in a step. The figures are
 	// those of large models on present accelerators; they decide only which engines are too slow to read a prompt unnoticed.
@@ -54,7 +55,8 @@
 	sessionFor = 40 * time.Second
 	// maxSessions bounds the sessions remembered.
 	maxSessions = 8192
-	// failurePenaltyMS is the cost of an endpoint all of whose recent answers failed.
+	// failurePenaltyMS is the cost of an endpoint all of whose recent answers failed. The cost grows with the square of their
+	// rate: a single failure is no reason to send the work of an availability zone elsewhere for long.
 	failurePenaltyMS = 4000
 	// failureStep is the weight of the newest outcome in the rate of failures.
 	failureStep = 0.25
@@ -201,7 +203,7 @@
 		slices.SortFunc(members, func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
 	}
 	b.endpoints, b.pools = next, pools
-	b.sumPeers(time.Time{})
+	b.sumPeers()
 	b.setTurns()
 }
 
@@ -368,7 +370,8 @@
 	if e.Zone != b.Zone {
 		c.Cost += zoneMS
 	}
-	c.Cost += failurePenaltyMS * e.failing(now)
+	failing := e.failing(now)
+	c.Cost += failurePenaltyMS * failing * failing
 	return c
 }
 
