--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -36,8 +36,9 @@
 	stepMS      = 4.0
 	readMS      = 0.0146
 	chunkTokens = 1024
-	// gapShare is the part of the longest allowed pause that a predicted one may take.
-	gapShare = 0.9
+	// gapShare is the part of the longest allowed pause that a predicted one may take. The rest covers what the model leaves
+	// out: long contexts, and prompts that hosts send at the same moment.
+	gapShare = 0.7
 	// harmMS is the cost of each running stream whose pauses a prompt would make too long. It is about half of the shortest
 	// target of a first event.
 	harmMS = 150
