clocker: a time that goes on while the machine is suspended

Cause: read in the code while the list was passed on: Go's steady clock stands still while a machine is suspended. A host that wakes took its confirmation of the configuration from before as recent for up to three seconds, a control leader its lease, and a reader of the list would have passed on a list that is seconds old as new.

Ruled out: the time of day, which steps.

Change: clocker.Now adds what CLOCK_BOOTTIME counts beyond CLOCK_MONOTONIC; confirmations, role leases, the log's time and the age of relayed lists use it.

Figures: TestSuspendedHostIsNotFresh fails with the steady clock.

--- a/internal/cataloguer/relay.go
+++ b/internal/cataloguer/relay.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer/cataloguerpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -62,7 +63,7 @@
 		countReadings.Add("not_relayed", 1)
 		klog.V(1).Infof("cataloguer: list not relayed reader=%s reason=%q", addr, err)
 	}
-	asked := time.Now()
+	asked := clocker.Now()
 	list, err := r.Platform.Read(ctx)
 	if err != nil {
 		return nil, err
@@ -78,7 +79,7 @@
 	r.mu.Lock()
 	req := &cataloguerpb.ListRequest{Digest: r.digest}
 	r.mu.Unlock()
-	asked, reply := time.Now(), &cataloguerpb.ListReply{}
+	asked, reply := clocker.Now(), &cataloguerpb.ListReply{}
 	if err := r.Network.Call(ctx, addr, MethodList, req, reply); err != nil {
 		return nil, err
 	}
@@ -132,7 +133,7 @@
 	defer r.mu.Unlock()
 	reply := &cataloguerpb.ListReply{Digest: r.digest}
 	if r.digest != 0 {
-		reply.AgeMs = uint64(time.Since(r.readAt).Milliseconds())
+		reply.AgeMs = uint64(clocker.Since(r.readAt).Milliseconds())
 	}
 	if r.digest != req.GetDigest() {
 		for _, e := range r.list {
--- a/internal/distributor/relay.go
+++ b/internal/distributor/relay.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor/distributorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
@@ -123,7 +124,7 @@
 	defer cancel()
 	version, _, _ := r.Holder.Confirmation()
 	reply := &distributorpb.ConfirmReply{}
-	sent := time.Now()
+	sent := clocker.Now()
 	err := r.Network.Call(ctx, parent.Addr, MethodConfirm, &distributorpb.ConfirmRequest{Version: version}, reply)
 	if err != nil {
 		klog.V(1).Infof("distributor: no confirmation host=%s parent=%s reason=%q", r.HostID, parent.Host, err)
@@ -186,7 +187,7 @@
 	}
 	version, document, at := r.Holder.Confirmation()
 	reply := &distributorpb.ConfirmReply{Version: version}
-	if age := time.Since(at); !at.IsZero() && age < heartbeater.FreshFor {
+	if age := clocker.Since(at); !at.IsZero() && age < heartbeater.FreshFor {
 		// Rounded up, so that the child never counts its confirmation as younger than it is.
 		reply.Confirmed, reply.AgeMs = true, age.Milliseconds()+1
 	}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/leaseholder"
@@ -74,6 +75,8 @@
 	// Folder returns the identity of the data folder once it is open; it is nil on hosts without one.
 	Folder  func() (incarnation uint64, open bool)
 	Network Network
+	// Clock is that of this machine unless it is set.
+	Clock *clocker.Clock
 	// Controllers are the addresses of the control hosts from the settings.
 	Controllers []string
 
@@ -179,9 +182,9 @@
 
 func (a *Agent) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		started := time.Now()
+		started := a.Clock.Now()
 		answered := a.beat(ctx)
-		wait := a.interval() - time.Since(started)
+		wait := a.interval() - a.Clock.Since(started)
 		if !answered {
 			wait = retryDelay
 		}
@@ -211,7 +214,7 @@
 func (a *Agent) interval() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.relayed(time.Now()) && len(a.leases.Held()) == 0 {
+	if a.relayed(a.Clock.Now()) && len(a.leases.Held()) == 0 {
 		return RelayedInterval
 	}
 	return HeartbeatInterval
@@ -220,7 +223,7 @@
 // beat sends one heartbeat to the leader, or to the next control host when it does not answer.
 func (a *Agent) beat(ctx context.Context) bool {
 	a.mu.Lock()
-	paused := time.Now().Before(a.rejoinAt)
+	paused := a.Clock.Now().Before(a.rejoinAt)
 	a.mu.Unlock()
 	if paused {
 		return false
@@ -245,7 +248,7 @@
 	defer cancel()
 	req := a.heartbeat()
 	resp := &controllerpb.HeartbeatReply{}
-	sent := time.Now()
+	sent := a.Clock.Now()
 	if err := a.Network.Call(ctx, addr, MethodHeartbeat, req, resp); err != nil {
 		countBeats.Add("failed", 1)
 		klog.V(1).Infof("heartbeater: no answer addr=%s reason=%q", addr, err)
@@ -266,7 +269,7 @@
 func (a *Agent) heartbeat() *controllerpb.Heartbeat {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := a.Clock.Now()
 	a.seq++
 	hb := &controllerpb.Heartbeat{
 		Host: a.HostID, Nonce: a.nonce, Incarnation: a.incarnation, Zone: a.Zone, Addr: a.Addr, CallersAddr: a.CallersAddr,
@@ -304,7 +307,7 @@
 	if r.GetSuperseded() {
 		klog.Errorf("heartbeater: another process runs under this host id host=%s incarnation=%d", a.HostID, a.incarnation)
 		a.report(a.leases.EndAll())
-		a.nonce, a.incarnation, a.rejoinAt = rand.Uint64(), 0, time.Now().Add(rejoinDelay)
+		a.nonce, a.incarnation, a.rejoinAt = rand.Uint64(), 0, a.Clock.Now().Add(rejoinDelay)
 		return
 	}
 	a.term, a.leader, a.leaderAddr = r.GetTerm(), r.GetLeader(), addr
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -21,7 +21,7 @@
 func (a *Agent) Config() (version uint64, cfg *configurer.Config, fresh bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	fresh = a.version > 0 && time.Since(a.confirmedAt) < FreshFor
+	fresh = a.version > 0 && a.Clock.Since(a.confirmedAt) < FreshFor
 	return a.version, a.config, fresh
 }
 
@@ -49,8 +49,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	if !confirmedAt.IsZero() && time.Since(confirmedAt) < maxRelayedAge {
-		a.relayedAt = time.Now()
+	if !confirmedAt.IsZero() && a.Clock.Since(confirmedAt) < maxRelayedAge {
+		a.relayedAt = a.Clock.Now()
 	}
 	a.acceptConfig(version, document, confirmedAt)
 }
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -46,7 +46,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	return a.leases.Valid(time.Now(), role, epoch)
+	return a.leases.Valid(a.Clock.Now(), role, epoch)
 }
 
 // HandOver gives up all roles and takes no new ones. It returns once the callbacks have run and the leader has answered,
@@ -111,7 +111,7 @@
 	if a.draining {
 		return
 	}
-	now, until := time.Now(), sent.Add(time.Duration(r.GetLeaseMs())*time.Millisecond)
+	now, until := a.Clock.Now(), sent.Add(time.Duration(r.GetLeaseMs())*time.Millisecond)
 	for _, g := range r.GetGranted() {
 		a.report(a.leases.Grant(now, g.GetRole(), g.GetEpoch(), until))
 	}
@@ -140,7 +140,7 @@
 			return
 		case <-tick.C:
 			a.mu.Lock()
-			a.report(a.leases.Expire(time.Now()))
+			a.report(a.leases.Expire(a.Clock.Now()))
 			a.mu.Unlock()
 		}
 	}
--- a/internal/heartbeater/shed.go
+++ b/internal/heartbeater/shed.go
@@ -74,7 +74,7 @@
 		return
 	}
 	changed := !asking || a.shed.asks[role].tier != tier
-	a.shed.asks[role] = shedAsk{tier: tier, until: time.Now().Add(AskFor)}
+	a.shed.asks[role] = shedAsk{tier: tier, until: a.Clock.Now().Add(AskFor)}
 	a.mu.Unlock()
 	if changed {
 		a.Wake()
--- a/internal/sequencer/calls.go
+++ b/internal/sequencer/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
 )
 
@@ -82,7 +83,7 @@
 	s.init()
 	v := s.view.Load()
 	id = v.status.Leader
-	if id == s.HostID && !time.Now().Before(v.lease) {
+	if id == s.HostID && !clocker.Now().Before(v.lease) {
 		return "", "", v.status.Term
 	}
 	m, _ := v.status.Members.Find(id)
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/bootstrapper"
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/notifier"
 	"github.com/dragonflycroft/dragonflycroft/internal/persister"
 	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
@@ -269,7 +270,7 @@
 	for _, e := range contents.Entries {
 		s.logBytes += len(e.Data)
 	}
-	s.epoch = time.Now()
+	s.epoch = clocker.Now()
 	seed := s.Seed
 	if seed == 0 {
 		seed = seedOf(s.HostID, s.epoch)
@@ -295,7 +296,7 @@
 	return nil
 }
 
-func (s *Sequencer) now() time.Duration { return time.Since(s.epoch) }
+func (s *Sequencer) now() time.Duration { return clocker.Since(s.epoch) }
 
 // post hands fn to the goroutine that owns the core.
 func (s *Sequencer) post(ctx context.Context, fn func()) error {
