gateway, exchanger: endpoints that say they leave or want nothing for a time; bytes without end

Cause: nothing read the mark of leaving in an answer nor the Retry-After of an endpoint that turned a request away, so work went there until the list showed it. Heads of answers had no bound in bytes, interim answers none in number, a refusal's body was awaited until the deadline, and any byte of a stream, also a comment, counted as progress.

Change: the balancer keeps both notices by lifetime, beyond gaps in the list; an endpoint that the list still shows as ready 5 s after it said that it leaves is asked for its health, and takes work again once it answers without the mark. Heads are bounded to 64 KiB and 16 interim answers; only new events reset the silence of a stream; a body that may be asked for elsewhere has as long as its head had.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -146,6 +146,10 @@
 	// places are known to all.
 	turn   int
 	freeAt time.Time
+	// saidLeaving is true once the endpoint itself has said that it leaves, and heldUntil the time before which it wants nothing
+	// from this host.
+	saidLeaving bool
+	heldUntil   time.Time
 	// left is the number of places that runs of this host have left since leftAt.
 	left   int
 	leftAt time.Time
@@ -177,13 +181,15 @@
 	typical   map[string]float64
 	// hosts are the peers for which the turns were computed.
 	hosts []string
+	// notices are what endpoints have said of themselves. They outlast a gap in the list.
+	notices map[lifetime]notice
 }
 
 // New returns an empty balancer of a host in a zone.
 func New(zone string) *Balancer {
 	return &Balancer{
 		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{}, peers: map[string]peer{},
-		sessions: map[string]session{}, typical: map[string]float64{},
+		sessions: map[string]session{}, typical: map[string]float64{}, notices: map[lifetime]notice{},
 	}
 }
 
@@ -195,6 +201,8 @@
 		known := b.endpoints[e.ID]
 		if known == nil || known.Addr != e.Addr {
 			known = &endpoint{}
+			n := b.notices[lifetime{id: e.ID, addr: e.Addr}]
+			known.saidLeaving, known.heldUntil = !n.leftAt.IsZero(), n.heldUntil
 		}
 		known.Endpoint = e
 		next[e.ID] = known
@@ -299,13 +307,13 @@
 
 // Usable reports whether any endpoint of a pool may take work at all.
 func (b *Balancer) Usable(pool string, except func(id string) bool) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.Leaving && (except == nil || !except(e.ID)) })
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.leaves() && (except == nil || !except(e.ID)) })
 }
 
 // Places returns how many places of a pool are taken, and how many there are.
 func (b *Balancer) Places(pool string) (taken, all int) {
 	for _, e := range b.pools[pool] {
-		if !e.Leaving {
+		if !e.leaves() {
 			taken += min(e.own.Running+e.peers.Running, e.Slots)
 			all += e.Slots
 		}
@@ -315,7 +323,7 @@
 
 // usable reports whether an endpoint may take work at all. One that could not be reached is tried by one request at a time.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Leaving && !now.Before(e.downUntil) && (e.unreachable == 0 || e.own.Running == 0)
+	return !e.leaves() && !now.Before(e.heldUntil) && !now.Before(e.downUntil) && (e.unreachable == 0 || e.own.Running == 0)
 }
 
 // Busiest returns the part of the places that are taken in the busiest pool.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -31,10 +31,23 @@
 	inlineBodyBytes = 8 << 10
 	// maxStrayAnswers bounds the answers to earlier requests that are skipped on one connection.
 	maxStrayAnswers = 2
+	// maxInterimAnswers bounds the answers of the 1xx class before the final one.
+	maxInterimAnswers = 16
 	// maxStrayBytes bounds the body of an answer that is skipped.
 	maxStrayBytes = 1 << 20
+	// maxHeadBytes bounds what is read before the head of an answer is whole, with interim answers. An endpoint in trouble may
+	// send bytes without end.
+	maxHeadBytes = 64 << 10
 )
 
+// HeadTooLongError reports an endpoint that sent more bytes than any head of an answer has.
+type HeadTooLongError struct{ Limit int }
+
+// Error implements error.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("no whole head of an answer within %d bytes", e.Limit)
+}
+
 // NotSentError reports that no byte of a request was written: it did not run.
 type NotSentError struct {
 	Addr string
@@ -94,13 +107,35 @@
 
 type conn struct {
 	net.Conn
-	addr     string
+	addr string
+	// head bounds the bytes that are read while a head is awaited.
+	head     *headLimit
 	reader   *bufio.Reader
 	kept     bool
 	provenAt time.Time
 	idleFor  time.Duration
 }
 
+// headLimit passes bytes on and fails once more than left of them were read while limited.
+type headLimit struct {
+	io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, &HeadTooLongError{Limit: maxHeadBytes}
+	}
+	n, err := l.Reader.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Response is an answer whose body has not been read yet.
 type Response struct {
 	Status int
@@ -161,14 +196,19 @@
 
 // readAnswer reads heads until one belongs to the request.
 func readAnswer(k *conn, req *Request) (*http.Response, error) {
-	for stray := 0; ; {
+	for stray, interim := 0, 0; ; {
+		k.head.limited, k.head.left = true, maxHeadBytes
 		answer, err := http.ReadResponse(k.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
 		if answer.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return nil, eris.Errorf("more than %d interim answers", maxInterimAnswers)
+			}
 			continue
 		}
+		k.head.limited = false
 		echo := answer.Header.Get(req.EchoHeader)
 		if req.EchoHeader == "" || echo == "" || echo == req.Header.Get(req.EchoHeader) {
 			return answer, nil
@@ -261,7 +301,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReader(raw)}, nil
+	head := &headLimit{Reader: raw}
+	return &conn{Conn: raw, addr: addr, head: head, reader: bufio.NewReader(head)}, nil
 }
 
 // Reachable opens a connection to an address and keeps it for a later exchange.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -196,7 +196,10 @@
 		return q.broken(grant, err)
 	}
 	defer response.Close()
+	q.g.heed(e.ID, response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(q.g.Headers.NotRun) != "" {
+		// The head decides; a body that does not end must not keep the caller.
+		silence.Reset(refusalWait)
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err == nil {
 			response.Finish()
 		}
@@ -212,7 +215,10 @@
 	if response.Status == http.StatusOK && q.rule.Kind == router.Streaming {
 		return q.relay(grant, response, silence, limit)
 	}
-	silence.Stop()
+	if limit < time.Until(q.deadline) {
+		// The time for the whole body starts now; an endpoint that sends a byte now and then makes no progress.
+		silence.Reset(limit)
+	}
 	return q.whole(grant, response)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,10 @@
 	NotRun string
 	// Signature marks an endpoint's own answer.
 	Signature string
+	// InstanceID names the endpoint in its answer to a health check.
+	InstanceID string
+	// Leaving marks the answers of an endpoint that leaves.
+	Leaving string
 	// LastEvent is the id of the last event that a resumed stream has.
 	LastEvent string
 	// KeyScheme precedes the API key in the Authorization header.
@@ -101,13 +105,15 @@
 	crashes *crashWatch
 	// confirming are the endpoints whose crash is being confirmed.
 	confirming map[string]bool
-	confirms   sync.WaitGroup
-	opened     chan struct{}
-	openOnce   sync.Once
-	guard      *guardListener
-	stopping   atomic.Bool
-	closed     atomic.Bool
-	active     atomic.Int64
+	// doubted are the endpoints whose leaving was confirmed last, by the time of that check.
+	doubted  map[string]time.Time
+	confirms sync.WaitGroup
+	opened   chan struct{}
+	openOnce sync.Once
+	guard    *guardListener
+	stopping atomic.Bool
+	closed   atomic.Bool
+	active   atomic.Int64
 }
 
 // Init prepares the state that Run and the callers of other methods use.
@@ -116,7 +122,7 @@
 	g.allots = allotter.New(time.Now(), g.AllotmentWindow)
 	g.repeats = map[string]*allotter.Repeats{}
 	g.crashes = newCrashWatch(time.Now())
-	g.confirming = map[string]bool{}
+	g.confirming, g.doubted = map[string]bool{}, map[string]time.Time{}
 	g.opened = make(chan struct{})
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
 	g.server = &http.Server{
@@ -172,6 +178,7 @@
 		}
 	})
 	g.Client.Sweep(func(addr string) bool { return addrs[addr] })
+	g.checkDoubtful(time.Now())
 }
 
 // limits returns the bounds on what callers send, from the table in force where it names them.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 
 var testHeaders = gateway.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", Expected: "X-Expected", Parts: "X-Parts", Workspace: "X-Workspace",
-	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEvent: "Last-Event-Id", KeyScheme: "Token",
+	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEvent: "Last-Event-Id", KeyScheme: "Token", Leaving: "X-Leaving", InstanceID: "X-Instance-Id",
 	Internal: []string{"X-Hold"},
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,9 +38,12 @@
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		silence.Reset(limit)
 		if whole := lastEventEnd(buffer); whole > 0 {
-			events := q.fresh(buffer[:whole])
+			events, progress := q.fresh(buffer[:whole])
+			if progress {
+				// Only events are progress: an endpoint in trouble may send a byte, or a comment, now and then without end.
+				silence.Reset(limit)
+			}
 			if err := q.write(control, response, events); err != nil {
 				grant.Refuse(time.Now(), false)
 				return interrupted, held{}, err
@@ -82,23 +85,35 @@
 	return control.Flush()
 }
 
-// fresh notes the id of the last event, and drops events at the front that the caller has already.
-func (q *request) fresh(events []byte) []byte {
+// fresh notes the id of the last event, and drops events at the front that the caller has already. It reports whether any
+// event is new to the caller and no mere comment.
+func (q *request) fresh(events []byte) (out []byte, progress bool) {
 	have := q.lastEvent
-	out := events
+	out = events
 	for rest := events; len(rest) > 0; {
 		end := eventEnd(rest)
 		id := eventID(rest[:end])
-		if id != "" {
-			if have != "" && !after(id, have) {
-				out = rest[end:]
-			} else {
-				q.lastEvent = id
-			}
+		switch {
+		case id == "":
+			progress = progress || !isComment(rest[:end])
+		case have != "" && !after(id, have):
+			out = rest[end:]
+		default:
+			q.lastEvent, progress = id, true
 		}
 		rest = rest[end:]
 	}
-	return out
+	return out, progress
+}
+
+// isComment reports whether an event has comment lines only, which servers send to keep a connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
 }
 
 func (q *request) countEvents(events []byte) {
