coordinator, asker: messages hold what has changed; forgotten connections are no failure of their endpoint

A kept connection that its endpoint had forgotten counted as a failure of the endpoint, which alternating forgetting turned into a cost of one second.

Change: sums hold the workspaces that have changed, coordinators with nothing new exchange each 300 ms, and only asks and signs of life are answered. A kept connection that ends before a byte of an answer is neutral for its endpoint; whether the request may go elsewhere is for its rule, as before.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
@@ -70,8 +71,8 @@
 	Incarnation func() uint64
 	// Local knows the endpoints, and places while no coordinator answers.
 	Local *admitter.Admitter
-	// Tell adds what the other hosts should know to a report; it returns false if there is nothing new.
-	Tell func(*coordinatorpb.Report) bool
+	// Tell adds what the other hosts should know to a report, all of it or what is new; it returns false if there is nothing.
+	Tell func(r *coordinatorpb.Report, all bool) bool
 	// Heard takes what other hosts have used and seen.
 	Heard func(*coordinatorpb.Orders)
 
@@ -179,12 +180,24 @@
 	if l == nil {
 		return
 	}
+	a.mu.Lock()
+	all := !l.usesTold
+	a.mu.Unlock()
 	r := &coordinatorpb.Report{}
-	if !a.Tell(r) {
+	if !a.Tell(r, all) {
 		return
 	}
-	l.report(func(p *coordinatorpb.Report) {
-		p.Uses = r.GetUses()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !l.up {
+		return
+	}
+	l.usesTold = l.usesTold || all
+	l.reportLocked(func(p *coordinatorpb.Report) {
+		if p.Uses == nil {
+			p.Uses = &coordinatorpb.Uses{}
+		}
+		proto.Merge(p.Uses, r.GetUses())
 		p.Crashes = append(p.Crashes, r.GetCrashes()...)
 	})
 }
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -121,7 +121,7 @@
 	local := admitter.New(b)
 	a := &asker.Asker{
 		Zone: zones[i%3], Network: network{f: f, from: fmt.Sprintf("h%d", i)}, Hosts: f.hosts, Incarnation: func() uint64 { return 1 },
-		Local: local, Tell: func(*coordinatorpb.Report) bool { return false }, Heard: func(*coordinatorpb.Orders) {},
+		Local: local, Tell: func(*coordinatorpb.Report, bool) bool { return false }, Heard: func(*coordinatorpb.Orders) {},
 	}
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -31,6 +31,8 @@
 	wake     chan struct{}
 	cancel   context.CancelFunc
 	waiting  map[uint64]chan *answer
+	// usesTold is true once the coordinator was told all that this host has used.
+	usesTold bool
 	// heardAt is when the coordinator was heard last, and unheardSince the time of the first report that it has not answered yet.
 	heardAt, unheardSince time.Time
 }
@@ -65,7 +67,7 @@
 	ticket := a.ticket
 	p.Ticket = ticket
 	l.waiting[ticket] = result
-	l.reportLocked(func(r *coordinatorpb.Report) { r.Asks = append(r.Asks, p) })
+	l.question(func(r *coordinatorpb.Report) { r.Asks = append(r.Asks, p) })
 	a.mu.Unlock()
 	timer := time.NewTimer(silentFor)
 	defer timer.Stop()
@@ -96,7 +98,7 @@
 	if !l.unheardSince.IsZero() {
 		return time.Since(l.unheardSince) >= silentFor
 	}
-	l.reportLocked(func(*coordinatorpb.Report) {})
+	l.question(func(*coordinatorpb.Report) {})
 	return false
 }
 
@@ -133,15 +135,21 @@
 		l.pending = &coordinatorpb.Report{}
 	}
 	add(l.pending)
-	if l.unheardSince.IsZero() {
-		l.unheardSince = time.Now()
-	}
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
+// question adds to the next report, which the coordinator answers at once. The caller holds the lock.
+func (l *link) question(add func(*coordinatorpb.Report)) {
+	l.reportLocked(add)
+	l.pending.Answer = true
+	if l.unheardSince.IsZero() {
+		l.unheardSince = time.Now()
+	}
+}
+
 // keepLinks opens links that are missing, tells silent ones something, and closes those that are not used any more.
 func (a *Asker) keepLinks(ctx context.Context, now time.Time) {
 	hosts := a.Hosts()
@@ -164,7 +172,7 @@
 			a.Network.DropSession(addr)
 			a.poke()
 		case l.up && now.Sub(l.heardAt) >= idlePing:
-			l.reportLocked(func(*coordinatorpb.Report) {})
+			l.question(func(*coordinatorpb.Report) {})
 		}
 	}
 }
@@ -216,7 +224,7 @@
 		klog.V(1).Infof("asker: stream not opened addr=%s reason=%q", l.addr, err)
 		return
 	}
-	hello := &coordinatorpb.Report{Seq: 1, Hello: &coordinatorpb.Hello{
+	hello := &coordinatorpb.Report{Seq: 1, Answer: true, Hello: &coordinatorpb.Hello{
 		Incarnation: a.Incarnation(), AgeMs: uint64(time.Since(a.started).Milliseconds()),
 	}}
 	now := time.Now()
@@ -224,6 +232,7 @@
 	l.stream, l.cancel, l.seq, l.pending = stream, cancel, 1, nil
 	wake := make(chan struct{}, 1)
 	l.waiting, l.wake = map[uint64]chan *answer{}, wake
+	l.usesTold = false
 	l.up, l.heardAt, l.unheardSince = true, now, now
 	owner := map[string]*link{}
 	hosts := a.Hosts()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -35,8 +35,10 @@
 )
 
 const (
-	// exchangeInterval is the time between two reports to another coordinator.
+	// exchangeInterval is the time between two reports to another coordinator while there is something new, and quietInterval
+	// while there is not.
 	exchangeInterval = 100 * time.Millisecond
+	quietInterval    = 300 * time.Millisecond
 	// exchangeTimeout bounds one of them.
 	exchangeTimeout = 300 * time.Millisecond
 	// quorumFor is how long an answered report shows that another coordinator is reached.
@@ -93,9 +95,8 @@
 	sessions    map[string]*session
 	incarnation map[string]uint64
 	tally       *allotter.Tally
-	reached     map[string]time.Time
+	peers       map[string]*peer
 	summaries   map[sharder.Shard]summary
-	crashes     []*coordinatorpb.Crash
 	crashed     map[crash]time.Time
 	wg          sync.WaitGroup
 }
@@ -120,7 +121,7 @@
 	now := time.Now()
 	c.process, c.started = rand.Uint64(), now
 	c.names, c.shards, c.sessions = map[uint64]string{}, map[sharder.Shard]*shard{}, map[string]*session{}
-	c.incarnation, c.reached = map[string]uint64{}, map[string]time.Time{}
+	c.incarnation, c.peers = map[string]uint64{}, map[string]*peer{}
 	c.summaries, c.crashed = map[sharder.Shard]summary{}, map[crash]time.Time{}
 	c.tally = allotter.NewTally(now, c.AllotmentWindow)
 }
@@ -130,31 +131,19 @@
 	defer c.wg.Wait()
 	tick := time.NewTicker(exchangeInterval)
 	defer tick.Stop()
-	busy := map[string]bool{}
-	var mu sync.Mutex
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
-		report := c.peerReport(time.Now())
+		now := time.Now()
 		for _, p := range c.Peers() {
-			mu.Lock()
-			taken := busy[p.ID]
-			busy[p.ID] = true
-			mu.Unlock()
-			if taken {
-				continue
+			if report := c.peerReport(now, p.ID); report != nil {
+				c.wg.Go(func() { c.tellPeer(ctx, p, report) })
 			}
-			c.wg.Go(func() {
-				c.tellPeer(ctx, p, report)
-				mu.Lock()
-				defer mu.Unlock()
-				busy[p.ID] = false
-			})
 		}
-		c.tellOthers(time.Now())
+		c.tellOthers(now)
 	}
 }
 
@@ -202,7 +191,7 @@
 	defer c.mu.Unlock()
 	reached := 1
 	for _, p := range peers {
-		if at, ok := c.reached[p.ID]; ok && now.Sub(at) <= quorumFor {
+		if known := c.peers[p.ID]; known != nil && now.Sub(known.reachedAt) <= quorumFor {
 			reached++
 		}
 	}
@@ -252,7 +241,6 @@
 			continue
 		}
 		c.crashed[key] = now
-		c.crashes = append(c.crashes, p)
 		for _, s := range c.sessions {
 			s.order(func(o *coordinatorpb.Orders) { o.Crashes = append(o.Crashes, p) })
 		}
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,13 +17,34 @@
 // summarizedFor is the time without asks after which a shard is no longer told to others.
 const summarizedFor = time.Second
 
-// peerReport is what the other coordinators are told at this moment.
-func (c *Coordinator) peerReport(now time.Time) *coordinatorpb.PeerReport {
+// peer is what this coordinator knows of another one.
+type peer struct {
+	busy      bool
+	reachedAt time.Time
+	// told are the totals that it has taken last, and crashesAt is when the newest crash was seen that it was told.
+	told      map[uint64]float64
+	crashesAt time.Time
+}
+
+// peerReport is what another coordinator is told at this moment, or nil if that can wait.
+func (c *Coordinator) peerReport(now time.Time, id string) *coordinatorpb.PeerReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{}
+		c.peers[id] = p
+	}
+	if p.busy {
+		return nil
+	}
 	own, _ := c.tally.Hosts(now, useFor)
-	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, Uses: EncodeUses(c.tally.Own(), own), Crashes: c.crashes}
-	c.crashes = nil
+	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
+	for key, at := range c.crashed {
+		if at.After(p.crashesAt) {
+			r.Crashes = append(r.Crashes, &coordinatorpb.Crash{Request: key.request, Endpoint: key.endpoint})
+		}
+	}
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.askedAt) > summarizedFor {
 			continue
@@ -32,21 +54,33 @@
 			Shard: &coordinatorpb.Shard{Pool: key.Pool, Zone: key.Zone}, Free: uint32(max(free, 0)), Queue: uint32(waiting),
 		})
 	}
+	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < quietInterval {
+		return nil
+	}
+	p.busy = true
 	return r
 }
 
-func (c *Coordinator) tellPeer(ctx context.Context, p sharder.Host, r *coordinatorpb.PeerReport) {
+func (c *Coordinator) tellPeer(ctx context.Context, h sharder.Host, r *coordinatorpb.PeerReport) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	err := c.Network.Call(ctx, p.Addr, MethodPeer, r, &coordinatorpb.PeerReply{})
-	now := time.Now()
+	asked := time.Now()
+	err := c.Network.Call(ctx, h.Addr, MethodPeer, r, &coordinatorpb.PeerReply{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	p := c.peers[h.ID]
+	p.busy = false
 	if err != nil {
-		klog.V(1).Infof("coordinator: no answer peer=%s reason=%q", p.ID, err)
+		// It may have started again, and then needs to hear all.
+		p.told = nil
+		klog.V(1).Infof("coordinator: no answer peer=%s reason=%q", h.ID, err)
 		return
 	}
-	c.reached[p.ID] = now
+	p.reachedAt, p.crashesAt = time.Now(), asked
+	if p.told == nil {
+		p.told = map[uint64]float64{}
+	}
+	maps.Copy(p.told, DecodeUses(r.GetUses()))
 }
 
 // HandlePeer takes the report of another coordinator.
@@ -93,6 +127,20 @@
 	return out
 }
 
+// Changed returns the totals that differ from those told before; all if none were.
+func Changed(before, now map[uint64]float64) map[uint64]float64 {
+	if before == nil {
+		return now
+	}
+	out := map[uint64]float64{}
+	for workspace, units := range now {
+		if known, told := before[workspace]; !told || known != units {
+			out[workspace] = units
+		}
+	}
+	return out
+}
+
 // tellOthers tells each host what the other hosts have used.
 func (c *Coordinator) tellOthers(now time.Time) {
 	c.mu.Lock()
@@ -104,7 +152,9 @@
 			continue
 		}
 		s.toldAt, s.told = now, version
-		u := EncodeUses(c.tally.Others(host), all-1)
+		sums := c.tally.Others(host)
+		u := EncodeUses(Changed(s.sums, sums), all-1)
+		s.sums = sums
 		if s.age+now.Sub(s.since) < historyFor {
 			history := c.tally.History(now)
 			for workspace, parts := range history {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -40,8 +40,9 @@
 	// id tells the host apart the sums that begin anew with each session.
 	id     uint64
 	toldAt time.Time
-	// told is the version of the tally that the host was told last.
+	// told is the version of the tally that the host was told last, and sums what it was told.
 	told uint64
+	sums map[uint64]float64
 	// usesTold is true once the host has told its use, which makes this coordinator the one that adds it up.
 	usesTold bool
 
@@ -197,7 +198,9 @@
 	for _, p := range r.GetAsks() {
 		s.ask(now, p)
 	}
-	s.order(func(o *coordinatorpb.Orders) { o.Heard = r.GetSeq() })
+	if r.GetAnswer() {
+		s.order(func(o *coordinatorpb.Orders) { o.Heard = r.GetSeq() })
+	}
 }
 
 func (s *session) takeUses(now time.Time, r *coordinatorpb.Report) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -67,7 +67,9 @@
 	Addr string
 	// Kept is true if the connection had carried an exchange before.
 	Kept bool
-	Err  error
+	// Begun is true if a byte of an answer had arrived.
+	Begun bool
+	Err   error
 }
 
 // Error implements error.
@@ -167,7 +169,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &InterruptedError{Addr: addr, Kept: k.kept, Err: err}
+		return nil, &InterruptedError{Addr: addr, Kept: k.kept, Begun: k.head.limited && k.head.left < maxHeadBytes, Err: err}
 	}
 	written := make(chan error, 1)
 	raw := encode(req)
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -31,7 +31,7 @@
 // shared is what this host has told and heard of the use of allotments.
 type shared struct {
 	mu      sync.Mutex
-	told    map[string]float64
+	told    map[uint64]float64
 	crashes map[gateway.Crash]bool
 	// sums is the id of the sums that were heard last, last their value, and total what they have grown by since the start of
 	// this host. One coordinator's sums begin anew where those of another one ended.
@@ -40,19 +40,22 @@
 	total map[string]float64
 }
 
-// tell adds the use of allotments and the crashes seen to a report, if there is anything new.
-func (h *Host) tell(r *coordinatorpb.Report) bool {
+// tell adds the use of allotments and the crashes seen to a report, all or what is new. It returns false if there is nothing.
+func (h *Host) tell(r *coordinatorpb.Report, all bool) bool {
 	h.shared.mu.Lock()
 	defer h.shared.mu.Unlock()
-	used := h.gateway.Used()
-	news := h.shared.told == nil || !maps.Equal(used, h.shared.told)
+	totals := map[uint64]float64{}
+	for workspace, units := range h.gateway.Used() {
+		totals[coordinator.Digest(workspace)] = units
+	}
+	if all {
+		h.shared.told = nil
+	}
+	changed := coordinator.Changed(h.shared.told, totals)
+	h.shared.told = totals
+	news := all || len(changed) > 0
 	if news {
-		h.shared.told = used
-		totals := make(map[uint64]float64, len(used))
-		for workspace, units := range used {
-			totals[coordinator.Digest(workspace)] = units
-		}
-		r.Uses = coordinator.EncodeUses(totals, 1)
+		r.Uses = coordinator.EncodeUses(changed, 1)
 	}
 	seen := map[gateway.Crash]bool{}
 	for _, c := range h.gateway.Crashes() {
@@ -95,12 +98,14 @@
 	if s.total == nil {
 		s.total = map[string]float64{}
 	}
-	for workspace, units := range sums {
-		if id == s.sums {
+	if id != s.sums || s.last == nil {
+		s.sums, s.last = id, map[uint64]float64{}
+	} else {
+		for workspace, units := range sums {
 			s.total[names[workspace]] += max(0, units-s.last[workspace])
 		}
 	}
-	s.sums, s.last = id, sums
+	maps.Copy(s.last, sums)
 	return s.total
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -240,6 +241,13 @@
 	errSilent     = eris.New("the endpoint was silent for too long")
 )
 
+// lostIdle reports whether a kept connection was closed or reset before any byte of an answer.
+func lostIdle(err error) bool {
+	var interrupted *exchanger.InterruptedError
+	return errors.As(err, &interrupted) && interrupted.Kept && !interrupted.Begun &&
+		(errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
 // broken counts an exchange without a whole answer.
 func (q *request) broken(grant *admitter.Grant, err error) (verdict, held, error) {
 	sent := exchanger.Sent(err)
@@ -250,6 +258,9 @@
 		err = errCallerLeft
 	case !sent:
 		grant.Unreachable(time.Now())
+	case lostIdle(err):
+		// The endpoint may have forgotten the connection while it rested, which says nothing about the endpoint.
+		grant.Refuse(time.Now(), false)
 	default:
 		grant.End(time.Now(), true)
 		if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 )
 
 // The list lags behind an endpoint that leaves, and the endpoint itself says so in every answer. Work that is sent to it
@@ -198,3 +201,52 @@
 		t.Errorf("slow stream (-want +got):\n%s", diff)
 	}
 }
+
+// An endpoint forgets connections that rest, without notice. What is sent next on one is reset; the endpoint is sound, and a pool
+// of one endpoint must go on. What may have run is still not sent again unless its rule allows that.
+func TestForgottenConnection(t *testing.T) {
+	var conns atomic.Int32
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, answer(r, 200, signed, "done"))
+				// The next request is read in part, and the connection reset.
+				_, _ = reader.ReadByte()
+			}()
+		}
+	}()
+	h := startHost(t, &endpoint{id: "e1", addr: l.Addr().String()})
+	var got []int
+	for range 8 {
+		status, _, _, _ := h.send(t, post("/order/", "k"))
+		got = append(got, status)
+	}
+	if diff := cmp.Diff([]int{200, 502, 200, 502, 200, 502, 200, 502}, got); diff != "" {
+		t.Errorf("answers of orders (-want +got):\n%s", diff)
+	}
+	var cost float64
+	h.gateway.Admitter.View(func(b *balancer.Balancer) {
+		c, _ := b.Pick(time.Now(), "p", balancer.Work{}, nil)
+		cost = c.Cost
+	})
+	if cost > 1 {
+		t.Errorf("the sound endpoint has a cost of %v ms for failures", cost)
+	}
+}
