balancer: what endpoints state of their speed at this moment

Change: hosts tell the figure with their next report; it scales the predicted time to the first event with an age, between 0.6 and 1.8, and the mean stands in for a pace that is not known yet. Kept for endpoints that have just started.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -216,6 +216,21 @@
 	}
 }
 
+// Stated tells the coordinators with the next report how long work takes at an endpoint, in percent of the usual time.
+func (a *Asker) Stated(endpoint string, percent float64) {
+	p := &coordinatorpb.Stated{Endpoint: coordinator.Digest(endpoint), Percent: uint32(percent)}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		if l.up {
+			if l.pending == nil {
+				l.pending = &coordinatorpb.Report{}
+			}
+			l.pending.Stated = append(l.pending.Stated, p)
+		}
+	}
+}
+
 // Acquire implements the gateway's Placer.
 func (a *Asker) Acquire(ctx context.Context, ask admitter.Ask) (*admitter.Grant, error) {
 	began := time.Now()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,8 @@
 	maxBacklog = 300 * time.Millisecond
 	// crowdMS is the cost of each request that runs beside another one.
 	crowdMS = 2
+	// plainMS is the time that a plain service takes for a request, and the cost of one whose places are all taken beyond that.
+	plainMS = 30
 	// zoneMS is the cost of the way to another availability zone. It stands for the price of the bytes between them rather than
 	// for the way itself, which takes a millisecond: it keeps requests at home unless another zone answers much sooner.
 	zoneMS = 80
@@ -151,6 +153,9 @@
 	// places are known to all.
 	turn   int
 	freeAt time.Time
+	// stated is the newest figure that the endpoint has stated of its speed, and statedMean their mean.
+	stated, statedMean float64
+	statedAt           time.Time
 	// saidLeaving is true once the endpoint itself has said that it leaves, and heldUntil the time before which it wants nothing
 	// from this host.
 	saidLeaving bool
@@ -177,6 +182,8 @@
 	pools     map[string][]*endpoint
 	peers     map[string]peer
 	typical   map[string]float64
+	// statedTypical are the medians of the means of what endpoints state.
+	statedTypical map[string]float64
 	// hosts are the peers for which the turns were computed.
 	hosts []string
 	// notices are what endpoints have said of themselves. They outlast a gap in the list.
@@ -187,7 +194,7 @@
 func New(zone string) *Balancer {
 	return &Balancer{
 		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{}, peers: map[string]peer{},
-		typical: map[string]float64{}, notices: map[lifetime]notice{},
+		typical: map[string]float64{}, statedTypical: map[string]float64{}, notices: map[lifetime]notice{},
 	}
 }
 
@@ -381,6 +388,7 @@
 		read := w.Prompt - c.Kept
 		slow := b.slowness(e)
 		c.Cost = slow * (firstEventMS + float64(unread+read)/promptTokensPerMS + crowdMS*float64(running))
+		first := c.Cost * (e.moment(now) - 1)
 		saved = keptWeight * slow * float64(c.Kept) / promptTokensPerMS
 		c.End = time.Duration((c.Cost + w.events()*e.pace()) * float64(time.Millisecond))
 		if running > 0 && b.gapTooLong(slow, unread+read, w) {
@@ -390,8 +398,9 @@
 		if left := w.Deadline.Sub(now); !w.Deadline.IsZero() && left > 0 {
 			c.Cost += lateMS * max(0, float64(c.End)/float64(left)-lateShare) / (1 - lateShare)
 		}
+		c.Cost += first
 	} else {
-		c.Cost = 30 * float64(running) / float64(max(e.Slots, 1))
+		c.Cost = (plainMS + plainMS*float64(running)/float64(max(e.Slots, 1))) * e.moment(now)
 	}
 	if zone := cmp.Or(w.Zone, b.Zone); e.Zone != zone {
 		c.Cost += zoneMS
@@ -405,6 +414,10 @@
 // slowness relates the pace of an engine to the median of its pool; 1 until it is known.
 func (b *Balancer) slowness(e *endpoint) float64 {
 	typical, pace := b.typical[e.Pool], e.pace()
+	if typical == 0 || pace == 0 {
+		// What endpoints state of themselves tells the fast ones from the slow ones before any stream has ended.
+		typical, pace = b.statedTypical[e.Pool], e.statedMean
+	}
 	if typical == 0 || pace == 0 {
 		return 1
 	}
@@ -427,17 +440,8 @@
 }
 
 func (b *Balancer) learnTypical(pool string) {
-	var paces []float64
-	for _, e := range b.pools[pool] {
-		if p := e.pace(); p > 0 {
-			paces = append(paces, p)
-		}
-	}
-	if len(paces) == 0 {
-		return
-	}
-	slices.Sort(paces)
-	b.typical[pool] = paces[len(paces)/2]
+	b.typical[pool] = median(b.pools[pool], (*endpoint).pace)
+	b.statedTypical[pool] = median(b.pools[pool], func(e *endpoint) float64 { return e.statedMean })
 }
 
 // Endpoints returns all endpoints.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -182,6 +183,14 @@
 	return s
 }
 
+// inUse returns the shards, and lets the caller read the names of endpoints.
+func (c *Coordinator) inUse(read func(names map[uint64]string)) []*shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	read(c.names)
+	return slices.Collect(maps.Values(c.shards))
+}
+
 // Ready reports whether this coordinator may serve: it knows endpoints and reaches most of the control hosts. A minority that
 // is cut off would place at endpoints that the others place at as well.
 func (c *Coordinator) Ready() bool {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -194,6 +194,7 @@
 	for _, n := range r.GetNotices() {
 		s.notice(now, n)
 	}
+	s.takeStated(now, r.GetStated())
 	s.takeUses(now, r)
 	for _, p := range r.GetAsks() {
 		s.ask(now, p)
@@ -283,13 +284,8 @@
 
 // notice takes what an endpoint has said of itself to the host.
 func (s *session) notice(now time.Time, n *coordinatorpb.Notice) {
-	s.c.mu.Lock()
-	name := s.c.names[n.GetEndpoint()]
-	shards := make([]*shard, 0, len(s.c.shards))
-	for _, sh := range s.c.shards {
-		shards = append(shards, sh)
-	}
-	s.c.mu.Unlock()
+	name := ""
+	shards := s.c.inUse(func(names map[uint64]string) { name = names[n.GetEndpoint()] })
 	if name == "" {
 		return
 	}
@@ -310,6 +306,26 @@
 	}
 }
 
+// takeStated takes what endpoints state of their speed.
+func (s *session) takeStated(now time.Time, stated []*coordinatorpb.Stated) {
+	if len(stated) == 0 {
+		return
+	}
+	figures := make(map[string]float64, len(stated))
+	shards := s.c.inUse(func(names map[uint64]string) {
+		for _, p := range stated {
+			figures[names[p.GetEndpoint()]] = float64(p.GetPercent())
+		}
+	})
+	for _, sh := range shards {
+		sh.admitter.Update(func(b *balancer.Balancer) {
+			for id, percent := range figures {
+				b.Stated(now, id, percent)
+			}
+		})
+	}
+}
+
 // ask finds a place for a request, at once or on a goroutine of its own while it waits.
 func (s *session) ask(now time.Time, p *coordinatorpb.Ask) {
 	c := s.c
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -128,4 +128,10 @@
 }
 
 // notice tells the coordinators what an endpoint has said of itself.
-func (h *Host) notice(n gateway.Notice) { h.asker.Notice(n.Endpoint, n.Leaving, n.Returned, n.Hold) }
+func (h *Host) notice(n gateway.Notice) {
+	if n.Speed > 0 {
+		h.asker.Stated(n.Endpoint, n.Speed)
+		return
+	}
+	h.asker.Notice(n.Endpoint, n.Leaving, n.Returned, n.Hold)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Signature string
 	// InstanceID names the endpoint in its answer to a health check.
 	InstanceID string
+	// Load holds running and waiting requests, places, and how long work takes at this moment in percent of the usual time.
+	Load string
 	// Leaving marks the answers of an endpoint that leaves.
 	Leaving string
 	// LastEvent is the id of the last event that a resumed stream has.
@@ -93,6 +95,8 @@
 	Endpoint string
 	// Leaving is true if it leaves, and Returned if it had said so and has started again.
 	Leaving, Returned bool
+	// Speed is how long work takes at this moment in percent of the usual time; 0 if it was not stated.
+	Speed float64
 	// Hold is the time for which it wants nothing from this host.
 	Hold time.Duration
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,6 +20,8 @@
 	leavingCheckInterval = 3 * time.Second
 	// healthTimeout bounds one health check.
 	healthTimeout = time.Second
+	// maxStatedSpeed is the largest figure that is taken for a speed.
+	maxStatedSpeed = 100_000
 	// refusalWait bounds the wait for the rest of an answer whose head says that the request did not run.
 	refusalWait = 100 * time.Millisecond
 )
@@ -31,10 +34,14 @@
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		wait = retryAfter(response.Header)
 	}
+	now := time.Now()
+	if speed := statedSpeed(response.Header.Get(g.Headers.Load)); speed > 0 {
+		g.Admitter.Update(func(b *balancer.Balancer) { b.Stated(now, id, speed) })
+		g.Notice(Notice{Endpoint: id, Speed: speed})
+	}
 	if !leaving && wait <= 0 {
 		return
 	}
-	now := time.Now()
 	g.Admitter.Update(func(b *balancer.Balancer) {
 		if leaving {
 			b.SaidLeaving(now, id)
@@ -57,6 +64,19 @@
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
+// statedSpeed reads the fourth figure of a load header; 0 if there is none.
+func statedSpeed(load string) float64 {
+	figures := strings.Split(load, ",")
+	if len(figures) < 4 {
+		return 0
+	}
+	percent, err := strconv.ParseFloat(strings.TrimSpace(figures[3]), 64)
+	if err != nil || !(percent > 0) || percent > maxStatedSpeed {
+		return 0
+	}
+	return percent
+}
+
 // checkDoubtful asks endpoints that have said that they leave, and that the list still shows as ready, for their health: they
 // may have started again under their old names.
 func (g *Gateway) checkDoubtful(now time.Time) {
