allotter: hosts admit their parts of the last room; sums that fall silent or begin anew

With 300 hosts, what all of them admit between two sums overdraws the allotment; on a move to another coordinator what was assumed meanwhile was taken back; and a silent sum was assumed to use the average rate, so that each host used the rest of the window as if it were alone.

Change: with less room than a second of the full rate each host admits its part of it, by its own part of the window; in silence a host counts each request once for every silent host; on a move the assumed use stays.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -18,6 +18,8 @@
 	// a rate is learned.
 	rateStep    = 0.3
 	minRateSpan = 20 * time.Millisecond
+	// scarceFor is the time at the full rate that the room of a window must last for; with less room, hosts admit their parts of it.
+	scarceFor = time.Second
 	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
 	silentAfter = 500 * time.Millisecond
 	// minBurst is the burst of a limit that names none. Without any room no request would be admitted.
@@ -26,8 +28,8 @@
 	defaultWindow = 8 * time.Second
 	// historyFor is the time after its start in which a host learns the windows of its peers.
 	historyFor = 2 * time.Second
-	// forgetAfter is the silence after which a peer counts as gone: it has no confirmed configuration any more and admits
-	// nothing.
+	// forgetAfter is the silence after which a peer that is one host counts as gone: it has no confirmed configuration any more
+	// and admits nothing. Sums of many hosts only fall silent because they are not heard.
 	forgetAfter = 5 * time.Second
 	// maxRetryAfter bounds what a caller is asked to wait; a longer forecast says nothing.
 	maxRetryAfter = 10 * time.Second
@@ -43,7 +45,12 @@
 type account struct {
 	limit  Limit
 	window window
+	own    window  // the part of the window that this host has admitted
 	used   float64 // by this host since its start
+	// credit is what this host may admit while there is little room, and creditAt when it was counted last; zero while there is
+	// room enough.
+	credit   float64
+	creditAt time.Time
 	// assumed is true while the use before the start of this host is not known.
 	assumed bool
 	// promises are the refused requests that this host has told to return and whose time has not come yet, and promised is
@@ -52,6 +59,28 @@
 	promised float64
 }
 
+// ration reports whether a request is within the part of this host in the last room of the window. All hosts see the same room, and
+// each hears some time later what the others have taken of it.
+func (c *account) ration(now time.Time, units float64, hosts int) bool {
+	room := c.capacity() - c.window.sum
+	if hosts == 1 || room >= c.limit.Rate*scarceFor.Seconds() {
+		c.creditAt = time.Time{}
+		return true
+	}
+	share := 1 / float64(hosts)
+	if c.window.sum > 0 {
+		share = max(share, c.own.sum/c.window.sum)
+	}
+	if c.creditAt.IsZero() {
+		c.credit = share * room
+	} else {
+		c.credit += share * c.capacity() * now.Sub(c.creditAt).Seconds() / c.window.length.Seconds()
+		c.credit = min(c.credit, max(share*room, units))
+	}
+	c.creditAt = now
+	return c.credit >= units/2
+}
+
 type promise struct {
 	due   time.Time
 	units float64
@@ -110,7 +139,7 @@
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		c := a.accounts[name]
 		if c == nil {
-			c = &account{limit: l, window: window{length: a.length, epoch: a.started}}
+			c = &account{limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started}}
 			if now.Sub(a.started) < a.length {
 				// What was admitted before this host started is unknown to it; it may have been all of the allotment.
 				c.window.fill(a.started, c.capacity()/a.length.Seconds())
@@ -137,11 +166,17 @@
 	}
 	a.assume(now)
 	c.window.advance(now)
-	if c.window.sum >= c.capacity() {
+	c.own.advance(now)
+	silent := a.silentHosts(now)
+	if c.window.sum >= c.capacity() || silent > 0 && c.window.sum+units*float64(1+silent) > c.capacity() ||
+		!c.ration(now, units, a.Peers()+1) {
 		return false, c.promise(now, units, a.Peers()+1)
 	}
 	c.window.add(now, units)
+	c.own.add(now, units)
+	c.credit -= units
 	c.used += units
+	a.match(now, workspace, units)
 	return true, 0
 }
 
@@ -149,6 +184,8 @@
 func (a *Allotter) Return(now time.Time, workspace string, units float64) {
 	if c := a.accounts[workspace]; c != nil {
 		c.window.add(now, -units)
+		c.own.add(now, -units)
+		c.credit += units
 		c.used -= units
 	}
 }
@@ -181,6 +218,15 @@
 	return n
 }
 
+// KeepAssumed makes what a peer was assumed to have used since it was heard last final. It is for a peer whose totals go on from
+// those of another one, so that what was used in between is not in them.
+func (a *Allotter) KeepAssumed(now time.Time, process string) {
+	a.assume(now)
+	if p := a.peers[process]; p != nil {
+		clear(p.owed)
+	}
+}
+
 // SetHosts states the number of hosts that a peer adds up.
 func (a *Allotter) SetHosts(process string, hosts int) {
 	if p := a.peers[process]; p != nil {
@@ -261,30 +307,55 @@
 	}
 }
 
-// assume takes what peers are expected to have used since they were heard last: as much as before while they are heard, and an
-// equal share once they have fallen silent, until they are heard again or are gone. Two hosts that cannot hear each other would
-// otherwise each use the whole allotment.
+// assume takes what peers are expected to have used since they were heard last, which is as much as before, until they have
+// fallen silent.
 func (a *Allotter) assume(now time.Time) {
-	hosts := float64(a.Peers() + 1)
 	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
 		p := a.peers[name]
-		silence := now.Sub(p.at)
-		if silence > forgetAfter {
+		if now.Sub(p.at) > forgetAfter && p.hosts <= 1 {
 			delete(a.peers, name)
 			continue
 		}
-		if !now.After(p.since) {
+		until := now
+		if silent := p.at.Add(silentAfter); now.After(silent) {
+			until = silent
+		}
+		if !until.After(p.since) {
 			continue
 		}
-		for workspace, c := range a.accounts {
-			rate := p.rate[workspace]
-			if silence > silentAfter {
-				rate = c.limit.Rate / hosts * float64(p.hosts)
+		for workspace, rate := range p.rate {
+			if c := a.accounts[workspace]; c != nil {
+				p.owe(now, c, workspace, rate*until.Sub(p.since).Seconds())
 			}
-			units := rate * now.Sub(p.since).Seconds()
-			c.window.add(now, units)
-			p.owed[workspace] += units
 		}
-		p.since = now
+		p.since = until
+	}
+}
+
+// silentHosts returns the number of hosts that have fallen silent. Each of them may admit what this host admits, and they are not
+// seen to overdraw, so that there must be room for all of it.
+func (a *Allotter) silentHosts(now time.Time) int {
+	n := 0
+	for _, p := range a.peers {
+		if now.Sub(p.at) > silentAfter {
+			n += p.hosts
+		}
 	}
+	return n
+}
+
+// match takes as much use of each host that has fallen silent as this host has just admitted, until it is heard again or is gone.
+// Hosts that cannot hear each other would otherwise each use what the others leave free.
+func (a *Allotter) match(now time.Time, workspace string, units float64) {
+	for _, p := range a.peers {
+		if now.Sub(p.at) > silentAfter {
+			p.owe(now, a.accounts[workspace], workspace, units*float64(p.hosts))
+		}
+	}
+}
+
+// owe counts use that is assumed until the peer is heard.
+func (p *peerUse) owe(now time.Time, c *account, workspace string, units float64) {
+	c.window.add(now, units)
+	p.owed[workspace] += units
 }
--- a/internal/allotter/tally_test.go
+++ b/internal/allotter/tally_test.go
@@ -22,6 +22,8 @@
 	changed []bool
 	tallies []*allotter.Tally
 	ran     []float64
+	// deafUntil is the time before which no host hears a tally.
+	deafUntil time.Duration
 }
 
 func newSummed(hosts, tallies int) *summed {
@@ -65,8 +67,13 @@
 	}
 	for i, h := range s.hosts {
 		t := s.tallies[s.homes[i]]
+		if at < s.deafUntil {
+			continue
+		}
 		sum := t.Others(name(i))[workspace]
-		if !s.changed[i] {
+		if s.changed[i] {
+			h.KeepAssumed(now, "others")
+		} else {
 			s.totals[i]["w"] += sum - s.heard[i]
 		}
 		s.heard[i], s.changed[i] = sum, false
@@ -142,6 +149,22 @@
 	}
 }
 
+// All hosts lose their tally for a second in a flood, and go on with another one whose sums do not hold what was used meanwhile.
+func TestTallyLostInFlood(t *testing.T) {
+	s := newSummed(60, 3)
+	s.run(0, 10*time.Second, 2*rate, 100*time.Millisecond)
+	for i, at := range []time.Duration{10, 14, 18} {
+		s.deafUntil = (at + 1) * time.Second
+		for host := range s.hosts {
+			s.move(host, (s.homes[host]+1+i%2)%3)
+		}
+		s.run(at*time.Second, 4*time.Second, 5*rate, 100*time.Millisecond)
+	}
+	if got, limit := s.most(), (rate*window+burst)*1.1; got > limit {
+		t.Errorf("%.0f units in a window, want at most %.0f", got, limit)
+	}
+}
+
 // A host that has just started hears no more of the past than the tally has seen.
 func TestHistoryOfYoungTally(t *testing.T) {
 	young := allotter.NewTally(start, window*time.Second)
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -87,7 +87,8 @@
 	sums := coordinator.DecodeUses(o.GetOthers())
 	h.shared.mu.Lock()
 	defer h.shared.mu.Unlock()
-	h.gateway.HeardUse(others, othersAge, h.shared.grow(o.GetOthersId(), sums, names), int(o.GetOthers().GetHosts()))
+	afresh := o.GetOthersId() != h.shared.sums
+	h.gateway.HeardUse(others, othersAge, h.shared.grow(o.GetOthersId(), sums, names), int(o.GetOthers().GetHosts()), afresh)
 	if history := historyOf(o.GetOthers(), names); len(history) > 0 {
 		h.gateway.LearnUse(history)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -285,10 +285,14 @@
 	g.allots.Learn(time.Now(), history)
 }
 
-// HeardUse takes what a peer has admitted, which may stand for several hosts.
-func (g *Gateway) HeardUse(process string, age time.Duration, used map[string]float64, hosts int) {
+// HeardUse takes what a peer has admitted, which may stand for several hosts. Afresh is true if its totals do not hold what was
+// used between the last ones and these.
+func (g *Gateway) HeardUse(process string, age time.Duration, used map[string]float64, hosts int, afresh bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if afresh {
+		g.allots.KeepAssumed(time.Now(), process)
+	}
 	g.allots.Heard(time.Now(), process, age, used)
 	g.allots.SetHosts(process, hosts)
 }
