coordinator: a host that comes back is not counted twice; balancer without the loads of peers

Cause, found by TestHostComesBack: the runs of a session that had just ended stayed counted for half a second beside those that the host told again. Change: a session that begins releases a lingering one.

Log lines of sends name the coordinator that has chosen.

--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -323,7 +323,7 @@
 	for _, g := range o.GetGrants() {
 		got := &answer{ticket: g.GetTicket(), granted: true, queued: int(g.GetQueued()), choice: balancer.Choice{
 			Endpoint: balancer.Endpoint{ID: names[g.GetEndpoint()]}, Cost: float64(g.GetCostMs()), Running: int(g.GetRunning()),
-			Unread: int(g.GetUnread()), Kept: int(g.GetKept()),
+			Unread: int(g.GetUnread()), Kept: int(g.GetKept()), PlacedBy: l.addr,
 		}}
 		if !l.hand(g.GetTicket(), got) {
 			l.reportLocked(unused(g.GetTicket()))
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,5 +1,4 @@
-// Package balancer chooses the endpoint of each request from what this host and its peers have in progress. It is pure: time
-// and events are inputs.
+// Package balancer chooses the endpoint of each request from what is in progress. It is pure: time and events are inputs.
 //
 // Engines admit in order of arrival and know no tiers. So a request that an engine could not begin at once stays with its
 // host, where a more urgent one can still go first.
@@ -75,15 +74,6 @@
 	replacedFor = 10 * time.Second
 	// paceStep is the weight of the newest stream in the learned pace.
 	paceStep = 0.2
-	// turnStep is the time after which a free place that the host before in turn has not taken passes to the next one. It
-	// covers the time until a host that has taken the place tells the others.
-	turnStep = 30 * time.Millisecond
-	// maxTurn bounds the turns, so that a place is open to all hosts after a fifth of a second however many they are.
-	maxTurn = 7
-	// ownFor is the time for which a place that a run of this host has left is known to this host only.
-	ownFor = 25 * time.Millisecond
-	// peerFor is the silence after which the load of a peer no longer counts.
-	peerFor = 3 * time.Second
 )
 
 // Endpoint is one member of a pool.
@@ -126,8 +116,8 @@
 // events returns the expected number of events of the answer.
 func (w Work) events() float64 { return float64(w.Output) / float64(max(w.TokensPerEvent, 1)) }
 
-// Load is what one host has in progress at an endpoint.
-type Load struct {
+// load is what is in progress at an endpoint.
+type load struct {
 	Running int
 	// Unread is the number of prompt tokens before the first events of the running requests.
 	Unread int
@@ -139,20 +129,14 @@
 
 type endpoint struct {
 	Endpoint
-	own      Load
-	peers    Load
+	own      load
 	memory   *retainer.Memory
-	peerPace float64
 	paces    int
 	failures float64
 	failedAt time.Time
 	// downUntil is the time before which the endpoint takes no work, and unreachable the number of failed connects in a row.
 	downUntil   time.Time
 	unreachable int
-	// turn is the number of hosts that come before this one at the last free places, and freeAt the time since when those
-	// places are known to all.
-	turn   int
-	freeAt time.Time
 	// stated is the newest figure that the endpoint has stated of its speed, and statedMean their mean.
 	stated, statedMean float64
 	statedAt           time.Time
@@ -160,32 +144,18 @@
 	// from this host.
 	saidLeaving bool
 	heldUntil   time.Time
-	// left is the number of places that runs of this host have left since leftAt.
-	left   int
-	leftAt time.Time
-}
-
-type peer struct {
-	at    time.Time
-	loads map[string]Load
-	paces map[string]float64
 }
 
 // Balancer holds the endpoints of all pools. It is not safe for concurrent use.
 type Balancer struct {
 	// Zone is the availability zone of this host.
 	Zone string
-	// HostID names this host among its peers.
-	HostID string
 
 	endpoints map[string]*endpoint
 	pools     map[string][]*endpoint
-	peers     map[string]peer
 	typical   map[string]float64
 	// statedTypical are the medians of the means of what endpoints state.
 	statedTypical map[string]float64
-	// hosts are the peers for which the turns were computed.
-	hosts []string
 	// notices are what endpoints have said of themselves. They outlast a gap in the list.
 	notices map[lifetime]notice
 }
@@ -193,7 +163,7 @@
 // New returns an empty balancer of a host in a zone.
 func New(zone string) *Balancer {
 	return &Balancer{
-		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{}, peers: map[string]peer{},
+		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{},
 		typical: map[string]float64{}, statedTypical: map[string]float64{}, notices: map[lifetime]notice{},
 	}
 }
@@ -217,8 +187,9 @@
 		slices.SortFunc(members, func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
 	}
 	b.endpoints, b.pools = next, pools
-	b.sumPeers()
-	b.setTurns()
+	for pool := range pools {
+		b.learnTypical(pool)
+	}
 }
 
 // Endpoint returns an endpoint by id.
@@ -238,9 +209,8 @@
 	Unread  int
 	// Kept is the number of prompt tokens that are expected in the engine's memory.
 	Kept int
-	// Peers is the number of peers whose loads were counted, and PeersAge the age of the oldest of them.
-	Peers    int
-	PeersAge time.Duration
+	// PlacedBy is the address of the coordinator that has chosen; empty if this host has.
+	PlacedBy string
 	// End is the predicted time to the last event.
 	End time.Duration
 	// harms is true if the running streams would pause for too long while the prompt is read.
@@ -253,7 +223,7 @@
 	best, found := Choice{Cost: math.Inf(1)}, false
 	timely, gentle, judged := false, false, false
 	for _, e := range b.pools[pool] {
-		if !e.usable(now) || !b.hasRoom(now, e, w) || except != nil && except(e.ID) {
+		if !e.usable(now) || !b.hasRoom(e, w) || except != nil && except(e.ID) {
 			continue
 		}
 		if !judged {
@@ -268,35 +238,25 @@
 			best, found = c, true
 		}
 	}
-	best.Peers, best.PeersAge = len(b.peers), b.peersAge(now)
 	return best, found
 }
 
 // Open reports whether some endpoint of a pool could take a small piece of work at this moment.
 func (b *Balancer) Open(now time.Time, pool string) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return e.usable(now) && b.hasRoom(now, e, Work{}) })
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return e.usable(now) && b.hasRoom(e, Work{}) })
 }
 
 // Free returns the free places of the endpoints of a pool that may take work.
 func (b *Balancer) Free(now time.Time, pool string) int {
 	free := 0
 	for _, e := range b.pools[pool] {
-		if e.usable(now) && b.hasRoom(now, e, Work{}) {
-			free += max(e.Slots, 1) - e.own.Running - e.peers.Running
+		if e.usable(now) && b.hasRoom(e, Work{}) {
+			free += max(e.Slots, 1) - e.own.Running
 		}
 	}
 	return free
 }
 
-// peersAge returns the age of the oldest loads of a peer that are counted.
-func (b *Balancer) peersAge(now time.Time) time.Duration {
-	oldest := time.Duration(0)
-	for _, p := range b.peers {
-		oldest = max(oldest, now.Sub(p.at))
-	}
-	return oldest
-}
-
 // anyTimely reports whether some endpoint of a pool, busy or not, is predicted to end work before its deadline. Work then waits
 // for such an endpoint rather than take one that would run it in vain.
 func (b *Balancer) anyTimely(now time.Time, pool string, w Work) bool {
@@ -339,7 +299,7 @@
 func (b *Balancer) Places(pool string) (taken, all int) {
 	for _, e := range b.pools[pool] {
 		if !e.leaves() {
-			taken += min(e.own.Running+e.peers.Running, e.Slots)
+			taken += min(e.own.Running, e.Slots)
 			all += e.Slots
 		}
 	}
@@ -351,37 +311,26 @@
 	return !e.leaves() && !now.Before(e.heldUntil) && !now.Before(e.downUntil) && (e.unreachable == 0 || e.own.Running == 0)
 }
 
-// Busiest returns the part of the places that are taken in the busiest pool.
-func (b *Balancer) Busiest() float64 {
-	most := 0.0
-	for pool := range b.pools {
-		if taken, all := b.Places(pool); all > 0 {
-			most = max(most, float64(taken)/float64(all))
-		}
-	}
-	return most
-}
-
-func (b *Balancer) hasRoom(now time.Time, e *endpoint, w Work) bool {
-	running := e.own.Running + e.peers.Running
+func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
+	running := e.own.Running
 	if !e.Engine {
 		return float64(running) < serviceQueue*float64(max(e.Slots, 1))
 	}
 	if running == 0 {
 		return true
 	}
-	if free := max(e.Slots, 1) - running; free <= 0 || free <= e.turnAt(now) && !e.ownPlace(now) {
+	if running >= max(e.Slots, 1) {
 		return false
 	}
-	if e.MemoryTokens > 0 && float64(e.own.Memory+e.peers.Memory+w.Prompt+w.Output) > memoryShare*float64(e.MemoryTokens) {
+	if e.MemoryTokens > 0 && float64(e.own.Memory+w.Prompt+w.Output) > memoryShare*float64(e.MemoryTokens) {
 		return false
 	}
-	unread := float64(e.own.Unread + e.peers.Unread)
+	unread := float64(e.own.Unread)
 	return b.slowness(e)*unread/promptTokensPerMS < float64(maxBacklog.Milliseconds())
 }
 
 func (b *Balancer) choice(now time.Time, e *endpoint, w Work) Choice {
-	running, unread := e.own.Running+e.peers.Running, e.own.Unread+e.peers.Unread
+	running, unread := e.own.Running, e.own.Unread
 	c, saved := Choice{Endpoint: e.Endpoint, Running: running, Unread: unread}, 0.0
 	if e.Engine {
 		c.Kept = min(e.memory.Kept(w.Parts), w.Prompt)
@@ -425,10 +374,7 @@
 }
 
 func (e *endpoint) pace() float64 {
-	if e.paces >= 2 || e.peerPace == 0 {
-		return e.own.Pace
-	}
-	return e.peerPace
+	return e.own.Pace
 }
 
 // failing returns the rate of recent failures, which fades without new outcomes.
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -1,9 +1,7 @@
 package balancer
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -31,7 +29,6 @@
 	}
 	r.endpoint = e
 	e.own.Running++
-	e.left = max(0, e.left-1)
 	if e.Engine {
 		r.memory = w.Prompt + w.Output
 		r.unread = max(0, w.Prompt-c.Kept)
@@ -84,7 +81,6 @@
 		return
 	}
 	e := r.endpoint
-	e.leave(now)
 	e.unreachable = 0
 	rate := e.failing(now) * (1 - failureStep)
 	if failed {
@@ -135,112 +131,3 @@
 	r.endpoint.own.Memory -= r.memory
 	return true
 }
-
-// Loads returns what this host has in progress and has learned, by endpoint.
-func (b *Balancer) Loads() map[string]Load {
-	out := make(map[string]Load, len(b.endpoints))
-	for id, e := range b.endpoints {
-		if e.own.Running > 0 || e.paces > 0 {
-			out[id] = e.own
-		}
-	}
-	return out
-}
-
-// SetPeer takes what a peer has in progress: all of it, or the endpoints where that has changed.
-func (b *Balancer) SetPeer(now time.Time, host string, loads map[string]Load, whole bool) {
-	p := b.peers[host]
-	if p.paces == nil {
-		p.paces = map[string]float64{}
-	}
-	if p.loads == nil {
-		p.loads = map[string]Load{}
-	}
-	if whole {
-		for id := range p.loads {
-			if _, still := loads[id]; !still {
-				b.shift(now, p, id, Load{})
-			}
-		}
-	}
-	for id, l := range loads {
-		b.shift(now, p, id, l)
-	}
-	p.at = now
-	b.peers[host] = p
-	for name, p := range b.peers {
-		if now.Sub(p.at) > peerFor {
-			for id := range p.loads {
-				b.shift(now, p, id, Load{})
-			}
-			delete(b.peers, name)
-			b.sumPaces()
-		}
-	}
-	if len(b.peers) != len(b.hosts) || !slices.Contains(b.hosts, host) {
-		b.hosts = slices.Sorted(maps.Keys(b.peers))
-		b.setTurns()
-	}
-}
-
-// shift replaces the load of a peer at one endpoint.
-func (b *Balancer) shift(now time.Time, p peer, id string, l Load) {
-	before := p.loads[id]
-	if l == (Load{}) {
-		delete(p.loads, id)
-	} else {
-		p.loads[id] = l
-	}
-	e, known := b.endpoints[id]
-	if !known {
-		return
-	}
-	e.peers.Running += l.Running - before.Running
-	e.peers.Unread += l.Unread - before.Unread
-	e.peers.Memory += l.Memory - before.Memory
-	if l.Running < before.Running {
-		e.freeAt = now
-	}
-}
-
-// SetPeerPaces notes the paces of endpoints that a peer has learned, in milliseconds between two events.
-func (b *Balancer) SetPeerPaces(host string, paces map[string]float64) {
-	if p, known := b.peers[host]; known && len(paces) > 0 {
-		maps.Copy(p.paces, paces)
-		b.sumPaces()
-	}
-}
-
-// sumPeers adds up the loads and paces of all peers for a new set of endpoints.
-func (b *Balancer) sumPeers() {
-	for _, e := range b.endpoints {
-		e.peers = Load{}
-		for _, p := range b.peers {
-			l := p.loads[e.ID]
-			e.peers.Running += l.Running
-			e.peers.Unread += l.Unread
-			e.peers.Memory += l.Memory
-		}
-	}
-	b.sumPaces()
-}
-
-// sumPaces averages the paces that the peers have learned.
-func (b *Balancer) sumPaces() {
-	for _, e := range b.endpoints {
-		e.peerPace = 0
-		n := 0
-		for _, p := range b.peers {
-			if pace := p.paces[e.ID]; pace > 0 {
-				e.peerPace += pace
-				n++
-			}
-		}
-		if n > 0 {
-			e.peerPace /= float64(n)
-		}
-	}
-	for pool := range b.pools {
-		b.learnTypical(pool)
-	}
-}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -87,13 +87,15 @@
 	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
 	AllotmentWindow time.Duration
 
-	mu          sync.Mutex
-	process     uint64
-	started     time.Time
-	endpoints   []balancer.Endpoint
-	names       map[uint64]string
-	shards      map[sharder.Shard]*shard
-	sessions    map[string]*session
+	mu        sync.Mutex
+	process   uint64
+	started   time.Time
+	endpoints []balancer.Endpoint
+	names     map[uint64]string
+	shards    map[sharder.Shard]*shard
+	sessions  map[string]*session
+	// lingering are sessions that have ended a moment ago, whose hosts may come back.
+	lingering   map[string]*session
 	incarnation map[string]uint64
 	tally       *allotter.Tally
 	peers       map[string]*peer
@@ -122,6 +124,7 @@
 	now := time.Now()
 	c.process, c.started = rand.Uint64(), now
 	c.names, c.shards, c.sessions = map[uint64]string{}, map[sharder.Shard]*shard{}, map[string]*session{}
+	c.lingering = map[string]*session{}
 	c.incarnation, c.peers = map[string]uint64{}, map[string]*peer{}
 	c.summaries, c.crashed = map[sharder.Shard]summary{}, map[crash]time.Time{}
 	c.tally = allotter.NewTally(now, c.AllotmentWindow)
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -96,13 +96,16 @@
 		return &OvertakenError{Host: s.host, Incarnation: hello.GetIncarnation(), Newer: newest}
 	}
 	c.incarnation[s.host] = hello.GetIncarnation()
-	before := c.sessions[s.host]
+	before, lingers := c.sessions[s.host], c.lingering[s.host]
 	c.sessions[s.host] = s
+	delete(c.lingering, s.host)
 	// What the host has used meanwhile was told to another coordinator.
 	c.tally.Gone(s.host)
 	c.mu.Unlock()
-	if before != nil {
-		before.release()
+	for _, earlier := range []*session{before, lingers} {
+		if earlier != nil {
+			earlier.release()
+		}
 	}
 	klog.InfoS("coordinator: host joined", "host", s.host, "zone", s.zone, "incarnation", hello.GetIncarnation(), "age", s.age)
 	return nil
@@ -114,6 +117,7 @@
 	c.mu.Lock()
 	if c.sessions[s.host] == s {
 		delete(c.sessions, s.host)
+		c.lingering[s.host] = s
 	}
 	c.mu.Unlock()
 	s.mu.Lock()
@@ -121,7 +125,14 @@
 	runs := len(s.runs)
 	s.mu.Unlock()
 	klog.InfoS("coordinator: host left", "host", s.host, "runs", runs, "reason", reason)
-	time.AfterFunc(lingerFor, s.release)
+	time.AfterFunc(lingerFor, func() {
+		c.mu.Lock()
+		if c.lingering[s.host] == s {
+			delete(c.lingering, s.host)
+		}
+		c.mu.Unlock()
+		s.release()
+	})
 }
 
 // release gives the places of the session free.
--- /dev/null
+++ b/internal/coordinator/session_test.go
@@ -0,0 +1,166 @@
+package coordinator_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
+)
+
+// stream is one end of a stream on virtual time.
+type stream struct {
+	reports chan *coordinatorpb.Report
+	orders  chan *coordinatorpb.Orders
+}
+
+func (s *stream) Send(m proto.Message) error {
+	s.orders <- proto.CloneOf(m.(*coordinatorpb.Orders))
+	return nil
+}
+
+func (s *stream) Recv(m proto.Message) error {
+	r, open := <-s.reports
+	if !open {
+		return io.EOF
+	}
+	proto.Merge(m, r)
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) Call(context.Context, string, string, proto.Message, proto.Message) error {
+	return errors.New("no host")
+}
+
+// entry is a host as the coordinator sees it.
+type entry struct {
+	*stream
+	ended chan error
+}
+
+func join(ctx context.Context, c *coordinator.Coordinator, host string, incarnation uint64) *entry {
+	e := &entry{stream: &stream{make(chan *coordinatorpb.Report, 64), make(chan *coordinatorpb.Orders, 64)}, ended: make(chan error, 1)}
+	go func() { e.ended <- c.Serve(ctx, host, "z", e.stream) }()
+	e.reports <- &coordinatorpb.Report{Answer: true, Hello: &coordinatorpb.Hello{Incarnation: incarnation, AgeMs: 5000}}
+	synctest.Wait()
+	return e
+}
+
+func (e *entry) ask(ticket uint64) {
+	e.reports <- &coordinatorpb.Report{Answer: true, Asks: []*coordinatorpb.Ask{{
+		Ticket: ticket, Shard: &coordinatorpb.Shard{Pool: "p"}, PatienceMs: 100, Work: &coordinatorpb.Work{Prompt: 1, Output: 1},
+	}}}
+	synctest.Wait()
+}
+
+// granted returns the number of places that the host was given.
+func (e *entry) granted() int {
+	n := 0
+	for {
+		select {
+		case o := <-e.orders:
+			n += len(o.GetGrants())
+		default:
+			return n
+		}
+	}
+}
+
+func oneEndpoint(slots int) *coordinator.Coordinator {
+	c := &coordinator.Coordinator{HostID: "c", Network: quiet{}, Peers: func() []sharder.Host { return nil }}
+	c.Init()
+	c.SetEndpoints([]balancer.Endpoint{{ID: "e", Addr: "e", Pool: "p", Zone: "z", Slots: slots, Engine: true}})
+	return c
+}
+
+// A host that restarts has nothing in progress, and a stream of its earlier process that arrives late must not bring back what
+// that one had: its places would stay taken for good.
+func TestEarlierProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := oneEndpoint(2)
+		first := join(ctx, c, "h", 3)
+		first.ask(1)
+		first.ask(2)
+		got := []any{first.granted()}
+		second := join(ctx, c, "h", 4)
+		late := join(ctx, c, "h", 3)
+		var overtaken *coordinator.OvertakenError
+		got = append(got, errors.As(<-late.ended, &overtaken))
+		second.ask(1)
+		second.ask(2)
+		got = append(got, second.granted())
+		first.ask(3) // the stream of the earlier process is still open
+		time.Sleep(time.Second)
+		got = append(got, first.granted())
+		if diff := cmp.Diff([]any{2, true, 2, 0}, got); diff != "" {
+			t.Errorf("places, refused stream, places of the next process, of the earlier one (-want +got):\n%s", diff)
+		}
+		cancel()
+		for _, e := range []*entry{first, second} {
+			close(e.reports)
+			<-e.ended
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// The connection of a host breaks and is opened again within the time that runs linger. What it tells again must not be counted
+// twice, and what it no longer tells must be free.
+func TestHostComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := oneEndpoint(3)
+		e := join(ctx, c, "h", 1)
+		for ticket := range uint64(3) {
+			e.ask(ticket + 1)
+		}
+		got := []int{e.granted()}
+		close(e.reports)
+		<-e.ended
+		again := join(ctx, c, "h", 1)
+		again.reports <- &coordinatorpb.Report{Runs: []*coordinatorpb.Run{{
+			Ticket: 1, Shard: &coordinatorpb.Shard{Pool: "p"}, Endpoint: coordinator.Digest("e"), Work: &coordinatorpb.Work{Prompt: 1, Output: 1},
+		}}}
+		synctest.Wait()
+		other := join(ctx, c, "other", 1)
+		for ticket := range uint64(3) {
+			other.ask(ticket + 1)
+		}
+		got = append(got, other.granted())
+		time.Sleep(2 * time.Second)
+		other.ask(9)
+		got = append(got, other.granted())
+		if diff := cmp.Diff([]int{3, 2, 0}, got); diff != "" {
+			t.Errorf("places given (-want +got):\n%s", diff)
+		}
+		cancel()
+		for _, e := range []*entry{again, other} {
+			close(e.reports)
+			<-e.ended
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// A coordinator that reaches no majority of the control hosts is cut off with a few entry hosts, and would fill places that the
+// others fill too.
+func TestMinorityIsNotReady(t *testing.T) {
+	c := oneEndpoint(1)
+	alone := c.Ready()
+	c.Peers = func() []sharder.Host { return []sharder.Host{{ID: "a"}, {ID: "b"}} }
+	if diff := cmp.Diff([]bool{true, false}, []bool{alone, c.Ready()}); diff != "" {
+		t.Errorf("ready alone, ready in a minority (-want +got):\n%s", diff)
+	}
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -135,9 +135,7 @@
 	h.participant.Register()
 	h.running.Store(h.participant)
 	h.participant.Subscribe(h.applyConfig)
-	b := balancer.New(h.Zone)
-	b.HostID = h.HostID
-	h.admitter = admitter.New(b)
+	h.admitter = admitter.New(balancer.New(h.Zone))
 	listener, err := net.Listen("tcp", h.CallerAddr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", h.CallerAddr)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -338,7 +338,7 @@
 	countSends.Add(outcome, 1)
 	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
 		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.Unread, "kept", c.Kept,
-		"queued", grant.Queued, "peers", c.Peers, "peers_age", c.PeersAge, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
+		"queued", grant.Queued, "placed_by", c.PlacedBy, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
 		"units", q.units, "prompt", q.work.Prompt, "output", q.work.Output, "events", q.events, "first_event", q.firstEvent,
 		"left", q.deadline.Sub(q.started), "longest_gap", q.longestGap, "waited", q.wait, "reason", err, "after", time.Since(q.started))
 }
