coordinator: allotments are checked where requests are placed

A workspace asks ten times its usual from one moment to the next: hundreds of hosts each admit a request or two of the same room before they hear of each other.

Change: asks carry what they take from an allotment, and the coordinator takes it at once, or refuses with the time at which there is room; what did not run is given back, what may have run is not. Hosts check by sums only while no coordinator answers. One that has just started, or whose machine stood still, learns the windows from the others and from the hosts that join it, and lets a burst be used after a start of all hosts. A peer that was silent for long is not counted anew when it returns. The part of a host in the last room follows the rates of the last second, not the window, which held only assumed use after a start.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,6 +35,10 @@
 	Patience time.Duration
 	// Except are the endpoints that are left out, by id. It must not change while the request waits.
 	Except map[string]bool
+	// Workspace and Units are what the request takes from an allotment, where the one who places checks that; Units is 0 if it
+	// has been taken before.
+	Workspace string
+	Units     float64
 }
 
 func (a Ask) excepts(id string) bool { return a.Except[id] }
@@ -50,6 +54,8 @@
 	Crowded Reason = "crowded"
 	// Waited means that the request waited for as long as it can.
 	Waited Reason = "waited"
+	// Allotment means that the allotment of the workspace is used up.
+	Allotment Reason = "allotment"
 )
 
 // RefusedError reports a request that was given no endpoint.
@@ -117,6 +123,8 @@
 	Replaced
 	// Unreachable means that nothing could be sent.
 	Unreachable
+	// Abandoned means that the caller left; the request may have run.
+	Abandoned
 )
 
 // Watcher is told of a run that was placed by another host. Its methods must not block.
@@ -157,6 +165,9 @@
 	g.Conclude(now, o, 0)
 }
 
+// Abandon counts a request whose caller left.
+func (g *Grant) Abandon(now time.Time) { g.Conclude(now, Abandoned, 0) }
+
 // Unreachable counts a request of which nothing could be sent.
 func (g *Grant) Unreachable(now time.Time) { g.Conclude(now, Unreachable, 0) }
 
@@ -168,7 +179,7 @@
 	switch o {
 	case Answered, Failed:
 		a.balancer.EndPaced(now, g.run, o == Failed, pace)
-	case NotRun, Replaced:
+	case NotRun, Replaced, Abandoned:
 		a.balancer.Refuse(now, g.run, o == Replaced)
 	case Unreachable:
 		a.balancer.Unreachable(now, g.run)
--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,6 +21,8 @@
 	minRateSpan = 20 * time.Millisecond
 	// scarceFor is the time at the full rate that the room of a window must last for; with less room, hosts admit their parts of it.
 	scarceFor = time.Second
+	// shareFor is the time over which the part of this host in the use of all is taken.
+	shareFor = time.Second
 	// silentAfter is the silence after which a peer's use is assumed instead of known. It covers a few lost datagrams.
 	silentAfter = 500 * time.Millisecond
 	// minBurst is the burst of a limit that names none. Without any room no request would be admitted.
@@ -31,6 +34,8 @@
 	// forgetAfter is the silence after which a peer that is one host counts as gone: it has no confirmed configuration any more
 	// and admits nothing. Sums of many hosts only fall silent because they are not heard.
 	forgetAfter = 5 * time.Second
+	// minRetryAfter is the least time after which a refused caller may return: hosts hear of each other a few times a second.
+	minRetryAfter = 100 * time.Millisecond
 	// maxRetryAfter bounds what a caller is asked to wait; a longer forecast says nothing.
 	maxRetryAfter = 10 * time.Second
 )
@@ -60,16 +65,17 @@
 }
 
 // ration reports whether a request is within the part of this host in the last room of the window. All hosts see the same room, and
-// each hears some time later what the others have taken of it.
-func (c *account) ration(now time.Time, units float64, hosts int) bool {
+// each hears some time later what the others have taken of it. Others is what they have used per second lately.
+func (c *account) ration(now time.Time, units, others float64, hosts int) bool {
 	room := c.capacity() - c.window.sum
 	if hosts == 1 || room >= c.limit.Rate*scarceFor.Seconds() {
 		c.creditAt = time.Time{}
 		return true
 	}
-	share := 1 / float64(hosts)
-	if c.window.sum > 0 {
-		share = max(share, c.own.sum/c.window.sum)
+	// Until some use was seen, a host may be the only one that is asked, or one of many.
+	share := 1 / math.Sqrt(float64(hosts))
+	if own := c.own.recent(shareFor) / shareFor.Seconds(); own+others > 0 {
+		share = max(1/float64(hosts), own/(own+others))
 	}
 	if c.creditAt.IsZero() {
 		c.credit = share * room
@@ -115,10 +121,16 @@
 	// rate is the use per second as heard lately, and hosts the number of hosts that are added up.
 	rate  map[string]float64
 	hosts int
+	// gone is true after a long silence. What the peer has told is kept, so that it is not counted again when it comes back.
+	gone bool
 }
 
 // Allotter follows the allotments. It is not safe for concurrent use.
 type Allotter struct {
+	// OpensWithBurst lets a burst be used right after the start, where nobody admits anything for some time before. Otherwise all of
+	// an allotment counts as used up.
+	OpensWithBurst bool
+
 	started  time.Time
 	length   time.Duration
 	accounts map[string]*account
@@ -142,7 +154,11 @@
 			c = &account{limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started}}
 			if now.Sub(a.started) < a.length {
 				// What was admitted before this host started is unknown to it; it may have been all of the allotment.
-				c.window.fill(a.started, c.capacity()/a.length.Seconds())
+				rate := c.capacity() / a.length.Seconds()
+				if a.OpensWithBurst {
+					rate = l.Rate
+				}
+				c.window.fill(a.started, rate)
 				c.assumed = true
 			}
 			a.accounts[name] = c
@@ -169,8 +185,8 @@
 	c.own.advance(now)
 	silent := a.silentHosts(now)
 	if c.window.sum >= c.capacity() || silent > 0 && c.window.sum+units*float64(1+silent) > c.capacity() ||
-		!c.ration(now, units, a.Peers()+1) {
-		return false, c.promise(now, units, a.Peers()+1)
+		!c.ration(now, units, a.othersRate(workspace), a.Peers()+1) {
+		return false, max(c.promise(now, units, a.Peers()+1), minRetryAfter)
 	}
 	c.window.add(now, units)
 	c.own.add(now, units)
@@ -180,6 +196,16 @@
 	return true, 0
 }
 
+// Charge counts units that were admitted without a check here.
+func (a *Allotter) Charge(now time.Time, workspace string, units float64) {
+	if c := a.accounts[workspace]; c != nil {
+		c.window.add(now, units)
+		c.own.add(now, units)
+		c.credit -= units
+		c.used += units
+	}
+}
+
 // Return gives back the units of a request that did not run.
 func (a *Allotter) Return(now time.Time, workspace string, units float64) {
 	if c := a.accounts[workspace]; c != nil {
@@ -213,7 +239,9 @@
 func (a *Allotter) Peers() int {
 	n := 0
 	for _, p := range a.peers {
-		n += p.hosts
+		if !p.gone {
+			n += p.hosts
+		}
 	}
 	return n
 }
@@ -266,7 +294,7 @@
 		}
 	}
 	clear(p.owed)
-	p.used, p.at, p.since = maps.Clone(used), now, now
+	p.used, p.at, p.since, p.gone = maps.Clone(used), now, now, false
 }
 
 // History returns the windows of the workspaces in equal parts, the newest first, if a peer has just started and this host
@@ -279,6 +307,11 @@
 	if !young {
 		return nil
 	}
+	return a.Windows(now)
+}
+
+// Windows returns the windows of the workspaces in equal parts, the newest first, as far as this host knows them.
+func (a *Allotter) Windows(now time.Time) map[string][]float64 {
 	out := map[string][]float64{}
 	for name, c := range a.accounts {
 		if !c.assumed || now.Sub(a.started) >= a.length {
@@ -313,7 +346,7 @@
 	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
 		p := a.peers[name]
 		if now.Sub(p.at) > forgetAfter && p.hosts <= 1 {
-			delete(a.peers, name)
+			p.gone = true
 			continue
 		}
 		until := now
@@ -332,12 +365,23 @@
 	}
 }
 
+// othersRate returns what peers use of an allotment per second, as heard lately.
+func (a *Allotter) othersRate(workspace string) float64 {
+	rate := 0.0
+	for _, p := range a.peers {
+		if !p.gone {
+			rate += p.rate[workspace]
+		}
+	}
+	return rate
+}
+
 // silentHosts returns the number of hosts that have fallen silent. Each of them may admit what this host admits, and they are not
 // seen to overdraw, so that there must be room for all of it.
 func (a *Allotter) silentHosts(now time.Time) int {
 	n := 0
 	for _, p := range a.peers {
-		if now.Sub(p.at) > silentAfter {
+		if now.Sub(p.at) > silentAfter && !p.gone {
 			n += p.hosts
 		}
 	}
@@ -348,7 +392,7 @@
 // Hosts that cannot hear each other would otherwise each use what the others leave free.
 func (a *Allotter) match(now time.Time, workspace string, units float64) {
 	for _, p := range a.peers {
-		if now.Sub(p.at) > silentAfter {
+		if now.Sub(p.at) > silentAfter && !p.gone {
 			p.owe(now, a.accounts[workspace], workspace, units*float64(p.hosts))
 		}
 	}
--- a/internal/allotter/tally.go
+++ b/internal/allotter/tally.go
@@ -55,8 +55,28 @@
 	Peer bool
 }
 
-// Heard takes the report of a source.
-func (t *Tally) Heard(now time.Time, name string, r Report) {
+// Add counts what was allowed here, which the hosts do not report themselves; units are below zero if they are given back.
+func (t *Tally) Add(now time.Time, workspace uint64, units float64) {
+	t.count(now, workspace, units, false)
+}
+
+// count adds units to the sums.
+func (t *Tally) count(now time.Time, workspace uint64, units float64, peer bool) {
+	t.version++
+	t.total[workspace] += units
+	if !peer {
+		t.own[workspace] += units
+	}
+	w := t.windows[workspace]
+	if w == nil {
+		w = &window{length: t.length, epoch: t.started}
+		t.windows[workspace] = w
+	}
+	w.add(now, units)
+}
+
+// Heard takes the report of a source, and returns what it has used since the last one.
+func (t *Tally) Heard(now time.Time, name string, r Report) (news map[uint64]float64) {
 	s := t.sources[name]
 	if s == nil || s.process != r.Process {
 		s = &source{process: r.Process, base: map[uint64]float64{}, told: map[uint64]float64{}}
@@ -66,24 +86,17 @@
 		t.sources[name] = s
 	}
 	s.hosts, s.peer, s.at = r.Hosts, r.Peer, now
+	news = map[uint64]float64{}
 	for workspace, units := range r.Totals {
 		delta := units - s.told[workspace]
 		if delta == 0 {
 			continue
 		}
 		s.told[workspace] = units
-		t.version++
-		t.total[workspace] += delta
-		if !r.Peer {
-			t.own[workspace] += delta
-		}
-		w := t.windows[workspace]
-		if w == nil {
-			w = &window{length: t.length, epoch: t.started}
-			t.windows[workspace] = w
-		}
-		w.add(now, delta)
+		news[workspace] = delta
+		t.count(now, workspace, delta, r.Peer)
 	}
+	return news
 }
 
 // Others returns the totals without what a source has told since it was heard first.
--- a/internal/allotter/window.go
+++ b/internal/allotter/window.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// recent returns the use of the newest parts that make up a span.
+func (w *window) recent(span time.Duration) float64 {
+	sum := 0.0
+	for i := range min(int64(span*slots/w.length)+1, slots) {
+		sum += *w.part(w.slot - i)
+	}
+	return sum
+}
+
 // until returns the time until enough has left the window that its sum is below a limit.
 func (w *window) until(limit float64) time.Duration {
 	part, sum := w.length/slots, w.sum
--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -73,6 +73,8 @@
 	Local *admitter.Admitter
 	// Tell adds what the other hosts should know to a report, all of it or what is new; it returns false if there is nothing.
 	Tell func(r *coordinatorpb.Report, all bool) bool
+	// Windows returns the windows of allotments as this host knows them; it may be nil.
+	Windows func() *coordinatorpb.Uses
 	// Heard takes what other hosts have used and seen.
 	Heard func(*coordinatorpb.Orders)
 
@@ -231,6 +233,12 @@
 	}
 }
 
+// Checks implements the gateway's Placer.
+func (a *Asker) Checks(pool string) bool {
+	shards := a.shards.Load()
+	return shards != nil && a.linkFor(shards.Home(pool, a.Zone).Zone) != nil
+}
+
 // Acquire implements the gateway's Placer.
 func (a *Asker) Acquire(ctx context.Context, ask admitter.Ask) (*admitter.Grant, error) {
 	began := time.Now()
@@ -244,6 +252,11 @@
 		left := ask
 		left.Patience, left.Except = ask.Patience-time.Since(began), except
 		l := a.linkFor(shard.Zone)
+		if l == nil && spilled {
+			// The coordinator of the other zone is not reached yet.
+			shard = shards.Home(ask.Pool, a.Zone)
+			l = a.linkFor(shard.Zone)
+		}
 		if l == nil || left.Patience <= 0 {
 			break
 		}
@@ -347,6 +360,7 @@
 var outcomes = map[admitter.Outcome]coordinatorpb.End_Outcome{
 	admitter.Answered: coordinatorpb.End_ANSWERED, admitter.Failed: coordinatorpb.End_FAILED, admitter.NotRun: coordinatorpb.End_NOT_RUN,
 	admitter.Replaced: coordinatorpb.End_REPLACED, admitter.Unreachable: coordinatorpb.End_UNREACHABLE,
+	admitter.Abandoned: coordinatorpb.End_ABANDONED,
 }
 
 // Ended implements admitter.Watcher.
--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -52,7 +52,10 @@
 	a := l.a
 	p := &coordinatorpb.Ask{
 		Shard: encodeShard(shard), Tier: uint32(max(ask.Tier, 0)), PatienceMs: uint32(max(1, ask.Patience.Milliseconds())),
-		Work: encodeWork(ask.Work), Spilled: spilled,
+		Work: encodeWork(ask.Work), Spilled: spilled, Units: uint32(max(ask.Units, 0)),
+	}
+	if ask.Units > 0 {
+		p.Workspace = coordinator.Digest(ask.Workspace)
 	}
 	for id := range ask.Except {
 		p.Except = append(p.Except, coordinator.Digest(id))
@@ -227,6 +230,9 @@
 	hello := &coordinatorpb.Report{Seq: 1, Answer: true, Hello: &coordinatorpb.Hello{
 		Incarnation: a.Incarnation(), AgeMs: uint64(time.Since(a.started).Milliseconds()),
 	}}
+	if a.Windows != nil {
+		hello.Hello.History = a.Windows()
+	}
 	now := time.Now()
 	a.mu.Lock()
 	l.stream, l.cancel, l.seq, l.pending = stream, cancel, 1, nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
 )
@@ -51,6 +52,8 @@
 	othersInterval = 250 * time.Millisecond
 	// historyFor is the age of a host's process up to which it is told the windows of the allotments.
 	historyFor = 2 * time.Second
+	// maxPause is the time between two exchanges beyond which this host has stood still.
+	maxPause = time.Second
 	// useFor is the silence after which the hosts of another coordinator are no longer counted.
 	useFor = 5 * time.Second
 	// summaryFor is the age after which the summary of another coordinator counts for nothing.
@@ -87,21 +90,28 @@
 	// AllotmentWindow is the time over which allotments are added up; 0 means the default.
 	AllotmentWindow time.Duration
 
-	mu        sync.Mutex
-	process   uint64
-	started   time.Time
-	endpoints []balancer.Endpoint
-	names     map[uint64]string
-	shards    map[sharder.Shard]*shard
-	sessions  map[string]*session
+	mu      sync.Mutex
+	process uint64
+	started time.Time
+	// knowsSince is the time since which this coordinator has followed the allotments without a break.
+	knowsSince time.Time
+	limits     map[string]allotter.Limit
+	endpoints  []balancer.Endpoint
+	names      map[uint64]string
+	shards     map[sharder.Shard]*shard
+	sessions   map[string]*session
 	// lingering are sessions that have ended a moment ago, whose hosts may come back.
 	lingering   map[string]*session
 	incarnation map[string]uint64
 	tally       *allotter.Tally
-	peers       map[string]*peer
-	summaries   map[sharder.Shard]summary
-	crashed     map[crash]time.Time
-	wg          sync.WaitGroup
+	// allots decides about the allotments of requests that are placed here, by the names of workspaces.
+	allots     *allotter.Allotter
+	heard      map[string]*heardUse
+	workspaces map[uint64]string
+	peers      map[string]*peer
+	summaries  map[sharder.Shard]summary
+	crashed    map[crash]time.Time
+	wg         sync.WaitGroup
 }
 
 // shard is a part of a pool that this coordinator places at.
@@ -122,12 +132,14 @@
 // Init prepares the state. Call it before the network runs.
 func (c *Coordinator) Init() {
 	now := time.Now()
-	c.process, c.started = rand.Uint64(), now
+	c.process, c.started, c.knowsSince = rand.Uint64(), now, now
 	c.names, c.shards, c.sessions = map[uint64]string{}, map[sharder.Shard]*shard{}, map[string]*session{}
+	c.heard = map[string]*heardUse{}
 	c.lingering = map[string]*session{}
 	c.incarnation, c.peers = map[string]uint64{}, map[string]*peer{}
 	c.summaries, c.crashed = map[sharder.Shard]summary{}, map[crash]time.Time{}
 	c.tally = allotter.NewTally(now, c.AllotmentWindow)
+	c.allots, c.workspaces = c.newAllotments(now), map[uint64]string{}
 }
 
 // Run exchanges reports with the other coordinators until ctx ends.
@@ -135,13 +147,17 @@
 	defer c.wg.Wait()
 	tick := time.NewTicker(exchangeInterval)
 	defer tick.Stop()
-	for {
+	for last := clocker.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
 		now := time.Now()
+		if pause := clocker.Since(last); pause > maxPause {
+			c.relearn(now, pause)
+		}
+		last = clocker.Now()
 		for _, p := range c.Peers() {
 			if report := c.peerReport(now, p.ID); report != nil {
 				c.wg.Go(func() { c.tellPeer(ctx, p, report) })
@@ -151,6 +167,18 @@
 	}
 }
 
+// relearn forgets what this coordinator knew of the allotments before its machine stood still. What it hears of that time now would
+// count as used at this moment.
+func (c *Coordinator) relearn(now time.Time, pause time.Duration) {
+	klog.InfoS("coordinator: this host stood still", "pause", pause)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.knowsSince = now
+	c.allots = c.newAllotments(now)
+	c.allots.SetLimits(now, c.limits)
+	c.heard = map[string]*heardUse{}
+}
+
 // SetEndpoints replaces the list of endpoints.
 func (c *Coordinator) SetEndpoints(list []balancer.Endpoint) {
 	c.mu.Lock()
@@ -165,6 +193,26 @@
 	}
 }
 
+// newAllotments returns allotments whose use before is not known. Hosts join no coordinator in the first half second, in which
+// nothing is admitted if all have started; else the others tell what was.
+func (c *Coordinator) newAllotments(now time.Time) *allotter.Allotter {
+	a := allotter.New(now, c.AllotmentWindow)
+	a.OpensWithBurst = true
+	return a
+}
+
+// SetLimits replaces the allotments of workspaces.
+func (c *Coordinator) SetLimits(limits map[string]allotter.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+	c.allots.SetLimits(time.Now(), limits)
+	c.workspaces = make(map[uint64]string, len(limits))
+	for name := range limits {
+		c.workspaces[Digest(name)] = name
+	}
+}
+
 func (s *shard) setEndpoints(list []balancer.Endpoint) {
 	var own []balancer.Endpoint
 	for _, e := range list {
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,12 @@
 // summarizedFor is the time without asks after which a shard is no longer told to others.
 const summarizedFor = time.Second
 
+// heardUse is what another coordinator has told of the use of allotments.
+type heardUse struct {
+	process uint64
+	used    map[string]float64
+}
+
 // peer is what this coordinator knows of another one.
 type peer struct {
 	busy      bool
@@ -39,7 +46,7 @@
 		return nil
 	}
 	own, _ := c.tally.Hosts(now, useFor)
-	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
+	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
 	for key, at := range c.crashed {
 		if at.After(p.crashesAt) {
 			r.Crashes = append(r.Crashes, &coordinatorpb.Crash{Request: key.request, Endpoint: key.endpoint})
@@ -65,7 +72,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	asked := time.Now()
-	err := c.Network.Call(ctx, h.Addr, MethodPeer, r, &coordinatorpb.PeerReply{})
+	reply := &coordinatorpb.PeerReply{}
+	err := c.Network.Call(ctx, h.Addr, MethodPeer, r, reply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[h.ID]
@@ -77,6 +85,9 @@
 		return
 	}
 	p.reachedAt, p.crashesAt = time.Now(), asked
+	if history := DecodeHistory(reply.GetHistory(), c.workspaces); len(history) > 0 {
+		c.allots.Learn(time.Now(), history)
+	}
 	if p.told == nil {
 		p.told = map[uint64]float64{}
 	}
@@ -92,14 +103,32 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	totals := DecodeUses(r.GetUses())
 	c.tally.Heard(now, "coordinator/"+r.GetHost(), allotter.Report{
-		Process: r.GetProcess(), Age: useFor, Totals: DecodeUses(r.GetUses()), Hosts: int(r.GetUses().GetHosts()), Peer: true,
+		Process: r.GetProcess(), Age: useFor, Totals: totals, Hosts: int(r.GetUses().GetHosts()), Peer: true,
 	})
+	known := c.heard[r.GetHost()]
+	if known == nil || known.process != r.GetProcess() {
+		known = &heardUse{process: r.GetProcess(), used: map[string]float64{}}
+		c.heard[r.GetHost()] = known
+	}
+	for workspace, units := range totals {
+		if name, ok := c.workspaces[workspace]; ok {
+			known.used[name] = units
+		}
+	}
+	source := r.GetHost() + "/" + strconv.FormatUint(r.GetProcess(), 36)
+	c.allots.Heard(now, source, time.Duration(r.GetAgeMs())*time.Millisecond, known.used)
 	for _, s := range r.GetSummaries() {
 		c.summaries[shardOf(s.GetShard())] = summary{free: int(s.GetFree()), queue: int(s.GetQueue()), at: now}
 	}
 	c.crashSeen(now, r.GetCrashes())
-	return proto.Marshal(&coordinatorpb.PeerReply{})
+	reply := &coordinatorpb.PeerReply{}
+	if r.GetYoung() && now.Sub(c.knowsSince) > historyFor {
+		reply.History = &coordinatorpb.Uses{}
+		c.addHistory(now, reply.History)
+	}
+	return proto.Marshal(reply)
 }
 
 func shardOf(s *coordinatorpb.Shard) sharder.Shard {
@@ -141,6 +170,40 @@
 	return out
 }
 
+// addHistory adds the windows of workspaces to a message.
+func (c *Coordinator) addHistory(now time.Time, u *coordinatorpb.Uses) {
+	for workspace, parts := range c.tally.History(now) {
+		AddWindow(u, workspace, parts)
+	}
+}
+
+// AddWindow adds the window of a workspace to a message. All windows of a message have the same number of parts.
+func AddWindow(u *coordinatorpb.Uses, workspace uint64, parts []float64) {
+	u.HistoryWorkspace = append(u.HistoryWorkspace, workspace)
+	u.HistoryParts = uint32(len(parts))
+	for _, units := range parts {
+		u.HistoryUnits = append(u.HistoryUnits, uint64(max(units, 0)))
+	}
+}
+
+// DecodeHistory returns the windows of a message by the names of workspaces.
+func DecodeHistory(in *coordinatorpb.Uses, names map[uint64]string) map[string][]float64 {
+	parts := int(in.GetHistoryParts())
+	out := map[string][]float64{}
+	for i, d := range in.GetHistoryWorkspace() {
+		name, known := names[d]
+		if !known || parts <= 0 || (i+1)*parts > len(in.GetHistoryUnits()) {
+			continue
+		}
+		units := make([]float64, parts)
+		for j := range units {
+			units[j] = float64(in.GetHistoryUnits()[i*parts+j])
+		}
+		out[name] = units
+	}
+	return out
+}
+
 // tellOthers tells each host what the other hosts have used.
 func (c *Coordinator) tellOthers(now time.Time) {
 	c.mu.Lock()
@@ -156,14 +219,7 @@
 		u := EncodeUses(Changed(s.sums, sums), all-1)
 		s.sums = sums
 		if s.age+now.Sub(s.since) < historyFor {
-			history := c.tally.History(now)
-			for workspace, parts := range history {
-				u.HistoryWorkspace = append(u.HistoryWorkspace, workspace)
-				u.HistoryParts = uint32(len(parts))
-				for _, units := range parts {
-					u.HistoryUnits = append(u.HistoryUnits, uint64(max(units, 0)))
-				}
-			}
+			c.addHistory(now, u)
 		}
 		s.order(func(o *coordinatorpb.Orders) { o.Others, o.OthersId = u, s.id })
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -52,6 +52,9 @@
 	runs    map[uint64]*admitter.Grant
 	held    map[string]time.Time
 	closed  bool
+
+	// paid is what asks have taken from allotments; the coordinator's lock covers it.
+	paid map[uint64]payment
 }
 
 // Serve takes the reports of an entry host until its stream ends.
@@ -61,6 +64,7 @@
 	s := &session{
 		c: c, host: host, zone: zone, ctx: ctx, since: time.Now(), id: rand.Uint64(), wake: make(chan struct{}, 1), pending: &coordinatorpb.Orders{},
 		waiting: map[uint64]context.CancelFunc{}, runs: map[uint64]*admitter.Grant{}, held: map[string]time.Time{},
+		paid: map[uint64]payment{},
 	}
 	first := &coordinatorpb.Report{}
 	if err := stream.Recv(first); err != nil {
@@ -101,6 +105,9 @@
 	delete(c.lingering, s.host)
 	// What the host has used meanwhile was told to another coordinator.
 	c.tally.Gone(s.host)
+	if history := DecodeHistory(hello.GetHistory(), c.workspaces); len(history) > 0 && s.age > historyFor {
+		c.allots.Learn(s.since, history)
+	}
 	c.mu.Unlock()
 	for _, earlier := range []*session{before, lingers} {
 		if earlier != nil {
@@ -182,6 +189,7 @@
 	countReports.Add(1)
 	now := time.Now()
 	for _, e := range r.GetEnds() {
+		s.settle(now, e.GetTicket(), ran(e.GetOutcome()))
 		if g := s.run(e.GetTicket(), true); g != nil {
 			conclude(now, g, e)
 		}
@@ -224,9 +232,55 @@
 		return
 	}
 	s.usesTold = true
-	c.tally.Heard(now, s.host, allotter.Report{
+	news := c.tally.Heard(now, s.host, allotter.Report{
 		Process: c.incarnation[s.host], Age: s.age + now.Sub(s.since), Totals: DecodeUses(r.GetUses()), Hosts: 1,
 	})
+	for workspace, units := range news {
+		c.allots.Charge(now, c.workspaces[workspace], units)
+	}
+}
+
+// charge takes the units of an ask from the allotment of its workspace. It returns an answer if the allotment is used up.
+func (s *session) charge(now time.Time, p *coordinatorpb.Ask) *admitter.RefusedError {
+	c, units := s.c, float64(p.GetUnits())
+	if units == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name, limited := c.workspaces[p.GetWorkspace()]
+	if !limited {
+		return nil
+	}
+	ok, retry := c.allots.Take(now, name, units)
+	if !ok {
+		klog.InfoS("coordinator: allotment used up", "host", s.host, "workspace", name, "units", units, "level", c.allots.Level(name),
+			"peers", c.allots.Peers(), "retry_after", retry)
+		return &admitter.RefusedError{Reason: admitter.Allotment, RetryAfter: retry}
+	}
+	c.tally.Add(now, p.GetWorkspace(), units)
+	s.paid[p.GetTicket()] = payment{workspace: p.GetWorkspace(), units: units}
+	return nil
+}
+
+// payment is what an ask has taken from an allotment.
+type payment struct {
+	workspace uint64
+	units     float64
+}
+
+// settle forgets the payment of a ticket, or gives it back if the request did not run.
+func (s *session) settle(now time.Time, ticket uint64, ran bool) {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	paid, known := s.paid[ticket]
+	delete(s.paid, ticket)
+	if !known || ran {
+		return
+	}
+	c.allots.Return(now, c.workspaces[paid.workspace], paid.units)
+	c.tally.Add(now, paid.workspace, -paid.units)
 }
 
 func (s *session) run(ticket uint64, ended bool) *admitter.Grant {
@@ -239,6 +293,11 @@
 	return g
 }
 
+// ran reports whether a request may have run.
+func ran(o coordinatorpb.End_Outcome) bool {
+	return o == coordinatorpb.End_ANSWERED || o == coordinatorpb.End_FAILED || o == coordinatorpb.End_ABANDONED
+}
+
 func conclude(now time.Time, g *admitter.Grant, e *coordinatorpb.End) {
 	o := admitter.NotRun
 	switch e.GetOutcome() {
@@ -246,6 +305,8 @@
 		o = admitter.Answered
 	case coordinatorpb.End_FAILED:
 		o = admitter.Failed
+	case coordinatorpb.End_ABANDONED:
+		o = admitter.Abandoned
 	case coordinatorpb.End_REPLACED:
 		o = admitter.Replaced
 	case coordinatorpb.End_UNREACHABLE:
@@ -369,6 +430,10 @@
 			return
 		}
 	}
+	if refused := s.charge(now, p); refused != nil {
+		s.answer(p.GetTicket(), nil, refused)
+		return
+	}
 	ask := admitter.Ask{
 		Pool: p.GetShard().GetPool(), Tier: int(p.GetTier()), Patience: time.Duration(p.GetPatienceMs()) * time.Millisecond,
 		Work: s.work(now, p.GetWork()), Except: except,
@@ -392,6 +457,9 @@
 // answer tells the host what became of an ask.
 func (s *session) answer(ticket uint64, grant *admitter.Grant, err error) {
 	s.forget(ticket)
+	if err != nil {
+		s.settle(time.Now(), ticket, false)
+	}
 	var refused *admitter.RefusedError
 	switch {
 	case err == nil:
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
@@ -119,6 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.index = router.NewIndex(table)
+	c.coordinator.SetLimits(gateway.LimitsOf(table))
 	c.applyEndpoints()
 }
 
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -69,6 +69,15 @@
 	return news
 }
 
+// windows returns the windows of allotments as this host knows them.
+func (h *Host) windows() *coordinatorpb.Uses {
+	u := &coordinatorpb.Uses{}
+	for workspace, parts := range h.gateway.UseWindows() {
+		coordinator.AddWindow(u, coordinator.Digest(workspace), parts)
+	}
+	return u
+}
+
 // heard takes what other hosts have used and seen.
 func (h *Host) heard(o *coordinatorpb.Orders) {
 	crashes := make([]gateway.Crash, 0, len(o.GetCrashes()))
@@ -89,7 +98,7 @@
 	defer h.shared.mu.Unlock()
 	afresh := o.GetOthersId() != h.shared.sums
 	h.gateway.HeardUse(others, othersAge, h.shared.grow(o.GetOthersId(), sums, names), int(o.GetOthers().GetHosts()), afresh)
-	if history := historyOf(o.GetOthers(), names); len(history) > 0 {
+	if history := coordinator.DecodeHistory(o.GetOthers(), names); len(history) > 0 {
 		h.gateway.LearnUse(history)
 	}
 }
@@ -110,24 +119,6 @@
 	return s.total
 }
 
-// historyOf decodes the windows of workspaces.
-func historyOf(in *coordinatorpb.Uses, names map[uint64]string) map[string][]float64 {
-	parts := int(in.GetHistoryParts())
-	out := map[string][]float64{}
-	for i, d := range in.GetHistoryWorkspace() {
-		name, known := names[d]
-		if !known || parts <= 0 || (i+1)*parts > len(in.GetHistoryUnits()) {
-			continue
-		}
-		units := make([]float64, parts)
-		for j := range units {
-			units[j] = float64(in.GetHistoryUnits()[i*parts+j])
-		}
-		out[name] = units
-	}
-	return out
-}
-
 // notice tells the coordinators what an endpoint has said of itself.
 func (h *Host) notice(n gateway.Notice) {
 	if n.Speed > 0 {
--- a/internal/forwarder/share_test.go
+++ b/internal/forwarder/share_test.go
@@ -16,7 +16,7 @@
 	uses := &coordinatorpb.Uses{
 		HistoryWorkspace: []uint64{a, b}, HistoryUnits: []uint64{1, 2, 3}, HistoryParts: 2, Workspace: []uint64{a, b}, Units: []uint64{5},
 	}
-	got := []any{historyOf(uses, names), coordinator.DecodeUses(uses)}
+	got := []any{coordinator.DecodeHistory(uses, names), coordinator.DecodeUses(uses)}
 	want := []any{map[string][]float64{"a": {1, 2}}, map[uint64]float64{a: 5}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("decoded (-want +got):\n%s", diff)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,13 +107,27 @@
 	began := time.Now()
 	grant, err := q.g.Placer.Acquire(q.r.Context(), admitter.Ask{
 		Pool: q.pool, Work: q.work, Tier: q.tier, Patience: patience,
-		Except: q.tried,
+		Except: q.tried, Workspace: q.workspaceName(), Units: q.unpaid(),
 	})
+	if err == nil && q.checked && grant.Choice.PlacedBy == "" && q.unpaid() > 0 {
+		// Nobody else has counted it.
+		q.checked = false
+		q.g.countOwn(q.workspace.Name, q.units)
+	}
 	q.wait += time.Since(began)
 	waitTimes.Observe(q.label(), time.Since(began))
 	return grant, err
 }
 
+// unpaid returns the units that the next endpoint's run takes from an allotment which the coordinator checks. What did not run was
+// given back.
+func (q *request) unpaid() float64 {
+	if !q.checked || q.ran {
+		return 0
+	}
+	return q.units
+}
+
 // maySendAgain reports whether the rule and the budget allow another send after a verdict.
 func (q *request) maySendAgain(v verdict) bool {
 	switch {
@@ -132,6 +146,8 @@
 	}
 	var refused *admitter.RefusedError
 	switch {
+	case errors.As(err, &refused) && refused.Reason == admitter.Allotment && !q.ran && !q.streaming && last.status == 0:
+		q.refuse(http.StatusTooManyRequests, string(refused.Reason), refused.RetryAfter)
 	case last.status != 0:
 		q.pass(last)
 	case q.ran || q.streaming:
@@ -254,13 +270,14 @@
 	switch {
 	case q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent:
 		// That says nothing about the endpoint.
-		grant.Refuse(time.Now(), false)
+		grant.Abandon(time.Now())
 		err = errCallerLeft
 	case !sent:
 		grant.Unreachable(time.Now())
 	case lostIdle(err):
-		// The endpoint may have forgotten the connection while it rested, which says nothing about the endpoint.
-		grant.Refuse(time.Now(), false)
+		// The endpoint may have forgotten the connection while it rested, which says nothing about the endpoint. The request may
+		// have run all the same.
+		grant.Abandon(time.Now())
 	default:
 		grant.End(time.Now(), true)
 		if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,8 +88,16 @@
 type Placer interface {
 	// Acquire waits for an endpoint. It returns an *admitter.RefusedError, or the error of ctx.
 	Acquire(ctx context.Context, ask admitter.Ask) (*admitter.Grant, error)
+	// Checks reports whether the allotments of requests for a pool are checked where they are placed.
+	Checks(pool string) bool
 }
 
+// alone is a Placer that knows no other hosts.
+type alone struct{ *admitter.Admitter }
+
+// Checks implements Placer.
+func (alone) Checks(string) bool { return false }
+
 // Notice is what an endpoint has said of itself to this host.
 type Notice struct {
 	Endpoint string
@@ -142,7 +150,7 @@
 // Init prepares the state that Run and the callers of other methods use.
 func (g *Gateway) Init() {
 	if g.Placer == nil {
-		g.Placer = g.Admitter
+		g.Placer = alone{g.Admitter}
 	}
 	if g.Notice == nil {
 		g.Notice = func(Notice) {}
@@ -257,15 +265,20 @@
 
 // SetTable applies the limits of a table.
 func (g *Gateway) SetTable(x *router.Index) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allots.SetLimits(time.Now(), LimitsOf(x.Table()))
+}
+
+// LimitsOf returns the allotments of a table.
+func LimitsOf(t *router.Table) map[string]allotter.Limit {
 	limits := map[string]allotter.Limit{}
-	for _, w := range x.Table().Workspaces {
+	for _, w := range t.Workspaces {
 		if w.Rate > 0 {
 			limits[w.Name] = allotter.Limit{Rate: w.Rate, Burst: w.Burst}
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.allots.SetLimits(time.Now(), limits)
+	return limits
 }
 
 // Open lets the requests go on that wait for the first table. Call it once Table returns one and its endpoints are set.
@@ -278,6 +291,13 @@
 	return g.allots.Used()
 }
 
+// UseWindows returns the windows of the allotments as far as this host knows them.
+func (g *Gateway) UseWindows() map[string][]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allots.Windows(time.Now())
+}
+
 // LearnUse takes the windows of the allotments as a peer knows them.
 func (g *Gateway) LearnUse(history map[string][]float64) {
 	g.mu.Lock()
@@ -297,6 +317,13 @@
 	g.allots.SetHosts(process, hosts)
 }
 
+// countOwn counts units that this host has admitted without a check.
+func (g *Gateway) countOwn(workspace string, units float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allots.Charge(time.Now(), workspace, units)
+}
+
 // sent counts a first send to a pool.
 func (g *Gateway) sent(pool string) {
 	g.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,8 +49,10 @@
 	tier      int
 	work      balancer.Work
 	units     float64
-	body      []byte
-	deadline  time.Time
+	// checked is true if the coordinator that places the request checks the allotment.
+	checked  bool
+	body     []byte
+	deadline time.Time
 
 	// sends counts the endpoints that a byte of the request was written to, and ran tells whether one of them may have run it.
 	sends int
@@ -261,6 +263,9 @@
 	if q.workspace == nil || q.workspace.Rate <= 0 {
 		return true
 	}
+	if q.checked = q.g.Placer.Checks(q.pool); q.checked {
+		return true
+	}
 	q.g.mu.Lock()
 	ok, retry := q.g.allots.Take(time.Now(), q.workspace.Name, q.units)
 	level, peers := q.g.allots.Level(q.workspace.Name), q.g.allots.Peers()
@@ -275,7 +280,7 @@
 
 // release gives the units back, since the request did not run.
 func (q *request) release() {
-	if q.workspace == nil || q.workspace.Rate <= 0 {
+	if q.workspace == nil || q.workspace.Rate <= 0 || q.checked {
 		return
 	}
 	q.g.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,7 +45,7 @@
 				silence.Reset(limit)
 			}
 			if err := q.write(control, response, events); err != nil {
-				grant.Refuse(time.Now(), false)
+				grant.Abandon(time.Now())
 				return interrupted, held{}, err
 			}
 			q.countEvents(events)
