asker, admitter: a slow link costs single requests; long queues cost little; local places are checked

Change: after 200 ms of silence a request is placed without the coordinator, which counts as lost after 500 ms only; what a host places itself is taken from the allotment by what it knows. A search of a queue ends after 24 requests that found nothing, and the next one begins 3 ms later; one pass over the endpoints serves all that Pick needs.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -19,6 +19,10 @@
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter bounds what a caller is asked to wait.
 	maxRetryAfter = 5 * time.Second
+	// scanInterval is the time between two searches of a queue of which the first has found nothing, and maxMisses the number of
+	// requests that a search finds nothing for. They bound the work of a long queue beside an endpoint that suits few.
+	scanInterval = 3 * time.Millisecond
+	maxMisses    = 24
 	// floodPause is the time without a refusal that ends a flood.
 	floodPause = time.Second
 	// spread is the part by which retry times vary, so that refused callers do not return at one moment.
@@ -86,7 +90,10 @@
 	waiting  map[string][]*ticket
 	seq      uint64
 	grants   map[string][]time.Time
-	floods   map[string]flood
+	// scanned is when the queue of a pool was searched last without a grant, and due are the pools that are searched again soon.
+	scanned map[string]time.Time
+	due     map[string]bool
+	floods  map[string]flood
 }
 
 // flood is a time in which a pool refuses requests.
@@ -94,7 +101,9 @@
 
 // New returns an admitter that owns a balancer.
 func New(b *balancer.Balancer) *Admitter {
-	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}, floods: map[string]flood{}}
+	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}, floods: map[string]flood{},
+		scanned: map[string]time.Time{}, due: map[string]bool{},
+	}
 }
 
 // Grant is the right to send a request to an endpoint. End or Refuse must be called once.
@@ -271,7 +280,12 @@
 		return 1
 	})
 	a.waiting[ask.Pool] = slices.Insert(queue, at, t)
-	a.dispatch(now, ask.Pool)
+	if now.Sub(a.scanned[ask.Pool]) < scanInterval {
+		// Those that wait found nothing a moment ago.
+		a.try(now, t)
+	} else {
+		a.dispatch(now, ask.Pool)
+	}
 	select {
 	case g := <-t.granted:
 		return nil, g, nil
@@ -344,26 +358,59 @@
 	if len(queue) == 0 || !a.balancer.Open(now, pool) {
 		return
 	}
-	left := queue[:0]
+	if now.Sub(a.scanned[pool]) < scanInterval {
+		a.dispatchSoon(pool)
+		return
+	}
+	left, misses := queue[:0], 0
 	for i, t := range queue {
 		choice, ok := a.balancer.Pick(now, pool, t.ask.Work, t.ask.excepts)
-		if !ok {
+		if ok {
+			a.grant(now, t, choice, len(left)+len(queue)-i-1)
+		} else {
 			left = append(left, t)
-			continue
-		}
-		a.grants[pool] = append(a.recent(now, pool), now)
-		t.granted <- &Grant{
-			Choice: choice, Queued: len(left) + len(queue) - i - 1, admitter: a, run: a.balancer.Start(choice, t.ask.Work),
+			misses++
 		}
-		if !a.balancer.Open(now, pool) {
+		if misses == maxMisses || ok && !a.balancer.Open(now, pool) {
 			left = append(left, queue[i+1:]...)
 			break
 		}
 	}
+	if len(left) == len(queue) {
+		a.scanned[pool] = now
+	}
 	clear(queue[len(left):])
 	a.waiting[pool] = left
 }
 
+// dispatchSoon searches the queue of a pool again after a moment. The caller holds the lock.
+func (a *Admitter) dispatchSoon(pool string) {
+	if a.due[pool] {
+		return
+	}
+	a.due[pool] = true
+	time.AfterFunc(scanInterval, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.due[pool] = false
+		a.dispatch(time.Now(), pool)
+	})
+}
+
+// try grants one waiting request its endpoint if there is one.
+func (a *Admitter) try(now time.Time, t *ticket) {
+	if choice, ok := a.balancer.Pick(now, t.ask.Pool, t.ask.Work, t.ask.excepts); ok {
+		a.remove(t)
+		a.grant(now, t, choice, len(a.waiting[t.ask.Pool]))
+	}
+}
+
+func (a *Admitter) grant(now time.Time, t *ticket, choice balancer.Choice, queued int) {
+	pool := t.ask.Pool
+	a.grants[pool] = append(a.recent(now, pool), now)
+	t.granted <- &Grant{Choice: choice, Queued: queued, admitter: a, run: a.balancer.Start(choice, t.ask.Work)}
+}
+
 // Update changes the balancer and grants what its new state allows.
 func (a *Admitter) Update(change func(b *balancer.Balancer)) {
 	a.mu.Lock()
--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -21,9 +21,12 @@
 )
 
 const (
-	// silentFor is the time without a message after which a coordinator that was asked counts as lost. It is several times what
-	// a busy one needs, and a fraction of the time in which a request must begin.
+	// silentFor is the time without a message after which a request is placed without the coordinator that was asked. It is several
+	// times what a busy one needs, and a fraction of the time in which a request must begin.
 	silentFor = 200 * time.Millisecond
+	// lostFor is the time after which the coordinator counts as lost. It covers a packet that is lost once: the one sent again comes
+	// 200 to 400 ms later, and all that follows waits for it.
+	lostFor = 500 * time.Millisecond
 	// pingAfter is the silence after which a coordinator that holds a request back is asked for a sign of life.
 	pingAfter = 100 * time.Millisecond
 	// probeInterval is the time between two attempts to reach a coordinator that does not answer.
@@ -44,8 +47,11 @@
 
 var countPlaced = expvar.NewMap("asker_placed")
 
-// errLost reports a coordinator that was lost while it was asked.
-var errLost = errors.New("the coordinator is lost")
+// errLost reports a coordinator that was lost while it was asked, and errSlow one that has not answered for silentFor.
+var (
+	errLost = errors.New("the coordinator is lost")
+	errSlow = errors.New("the coordinator does not answer")
+)
 
 // Stream carries messages in both directions in order.
 type Stream interface {
@@ -71,6 +77,9 @@
 	Incarnation func() uint64
 	// Local knows the endpoints, and places while no coordinator answers.
 	Local *admitter.Admitter
+	// Admit takes units from the allotment of a workspace by what this host alone knows, for requests that no coordinator checks;
+	// it may be nil.
+	Admit func(workspace string, units float64) (ok bool, retryAfter time.Duration)
 	// Tell adds what the other hosts should know to a report, all of it or what is new; it returns false if there is nothing.
 	Tell func(r *coordinatorpb.Report, all bool) bool
 	// Windows returns the windows of allotments as this host knows them; it may be nil.
@@ -265,6 +274,8 @@
 		case errors.Is(err, errLost):
 			countPlaced.Add("lost", 1)
 			continue
+		case errors.Is(err, errSlow):
+			return a.placeLocally(ctx, shard, ask, began)
 		case err != nil:
 			return nil, err
 		case answer.elsewhere != "":
@@ -295,6 +306,11 @@
 	countPlaced.Add("locally", 1)
 	ask.Patience = max(0, ask.Patience-time.Since(began))
 	klog.V(1).InfoS("asker: placed without a coordinator", "pool", shard.Pool, "zone", shard.Zone, "waited", time.Since(began))
+	if a.Admit != nil && ask.Units > 0 {
+		if ok, retry := a.Admit(ask.Workspace, ask.Units); !ok {
+			return nil, &admitter.RefusedError{Reason: admitter.Allotment, Waited: time.Since(began), RetryAfter: retry}
+		}
+	}
 	g, err := a.Local.Acquire(ctx, ask)
 	if err != nil {
 		return nil, err
--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -85,24 +85,28 @@
 			l.withdraw(ticket, result)
 			return nil, ctx.Err()
 		case <-timer.C:
-			if l.isSilent() {
+			switch silence := l.silence(); {
+			case silence >= lostFor:
 				l.fail("silent")
 				return nil, errLost
+			case silence >= silentFor:
+				l.withdraw(ticket, result)
+				return nil, errSlow
 			}
 			timer.Reset(pingAfter)
 		}
 	}
 }
 
-// isSilent reports whether the coordinator has not answered for too long, and asks it for a sign of life.
-func (l *link) isSilent() bool {
+// silence returns for how long the coordinator has not answered, and asks it for a sign of life if it owes none.
+func (l *link) silence() time.Duration {
 	l.a.mu.Lock()
 	defer l.a.mu.Unlock()
 	if !l.unheardSince.IsZero() {
-		return time.Since(l.unheardSince) >= silentFor
+		return time.Since(l.unheardSince)
 	}
 	l.question(func(*coordinatorpb.Report) {})
-	return false
+	return 0
 }
 
 // withdraw takes an ask back.
@@ -170,7 +174,7 @@
 		switch {
 		case l.up && !needed[addr] && len(l.waiting) == 0:
 			l.closeLocked("not used")
-		case l.up && !l.unheardSince.IsZero() && now.Sub(l.unheardSince) >= silentFor:
+		case l.up && !l.unheardSince.IsZero() && now.Sub(l.unheardSince) >= lostFor:
 			l.closeLocked("silent")
 			a.Network.DropSession(addr)
 			a.poke()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -156,6 +156,8 @@
 	typical   map[string]float64
 	// statedTypical are the medians of the means of what endpoints state.
 	statedTypical map[string]float64
+	// candidates is reused by Pick.
+	candidates []Choice
 	// notices are what endpoints have said of themselves. They outlast a gap in the list.
 	notices map[lifetime]notice
 }
@@ -219,19 +221,34 @@
 
 // Pick returns the endpoint at which work is predicted to begin first, or false if it should wait. Endpoints that except
 // returns true for are left out.
+//
+// While some endpoint of the pool, busy or not, is predicted to end the work before its deadline, or could read its prompt
+// without a long pause of its streams, the work waits for such an endpoint rather than run in vain or spoil the streams of a slow
+// one.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
-	best, found := Choice{Cost: math.Inf(1)}, false
-	timely, gentle, judged := false, false, false
-	for _, e := range b.pools[pool] {
-		if !e.usable(now) || !b.hasRoom(e, w) || except != nil && except(e.ID) {
+	members := b.pools[pool]
+	if !slices.ContainsFunc(members, func(e *endpoint) bool { return e.usable(now) && b.hasRoom(e, w) }) {
+		// In a flood mostly no endpoint has room, and nothing else needs to be known.
+		return Choice{}, false
+	}
+	left, bounded := w.Deadline.Sub(now), !w.Deadline.IsZero() && w.Output > 0
+	timely, gentle := false, false
+	candidates := b.candidates[:0]
+	for _, e := range members {
+		if !e.usable(now) {
 			continue
 		}
-		if !judged {
-			// In a flood mostly no endpoint has room, and nothing else needs to be known.
-			timely, gentle, judged = b.anyTimely(now, pool, w), b.anyGentle(now, pool, w), true
-		}
 		c := b.choice(now, e, w)
-		if timely && c.End > w.Deadline.Sub(now) || gentle && c.harms {
+		timely = timely || bounded && c.End <= left
+		gentle = gentle || e.Engine && !b.gapTooLong(b.slowness(e), w.Prompt, w)
+		if b.hasRoom(e, w) && (except == nil || !except(e.ID)) {
+			candidates = append(candidates, c)
+		}
+	}
+	b.candidates = candidates
+	best, found := Choice{Cost: math.Inf(1)}, false
+	for _, c := range candidates {
+		if timely && c.End > left || gentle && c.harms {
 			continue
 		}
 		if c.Cost < best.Cost {
@@ -257,28 +274,6 @@
 	return free
 }
 
-// anyTimely reports whether some endpoint of a pool, busy or not, is predicted to end work before its deadline. Work then waits
-// for such an endpoint rather than take one that would run it in vain.
-func (b *Balancer) anyTimely(now time.Time, pool string, w Work) bool {
-	if w.Deadline.IsZero() || w.Output == 0 {
-		return false
-	}
-	for _, e := range b.pools[pool] {
-		if e.usable(now) && b.choice(now, e, w).End <= w.Deadline.Sub(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// anyGentle reports whether some endpoint of a pool, busy or not, could read the prompt of work without a long pause of its
-// streams. The work then waits for such an endpoint rather than spoil several streams of a slow one.
-func (b *Balancer) anyGentle(now time.Time, pool string, w Work) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool {
-		return e.Engine && e.usable(now) && !b.gapTooLong(b.slowness(e), w.Prompt, w)
-	})
-}
-
 // gapTooLong reports whether the streams of an engine would pause for longer than work allows while a number of prompt tokens
 // is read. All tokens of an event may fall into steps that read.
 func (b *Balancer) gapTooLong(slow float64, unread int, w Work) bool {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -254,7 +254,7 @@
 	}
 	ok, retry := c.allots.Take(now, name, units)
 	if !ok {
-		klog.InfoS("coordinator: allotment used up", "host", s.host, "workspace", name, "units", units, "level", c.allots.Level(name),
+		klog.V(1).InfoS("coordinator: allotment used up", "host", s.host, "workspace", name, "units", units, "level", c.allots.Level(name),
 			"peers", c.allots.Peers(), "retry_after", retry)
 		return &admitter.RefusedError{Reason: admitter.Allotment, RetryAfter: retry}
 	}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -143,7 +143,7 @@
 	h.participant.Agent().OnMembers(func(members []marshaller.Member) { h.controls.Store(new(controlHosts(members, ""))) })
 	h.asker = &asker.Asker{
 		Zone: h.Zone, Network: network{h.transport}, Hosts: h.controlHosts, Incarnation: h.participant.Incarnation,
-		Local: h.admitter, Tell: h.tell, Heard: h.heard, Windows: h.windows,
+		Local: h.admitter, Tell: h.tell, Heard: h.heard, Windows: h.windows, Admit: func(workspace string, units float64) (bool, time.Duration) { return h.gateway.Admit(workspace, units) },
 	}
 	h.asker.Init()
 	h.gateway = &gateway.Gateway{
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,10 +109,9 @@
 		Pool: q.pool, Work: q.work, Tier: q.tier, Patience: patience,
 		Except: q.tried, Workspace: q.workspaceName(), Units: q.unpaid(),
 	})
-	if err == nil && q.checked && grant.Choice.PlacedBy == "" && q.unpaid() > 0 {
-		// Nobody else has counted it.
+	if err == nil && grant.Choice.PlacedBy == "" {
+		// Its units were taken from what this host admits, and are given back here.
 		q.checked = false
-		q.g.countOwn(q.workspace.Name, q.units)
 	}
 	q.wait += time.Since(began)
 	waitTimes.Observe(q.label(), time.Since(began))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -317,11 +317,11 @@
 	g.allots.SetHosts(process, hosts)
 }
 
-// countOwn counts units that this host has admitted without a check.
-func (g *Gateway) countOwn(workspace string, units float64) {
+// Admit takes units from the allotment of a workspace, or returns when to try again.
+func (g *Gateway) Admit(workspace string, units float64) (ok bool, retryAfter time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allots.Charge(time.Now(), workspace, units)
+	return g.allots.Take(time.Now(), workspace, units)
 }
 
 // sent counts a first send to a pool.
