allotter: use under a higher limit counts again once that limit is back

Lowering scaled the window down for good, so that after the return part of it could be used twice.

Change: what does not count against the lower limit is kept apart, and counts again under a higher one.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -50,8 +50,10 @@
 type account struct {
 	limit  Limit
 	window window
-	own    window  // the part of the window that this host has admitted
-	used   float64 // by this host since its start
+	own    window // the part of the window that this host has admitted
+	// excused is the part of the window that does not count, because it was used under a higher limit.
+	excused window
+	used    float64 // by this host since its start
 	// credit is what this host may admit while there is little room, and creditAt when it was counted last; zero while there is
 	// room enough.
 	credit   float64
@@ -64,10 +66,26 @@
 	promised float64
 }
 
+// sum returns the use that counts.
+func (c *account) sum() float64 { return c.window.sum - c.excused.sum }
+
+// until returns the time until enough has left the window that the use that counts is below a limit.
+func (c *account) until(limit float64) time.Duration {
+	if c.excused.sum == 0 {
+		return c.window.until(limit)
+	}
+	counted := c.window
+	for i := range counted.parts {
+		counted.parts[i] -= c.excused.parts[i]
+	}
+	counted.sum = c.sum()
+	return counted.until(limit)
+}
+
 // ration reports whether a request is within the part of this host in the last room of the window. All hosts see the same room, and
 // each hears some time later what the others have taken of it. Others is what they have used per second lately.
 func (c *account) ration(now time.Time, units, others float64, hosts int) bool {
-	room := c.capacity() - c.window.sum
+	room := c.capacity() - c.sum()
 	if hosts == 1 || room >= c.limit.Rate*scarceFor.Seconds() {
 		c.creditAt = time.Time{}
 		return true
@@ -101,7 +119,7 @@
 		c.promised -= c.promises[0].units
 		c.promises = c.promises[1:]
 	}
-	wait := c.window.until(c.capacity() - units/2 - c.promised*float64(hosts))
+	wait := c.until(c.capacity() - units/2 - c.promised*float64(hosts))
 	if wait >= min(maxRetryAfter, c.window.length) {
 		return wait
 	}
@@ -151,7 +169,9 @@
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		c := a.accounts[name]
 		if c == nil {
-			c = &account{limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started}}
+			c = &account{limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started},
+				excused: window{length: a.length, epoch: a.started},
+			}
 			if now.Sub(a.started) < a.length {
 				// What was admitted before this host started is unknown to it; it may have been all of the allotment.
 				rate := c.capacity() / a.length.Seconds()
@@ -164,9 +184,14 @@
 			a.accounts[name] = c
 		}
 		c.window.advance(now)
-		if l.Rate < c.limit.Rate {
+		c.excused.advance(now)
+		switch {
+		case l.Rate < c.limit.Rate:
 			// Use that was allowed does not count against a lower limit; the workspace would be refused for a whole window.
-			c.window.scale(l.Rate / c.limit.Rate)
+			c.excused.takeShare(&c.window, 1-l.Rate/c.limit.Rate)
+		case l.Rate > c.limit.Rate:
+			// It counts again under the limit that comes back.
+			c.excused.clear()
 		}
 		c.limit = l
 	}
@@ -183,8 +208,9 @@
 	a.assume(now)
 	c.window.advance(now)
 	c.own.advance(now)
+	c.excused.advance(now)
 	silent := a.silentHosts(now)
-	if c.window.sum >= c.capacity() || silent > 0 && c.window.sum+units*float64(1+silent) > c.capacity() ||
+	if c.sum() >= c.capacity() || silent > 0 && c.sum()+units*float64(1+silent) > c.capacity() ||
 		!c.ration(now, units, a.othersRate(workspace), a.Peers()+1) {
 		return false, max(c.promise(now, units, a.Peers()+1), minRetryAfter)
 	}
@@ -230,7 +256,7 @@
 // Level returns the units that a workspace may still use at once; it is below zero while it has used too much.
 func (a *Allotter) Level(workspace string) float64 {
 	if c := a.accounts[workspace]; c != nil {
-		return c.capacity() - c.window.sum
+		return c.capacity() - c.sum()
 	}
 	return 0
 }
--- a/internal/allotter/allotter_test.go
+++ b/internal/allotter/allotter_test.go
@@ -248,3 +248,30 @@
 		t.Errorf("a host that has just started tells the history %v", got)
 	}
 }
+
+// A limit is lowered and raised again within a window. What was used under the higher limit does not count against the lower one,
+// and counts once the higher one is back: a workspace would otherwise use it twice within a window.
+func TestLimitLoweredAndRaised(t *testing.T) {
+	f := newFleet(3)
+	f.run(0, 14*time.Second, 3*rate, 100*time.Millisecond, all)
+	set := func(at time.Duration, r float64) {
+		for _, a := range f.hosts {
+			a.SetLimits(start.Add(at), map[string]allotter.Limit{"w": {Rate: r, Burst: r}})
+		}
+	}
+	set(14*time.Second, rate/2)
+	before := len(f.ran)
+	f.run(14*time.Second, 2*time.Second, 3*rate, 100*time.Millisecond, all)
+	lowered := 0.0
+	for _, units := range f.ran[before:] {
+		lowered += units
+	}
+	if lowered < rate/2 {
+		t.Errorf("%.0f units in 2 s under the lower limit, want about %.0f", lowered, rate)
+	}
+	set(16*time.Second, rate)
+	f.run(16*time.Second, 10*time.Second, 3*rate, 100*time.Millisecond, all)
+	if limit := (rate*window + burst) * 1.1; f.most() > limit {
+		t.Errorf("%.0f units in a window, want at most %.0f", f.most(), limit)
+	}
+}
--- a/internal/allotter/window.go
+++ b/internal/allotter/window.go
@@ -64,15 +64,18 @@
 	}
 }
 
-// scale changes what was used in the past by a factor.
-func (w *window) scale(factor float64) {
+// takeShare adds a share of what another window of the same length and epoch holds beyond this one.
+func (w *window) takeShare(from *window, share float64) {
 	w.sum = 0
 	for i := range w.parts {
-		w.parts[i] *= factor
+		w.parts[i] += share * max(0, from.parts[i]-w.parts[i])
 		w.sum += w.parts[i]
 	}
 }
 
+// clear empties the window.
+func (w *window) clear() { w.parts, w.sum = [slots + 1]float64{}, 0 }
+
 // recent returns the use of the newest parts that make up a span.
 func (w *window) recent(span time.Duration) float64 {
 	sum := 0.0
