coordinator: ends its sessions in a minority; silent coordinators admit nothing

Nothing ended the sessions of a coordinator that had lost the majority.

Change: a coordinator without the majority ends its sessions within a second, so that a silent one admits nothing and is not counted. TestMinorityEndsSessions.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -148,6 +148,8 @@
 	// OpensWithBurst lets a burst be used right after the start, where nobody admits anything for some time before. Otherwise all of
 	// an allotment counts as used up.
 	OpensWithBurst bool
+	// SilentIdle states that a peer which is not heard admits nothing. Otherwise it may admit what this host admits.
+	SilentIdle bool
 
 	started  time.Time
 	length   time.Duration
@@ -405,6 +407,9 @@
 // silentHosts returns the number of hosts that have fallen silent. Each of them may admit what this host admits, and they are not
 // seen to overdraw, so that there must be room for all of it.
 func (a *Allotter) silentHosts(now time.Time) int {
+	if a.SilentIdle {
+		return 0
+	}
 	n := 0
 	for _, p := range a.peers {
 		if now.Sub(p.at) > silentAfter && !p.gone {
@@ -417,6 +422,9 @@
 // match takes as much use of each host that has fallen silent as this host has just admitted, until it is heard again or is gone.
 // Hosts that cannot hear each other would otherwise each use what the others leave free.
 func (a *Allotter) match(now time.Time, workspace string, units float64) {
+	if a.SilentIdle {
+		return
+	}
 	for _, p := range a.peers {
 		if now.Sub(p.at) > silentAfter && !p.gone {
 			p.owe(now, a.accounts[workspace], workspace, units*float64(p.hosts))
--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -54,10 +54,7 @@
 )
 
 // Stream carries messages in both directions in order.
-type Stream interface {
-	coordinator.Stream
-	Close() error
-}
+type Stream = coordinator.Stream
 
 // Network carries exchanges with coordinators.
 type Network interface {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,6 +71,8 @@
 type Stream interface {
 	Send(m proto.Message) error
 	Recv(m proto.Message) error
+	// Close ends the stream; a Recv in progress returns.
+	Close() error
 }
 
 // Network carries exchanges with other coordinators.
@@ -158,6 +160,9 @@
 			c.relearn(now, pause)
 		}
 		last = clocker.Now()
+		if !c.Ready() {
+			c.dismiss()
+		}
 		for _, p := range c.Peers() {
 			if report := c.peerReport(now, p.ID); report != nil {
 				c.wg.Go(func() { c.tellPeer(ctx, p, report) })
@@ -179,6 +184,16 @@
 	c.heard = map[string]*heardUse{}
 }
 
+// dismiss ends the sessions of all hosts, which go on with another coordinator.
+func (c *Coordinator) dismiss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for host, s := range c.sessions {
+		klog.InfoS("coordinator: host dismissed", "host", host, "reason", "no majority of the control hosts is reached")
+		s.cancel()
+	}
+}
+
 // SetEndpoints replaces the list of endpoints.
 func (c *Coordinator) SetEndpoints(list []balancer.Endpoint) {
 	c.mu.Lock()
@@ -198,6 +213,8 @@
 func (c *Coordinator) newAllotments(now time.Time) *allotter.Allotter {
 	a := allotter.New(now, c.AllotmentWindow)
 	a.OpensWithBurst = true
+	// A coordinator that does not reach most of the others ends its sessions.
+	a.SilentIdle = true
 	return a
 }
 
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -30,13 +30,14 @@
 
 // session is the stream of one entry host.
 type session struct {
-	c     *Coordinator
-	host  string
-	zone  string
-	ctx   context.Context
-	age   time.Duration // of the host's process when the stream began
-	since time.Time
-	wake  chan struct{}
+	c      *Coordinator
+	host   string
+	zone   string
+	ctx    context.Context
+	cancel context.CancelFunc
+	age    time.Duration // of the host's process when the stream began
+	since  time.Time
+	wake   chan struct{}
 	// id tells the host apart the sums that begin anew with each session.
 	id     uint64
 	toldAt time.Time
@@ -62,7 +63,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		c: c, host: host, zone: zone, ctx: ctx, since: time.Now(), id: rand.Uint64(), wake: make(chan struct{}, 1), pending: &coordinatorpb.Orders{},
+		c: c, host: host, zone: zone, ctx: ctx, cancel: cancel, since: time.Now(), id: rand.Uint64(), wake: make(chan struct{}, 1), pending: &coordinatorpb.Orders{},
 		waiting: map[uint64]context.CancelFunc{}, runs: map[uint64]*admitter.Grant{}, held: map[string]time.Time{},
 		paid: map[uint64]payment{},
 	}
@@ -73,6 +74,9 @@
 	if err := s.begin(first.GetHello()); err != nil {
 		return err
 	}
+	// A stream that is dismissed must not wait for a further report.
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
 	var sending sync.WaitGroup
 	sending.Go(func() { s.send(stream, cancel) })
 	s.take(first)
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +23,8 @@
 type stream struct {
 	reports chan *coordinatorpb.Report
 	orders  chan *coordinatorpb.Orders
+	done    chan struct{}
+	once    sync.Once
 }
 
 func (s *stream) Send(m proto.Message) error {
@@ -28,13 +32,22 @@
 	return nil
 }
 
+func (s *stream) Close() error {
+	s.once.Do(func() { close(s.done) })
+	return nil
+}
+
 func (s *stream) Recv(m proto.Message) error {
-	r, open := <-s.reports
-	if !open {
+	select {
+	case r, open := <-s.reports:
+		if !open {
+			return io.EOF
+		}
+		proto.Merge(m, r)
+		return nil
+	case <-s.done:
 		return io.EOF
 	}
-	proto.Merge(m, r)
-	return nil
 }
 
 type quiet struct{}
@@ -50,7 +63,9 @@
 }
 
 func join(ctx context.Context, c *coordinator.Coordinator, host string, incarnation uint64) *entry {
-	e := &entry{stream: &stream{make(chan *coordinatorpb.Report, 64), make(chan *coordinatorpb.Orders, 64)}, ended: make(chan error, 1)}
+	e := &entry{stream: &stream{
+		reports: make(chan *coordinatorpb.Report, 64), orders: make(chan *coordinatorpb.Orders, 64), done: make(chan struct{}),
+	}, ended: make(chan error, 1)}
 	go func() { e.ended <- c.Serve(ctx, host, "z", e.stream) }()
 	e.reports <- &coordinatorpb.Report{Answer: true, Hello: &coordinatorpb.Hello{Incarnation: incarnation, AgeMs: 5000}}
 	synctest.Wait()
@@ -164,3 +179,40 @@
 		t.Errorf("ready alone, ready in a minority (-want +got):\n%s", diff)
 	}
 }
+
+// A coordinator that loses the majority ends its sessions: its hosts would otherwise place where others place too, and it would
+// admit from allotments of which it hears nothing.
+func TestMinorityEndsSessions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := oneEndpoint(1)
+		var cut atomic.Bool
+		c.Peers = func() []sharder.Host {
+			if !cut.Load() {
+				return nil
+			}
+			return []sharder.Host{{ID: "a"}, {ID: "b"}}
+		}
+		e := join(ctx, c, "h", 1)
+		running := make(chan error, 1)
+		go func() { running <- c.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		select {
+		case <-e.ended:
+			t.Error("the session of a sound coordinator has ended")
+		default:
+		}
+		cut.Store(true)
+		time.Sleep(time.Second)
+		select {
+		case <-e.ended:
+		default:
+			t.Error("the session goes on in a minority")
+			close(e.reports)
+			<-e.ended
+		}
+		cancel()
+		<-running
+		time.Sleep(time.Second)
+	})
+}
