--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -101,7 +101,8 @@
 
 // New returns an admitter that owns a balancer.
 func New(b *balancer.Balancer) *Admitter {
-	return &Admitter{balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}, floods: map[string]flood{},
+	return &Admitter{
+		balancer: b, waiting: map[string][]*ticket{}, grants: map[string][]time.Time{}, floods: map[string]flood{},
 		scanned: map[string]time.Time{}, due: map[string]bool{},
 	}
 }
--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -171,7 +171,8 @@
 		l.Burst = max(l.Burst, l.Rate*minBurst.Seconds())
 		c := a.accounts[name]
 		if c == nil {
-			c = &account{limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started},
+			c = &account{
+				limit: l, window: window{length: a.length, epoch: a.started}, own: window{length: a.length, epoch: a.started},
 				excused: window{length: a.length, epoch: a.started},
 			}
 			if now.Sub(a.started) < a.length {
--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -130,13 +130,7 @@
 	}
 }
 
-// report adds to the next report.
-func (l *link) report(add func(*coordinatorpb.Report)) {
-	l.a.mu.Lock()
-	defer l.a.mu.Unlock()
-	l.reportLocked(add)
-}
-
+// reportLocked adds to the next report. The caller holds the lock.
 func (l *link) reportLocked(add func(*coordinatorpb.Report)) {
 	if l.pending == nil {
 		l.pending = &coordinatorpb.Report{}
