--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -37,7 +37,8 @@
 	heardAt, unheardSince time.Time
 }
 
-// answer is what a coordinator says to an ask. One without a choice, a refusal or a zone means that the coordinator is lost.
+// answer is what a coordinator says to an ask. One that is neither granted nor refused nor sent elsewhere means that the
+// coordinator is lost.
 type answer struct {
 	ticket    uint64
 	choice    balancer.Choice
