--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,10 +117,9 @@
 func TestBytesWithoutEnd(t *testing.T) {
 	const block = 32 << 10
 	once := func(head func(r *http.Request) string, more string, pause time.Duration) func(net.Conn, *http.Request) error {
-		begun := map[net.Conn]bool{}
+		var begun sync.Map // of connections, each served by one goroutine
 		return func(c net.Conn, r *http.Request) error {
-			if !begun[c] {
-				begun[c] = true
+			if _, known := begun.LoadOrStore(c, true); !known {
 				if _, err := io.WriteString(c, head(r)); err != nil {
 					return err
 				}
--- a/internal/gateway/stories_test.go
+++ b/internal/gateway/stories_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,17 +90,17 @@
 
 // An answer is lost after its request has run. The caller is not told that it did not run, and what must not run twice does not.
 func TestLostAnswer(t *testing.T) {
-	runs := 0
+	var runs atomic.Int32
 	e := startTroubled(t, "e1", func(_ net.Conn, r *http.Request) error {
 		_, _ = bufio.NewReader(r.Body).ReadByte()
-		runs++
+		runs.Add(1)
 		return io.EOF
 	})
 	h := startHost(t, e)
 	order, _, _, _ := h.send(t, post("/order/", "k"))
-	afterOrder := runs
+	afterOrder := int(runs.Load())
 	stream, _, _, _ := h.send(t, post("/chat/", "k"))
-	if diff := cmp.Diff([]int{502, 1, 502, 2}, []int{order, afterOrder, stream, runs}); diff != "" {
+	if diff := cmp.Diff([]int{502, 1, 502, 2}, []int{order, afterOrder, stream, int(runs.Load())}); diff != "" {
 		t.Errorf("status and runs of an order, status and all runs with a stream (-want +got):\n%s", diff)
 	}
 }
