--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,6 +21,8 @@
 	streamSilence = 1200 * time.Millisecond
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
+	// maxMarkBytes is the length of the longest mark between two events.
+	maxMarkBytes = 4
 	// streamBuffer is the size of one read of a stream.
 	streamBuffer = 4 << 10
 )
@@ -36,9 +38,12 @@
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
+		// What was read before holds no end of an event, except for the beginning of its mark.
+		searched := max(0, len(buffer)-maxMarkBytes+1)
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		if whole := lastEventEnd(buffer); whole > 0 {
+		if whole := lastEventEnd(buffer[searched:]); whole > 0 {
+			whole += searched
 			events, progress := q.fresh(buffer[:whole])
 			if progress {
 				// Only events are progress: an endpoint in trouble may send a byte, or a comment, now and then without end.
