--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/observer"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
@@ -133,7 +134,7 @@
 	mu      sync.Mutex
 	allots  *allotter.Allotter
 	repeats map[string]*allotter.Repeats
-	crashes *crashWatch
+	crashes *crashwatcher.Watcher
 	// confirming are the endpoints whose crash is being confirmed.
 	confirming map[string]bool
 	// doubted are the endpoints whose leaving was confirmed last, by the time of that check.
@@ -158,7 +159,7 @@
 	g.Client.OnDial = func(string) { countDials.Add(1) }
 	g.allots = allotter.New(time.Now(), g.AllotmentWindow)
 	g.repeats = map[string]*allotter.Repeats{}
-	g.crashes = newCrashWatch(time.Now())
+	g.crashes = crashwatcher.New(time.Now())
 	g.confirming, g.doubted = map[string]bool{}, map[string]time.Time{}
 	g.opened = make(chan struct{})
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
