crashwatcher: log lines and counters that tell why a request that crashes endpoints goes on

The incident has four hypotheses that the logs could not tell apart: the end of the hold (suspect arrived, refused_for 0, crashes 2 or more), a crash that is taken for an earlier one (crash is known already, known_for), a host that was never told (crash counted, watching_for and crashes), and an answer that clears (request cleared). No decision changes.

--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -3,10 +3,12 @@
 package crashwatcher
 
 import (
+	"expvar"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 )
@@ -25,6 +27,8 @@
 	maxBroken = 256
 )
 
+var countCrashes = expvar.NewMap("crashwatcher_crashes")
+
 // Crash is an endpoint that crashed while it ran a request, both by digest.
 type Crash struct {
 	Fingerprint uint64
@@ -54,11 +58,12 @@
 	return &Watcher{started: now, quarantine: quarantiner.New(hold), broken: map[string][]brokenRun{}, counted: map[Crash]note{}}
 }
 
-func name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+// Name is the form of a fingerprint in logs.
+func Name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
 // Refused returns how long a request is still refused; 0 means that it may run.
 func (w *Watcher) Refused(now time.Time, fingerprint uint64) time.Duration {
-	if v, left := w.quarantine.Verdict(now.Sub(w.started), name(fingerprint)); v == quarantiner.Refused {
+	if v, left := w.quarantine.Verdict(now.Sub(w.started), Name(fingerprint)); v == quarantiner.Refused {
 		return left
 	}
 	return 0
@@ -92,16 +97,38 @@
 }
 
 func (w *Watcher) count(now time.Time, c Crash, here bool) {
-	if _, known := w.counted[c]; known {
+	source := "told"
+	if here {
+		source = "seen"
+	}
+	if n, known := w.counted[c]; known {
+		if here || now.Sub(n.at) > toldFor {
+			countCrashes.Add("known", 1)
+			klog.InfoS("crashwatcher: crash is known already", "fingerprint", Name(c.Fingerprint), "endpoint_digest", Name(c.Endpoint),
+				"source", source, "known_for", now.Sub(n.at))
+		}
 		return
 	}
 	w.counted[c] = note{at: now, here: here}
-	w.quarantine.Crashed(now.Sub(w.started), name(c.Fingerprint), name(c.Endpoint))
+	w.quarantine.Crashed(now.Sub(w.started), Name(c.Fingerprint), Name(c.Endpoint))
+	countCrashes.Add(source, 1)
+	crashes, refused := w.State(now, c.Fingerprint)
+	klog.InfoS("crashwatcher: crash counted", "fingerprint", Name(c.Fingerprint), "endpoint_digest", Name(c.Endpoint), "source", source,
+		"crashes", crashes, "refused_for", refused, "watching_for", now.Sub(w.started))
+}
+
+// State returns the crashes that count against a request, and how long it is still refused.
+func (w *Watcher) State(now time.Time, fingerprint uint64) (crashes int, refused time.Duration) {
+	return w.quarantine.Crashes(now.Sub(w.started), Name(fingerprint))
 }
 
 // Finished clears a request that an endpoint has answered.
 func (w *Watcher) Finished(now time.Time, fingerprint uint64) {
-	w.quarantine.Finished(now.Sub(w.started), name(fingerprint))
+	crashes, _ := w.State(now, fingerprint)
+	if _, cleared := w.quarantine.Finished(now.Sub(w.started), Name(fingerprint)); cleared {
+		countCrashes.Add("cleared", 1)
+		klog.InfoS("crashwatcher: request cleared", "fingerprint", Name(fingerprint), "crashes", crashes)
+	}
 }
 
 // Told returns the crashes that this host has seen lately, and forgets old ones.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -45,9 +45,15 @@
 
 // admitSuspect refuses a request that has crashed two endpoints.
 func (q *request) admitSuspect() bool {
+	fingerprint := q.fingerprint()
 	q.g.mu.Lock()
-	left := q.g.crashes.Refused(time.Now(), q.fingerprint())
+	left := q.g.crashes.Refused(time.Now(), fingerprint)
+	crashes, _ := q.g.crashes.State(time.Now(), fingerprint)
 	q.g.mu.Unlock()
+	if crashes > 0 {
+		klog.InfoS("gateway: suspect arrived", "request", q.id, "fingerprint", crashwatcher.Name(fingerprint), "crashes", crashes,
+			"refused_for", left)
+	}
 	if left > 0 {
 		q.refuse(http.StatusServiceUnavailable, "quarantine", min(left, quarantineRetry))
 	}
