--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -92,6 +92,8 @@
 	}
 }
 
+var oneEndpointList = []balancer.Endpoint{{ID: "e", Addr: "e", Pool: "p", Zone: "z", Slots: 1, Engine: true}}
+
 func oneEndpoint(slots int) *coordinator.Coordinator {
 	c := &coordinator.Coordinator{HostID: "c", Network: quiet{}, Peers: func() []sharder.Host { return nil }}
 	c.Init()
@@ -216,3 +218,100 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// toldCrashes returns the crashes that the host was told.
+func (e *entry) toldCrashes() []uint64 {
+	out := []uint64{}
+	for {
+		select {
+		case o := <-e.orders:
+			for _, c := range o.GetCrashes() {
+				out = append(out, c.GetRequest())
+			}
+		default:
+			return out
+		}
+	}
+}
+
+// Guards against a request that crashes endpoints and is free again at each host that has joined since: the crashes must be told to
+// hosts that join later, also if the host that saw them is gone.
+func TestCrashIsToldToHostsThatJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := oneEndpoint(1)
+		first := join(ctx, c, "a", 1)
+		first.reports <- &coordinatorpb.Report{Crashes: []*coordinatorpb.Crash{{Request: 7, Endpoint: 1}, {Request: 7, Endpoint: 2}}}
+		synctest.Wait()
+		close(first.reports)
+		<-first.ended
+		time.Sleep(2 * time.Minute)
+		later := join(ctx, c, "b", 1)
+		if diff := cmp.Diff([]uint64{7, 7}, later.toldCrashes()); diff != "" {
+			t.Errorf("crashes told to a host that joins later (-want +got):\n%s", diff)
+		}
+		cancel()
+		close(later.reports)
+		<-later.ended
+		time.Sleep(time.Second)
+	})
+}
+
+// direct carries the reports of one coordinator to another.
+type direct struct{ to *coordinator.Coordinator }
+
+func (d direct) Call(_ context.Context, _, _ string, req, resp proto.Message) error {
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	answer, err := d.to.HandlePeer(payload)
+	return errors.Join(err, proto.Unmarshal(answer, resp))
+}
+
+// Guards against a coordinator that has started again and lets a request that crashes endpoints run at the hosts that join it.
+func TestCrashIsToldToCoordinatorThatStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := func() *coordinator.Coordinator {
+			c := &coordinator.Coordinator{HostID: "b", Network: quiet{}, Peers: func() []sharder.Host { return nil }}
+			c.Init()
+			c.SetEndpoints(oneEndpointList)
+			return c
+		}
+		first := start()
+		a := &coordinator.Coordinator{HostID: "a", Peers: func() []sharder.Host { return []sharder.Host{{ID: "b"}} }}
+		a.Network = direct{to: first}
+		a.Init()
+		a.SetEndpoints(oneEndpointList)
+		running := make(chan error, 1)
+		runCtx, stop := context.WithCancel(ctx)
+		go func() { running <- a.Run(runCtx) }()
+		time.Sleep(time.Second)
+		host := join(ctx, a, "h", 1)
+		host.reports <- &coordinatorpb.Report{Crashes: []*coordinatorpb.Crash{{Request: 7, Endpoint: 1}}}
+		time.Sleep(time.Second)
+		// The next process of b is reached without a failed call in between, and tells of itself.
+		stop()
+		<-running
+		second := start()
+		a.Network = direct{to: second}
+		payload, _ := proto.Marshal(&coordinatorpb.PeerReport{Host: "b", Process: 12345})
+		if _, err := a.HandlePeer(payload); err != nil {
+			t.Fatal(err)
+		}
+		go func() { running <- a.Run(ctx) }()
+		time.Sleep(time.Second)
+		joined := join(ctx, second, "i", 1)
+		if diff := cmp.Diff([]uint64{7}, joined.toldCrashes()); diff != "" {
+			t.Errorf("crashes told by a coordinator that has started again (-want +got):\n%s", diff)
+		}
+		cancel()
+		<-running
+		for _, e := range []*entry{host, joined} {
+			close(e.reports)
+			<-e.ended
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -509,20 +509,24 @@
 	}
 }
 
-// A request that crashes each endpoint that runs it comes again. Without a limit one caller empties the pool. An endpoint that
-// only broke one answer off has not crashed, and other requests are not refused.
-func TestCrashingRequest(t *testing.T) {
-	var listeners []net.Listener
-	var endpoints []*endpoint
-	var mu sync.Mutex
-	runs := 0
-	for i := range 4 {
+// crashPool is stand-ins that a request for /order/poison crashes. Their ports take no connections from then on.
+type crashPool struct {
+	endpoints []*endpoint
+	mu        sync.Mutex
+	runs      int
+}
+
+// startCrashPool starts n stand-ins. While fails is true, they answer with a failure instead.
+func startCrashPool(t *testing.T, n int, fails func() bool) *crashPool {
+	t.Helper()
+	p := &crashPool{}
+	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		listeners = append(listeners, l)
-		endpoints = append(endpoints, &endpoint{id: fmt.Sprintf("e%d", i), addr: l.Addr().String()})
+		t.Cleanup(func() { _ = l.Close() })
+		p.endpoints = append(p.endpoints, &endpoint{id: fmt.Sprintf("e%d", i), addr: l.Addr().String()})
 		go func() {
 			for {
 				c, err := l.Accept()
@@ -533,24 +537,35 @@
 				if err != nil {
 					return
 				}
-				if strings.HasPrefix(r.RequestURI, "/order/poison") {
-					mu.Lock()
-					runs++
-					mu.Unlock()
+				switch {
+				case fails():
+					_, _ = io.WriteString(c, answer(r, 500, signed, "failed"))
+				case strings.HasPrefix(r.RequestURI, "/order/poison"):
+					p.mu.Lock()
+					p.runs++
+					p.mu.Unlock()
 					_ = l.Close()
-				} else {
+				default:
 					_, _ = io.WriteString(c, answer(r, 200, signed, "done"))
 				}
 				_ = c.Close()
 			}
 		}()
 	}
-	t.Cleanup(func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	})
-	h := startHost(t, endpoints...)
+	return p
+}
+
+func (p *crashPool) crashes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs
+}
+
+// A request that crashes each endpoint that runs it comes again. Without a limit one caller empties the pool. An endpoint that
+// only broke one answer off has not crashed, and other requests are not refused.
+func TestCrashingRequest(t *testing.T) {
+	p := startCrashPool(t, 4, func() bool { return false })
+	h := startHost(t, p.endpoints...)
 	statuses := map[int]int{}
 	for range 12 {
 		status, _, _, _ := h.send(t, post("/order/poison", "k"))
@@ -561,12 +576,28 @@
 		}
 		time.Sleep(120 * time.Millisecond)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	if runs > 2 || statuses[http.StatusServiceUnavailable] == 0 {
+	if runs := p.crashes(); runs > 2 || statuses[http.StatusServiceUnavailable] == 0 {
 		t.Errorf("the request crashed %d endpoints, want at most 2; statuses %v", runs, statuses)
 	}
 	if status, _, body, _ := h.send(t, post("/order/other", "k")); status != 200 || body != "done" {
 		t.Errorf("another request: status %d, %q", status, body)
 	}
 }
+
+// Guards against a failure answer that clears a request that crashes endpoints: an endpoint that fails each request without
+// running it says nothing of the request, and the crashes before it must go on to count.
+func TestFailureAnswerClearsNothing(t *testing.T) {
+	var failing atomic.Bool
+	p := startCrashPool(t, 5, failing.Load)
+	h := startHost(t, p.endpoints...)
+	var got []int
+	for _, fails := range []bool{false, true, false, false} {
+		failing.Store(fails)
+		status, _, _, _ := h.send(t, post("/order/poison", "k"))
+		got = append(got, status)
+		time.Sleep(120 * time.Millisecond)
+	}
+	if diff := cmp.Diff([]int{502, 500, 502, 503}, got); diff != "" {
+		t.Errorf("statuses after a crash, a failure, a crash and then (-want +got):\n%s", diff)
+	}
+}
