gateway: a failure answer does not clear a request that crashes endpoints

Callers of other requests lost theirs to endpoints that crashed. Cause: any answer of an endpoint cleared the request that it answered, also a failure, which endpoints in trouble give without running the request. Class: an effect without a run is taken for proof of a run. Only a whole answer of success clears now. Ruled out: refusals (503 with the mark) never cleared.

--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -122,7 +122,7 @@
 	return w.quarantine.Crashes(now.Sub(w.started), Name(fingerprint))
 }
 
-// Finished clears a request that an endpoint has answered.
+// Finished clears a request to which an endpoint has given a whole answer of success.
 func (w *Watcher) Finished(now time.Time, fingerprint uint64) {
 	crashes, _ := w.State(now, fingerprint)
 	if _, cleared := w.quarantine.Finished(now.Sub(w.started), Name(fingerprint)); cleared {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,8 +74,11 @@
 		q.log(grant, v, err)
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
-		q.watchCrash(grant.Choice.Endpoint, v, errors.As(err, &unreachable), errors.As(err, &replaced),
-			v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent))
+		q.watchCrash(grant.Choice.Endpoint, sendEnd{
+			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
+			brokenOff: v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent),
+			succeeded: v == answered && answer.status < http.StatusMultipleChoices,
+		})
 		switch v {
 		case answered:
 			countRequests.Add("answered", 1)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -60,18 +60,28 @@
 	return left == 0
 }
 
-// watchCrash tells the watch how a send has ended.
-func (q *request) watchCrash(e balancer.Endpoint, v verdict, unreachable, replaced, brokenOff bool) {
+// sendEnd says of a send what may tell that its endpoint has crashed, or that it has not.
+type sendEnd struct {
+	unreachable, replaced bool
+	// brokenOff is true if the endpoint ended the exchange without a whole answer.
+	brokenOff bool
+	// succeeded is true if the endpoint gave a whole answer of success. A failure may come from an endpoint that did not run the
+	// request.
+	succeeded bool
+}
+
+// watchCrash tells the watcher how a send has ended.
+func (q *request) watchCrash(e balancer.Endpoint, end sendEnd) {
 	g, now := q.g, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case unreachable || replaced:
+	case end.unreachable || end.replaced:
 		g.crashes.Crashed(now, e.ID)
-	case brokenOff:
+	case end.brokenOff:
 		g.crashes.Broke(now, e.ID, q.fingerprint())
 		g.confirmCrash(e)
-	case v == answered || v == failed:
+	case end.succeeded:
 		g.crashes.Finished(now, q.fingerprint())
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,7 @@
 			}
 			response.Finish()
 			grant.End(time.Now(), false)
-			return answered, held{}, nil
+			return answered, held{status: response.Status}, nil
 		case errors.Is(err, io.EOF):
 			return q.broken(grant, errNotWhole)
 		case err != nil:
