quarantiner: a crash is known by its run, not by the name of its endpoint

Callers saw all endpoints of a small service crash without a pause under one request. Cause: an endpoint that crashed under a request within a minute of an earlier crash (hosts and coordinators), or within 10 s of it (quarantiner, also in serve), was taken for that earlier crash, so that endpoints that return under the name that they had did not count any more. Class: identity by name instead of by lifetime. Now each crash carries the start of the run that it broke off: runs that began before a known crash of the endpoint belong to it, later ones to a further one. Messages carry ages, since hosts have clocks of their own. The same cause in the scheduler of serve is mended with it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
 )
 
@@ -112,7 +113,7 @@
 	workspaces map[uint64]string
 	peers      map[string]*peer
 	summaries  map[sharder.Shard]summary
-	crashed    map[crash]time.Time
+	crashes    quarantiner.Book
 	wg         sync.WaitGroup
 }
 
@@ -129,8 +130,6 @@
 	at          time.Time
 }
 
-type crash struct{ request, endpoint uint64 }
-
 // Init prepares the state. Call it before the network runs.
 func (c *Coordinator) Init() {
 	now := time.Now()
@@ -139,7 +138,7 @@
 	c.heard = map[string]*heardUse{}
 	c.lingering = map[string]*session{}
 	c.incarnation, c.peers = map[string]uint64{}, map[string]*peer{}
-	c.summaries, c.crashed = map[sharder.Shard]summary{}, map[crash]time.Time{}
+	c.summaries = map[sharder.Shard]summary{}
 	c.tally = allotter.NewTally(now, c.AllotmentWindow)
 	c.allots, c.workspaces = c.newAllotments(now), map[uint64]string{}
 }
@@ -164,8 +163,8 @@
 			c.dismiss()
 		}
 		for _, p := range c.Peers() {
-			if report := c.peerReport(now, p.ID); report != nil {
-				c.wg.Go(func() { c.tellPeer(ctx, p, report) })
+			if report, crashSeq := c.peerReport(now, p.ID); report != nil {
+				c.wg.Go(func() { c.tellPeer(ctx, p, report, crashSeq) })
 			}
 		}
 		c.tellOthers(now)
@@ -310,25 +309,6 @@
 	return zone, found
 }
 
-// crashSeen notes a crash and tells it to all hosts once. The caller holds the lock.
-func (c *Coordinator) crashSeen(now time.Time, seen []*coordinatorpb.Crash) {
-	for _, p := range seen {
-		key := crash{request: p.GetRequest(), endpoint: p.GetEndpoint()}
-		if _, known := c.crashed[key]; known {
-			continue
-		}
-		c.crashed[key] = now
-		for _, s := range c.sessions {
-			s.order(func(o *coordinatorpb.Orders) { o.Crashes = append(o.Crashes, p) })
-		}
-	}
-	for key, at := range c.crashed {
-		if now.Sub(at) > time.Minute {
-			delete(c.crashed, key)
-		}
-	}
-}
-
 func (c *Coordinator) logAsk(outcome string) {
 	countAsks.Add(outcome, 1)
 	klog.V(2).Infof("coordinator: ask outcome=%s", outcome)
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -28,13 +28,13 @@
 type peer struct {
 	busy      bool
 	reachedAt time.Time
-	// told are the totals that it has taken last, and crashesAt is when the newest crash was seen that it was told.
-	told      map[uint64]float64
-	crashesAt time.Time
+	// told are the totals that it has taken last, and crashesTold is the number of the last crash that it was told.
+	told        map[uint64]float64
+	crashesTold uint64
 }
 
-// peerReport is what another coordinator is told at this moment, or nil if that can wait.
-func (c *Coordinator) peerReport(now time.Time, id string) *coordinatorpb.PeerReport {
+// peerReport is what another coordinator is told at this moment, with the number of the last crash in it, or nil if that can wait.
+func (c *Coordinator) peerReport(now time.Time, id string) (r *coordinatorpb.PeerReport, crashSeq uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[id]
@@ -43,15 +43,12 @@
 		c.peers[id] = p
 	}
 	if p.busy {
-		return nil
+		return nil, 0
 	}
 	own, _ := c.tally.Hosts(now, useFor)
-	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
-	for key, at := range c.crashed {
-		if at.After(p.crashesAt) {
-			r.Crashes = append(r.Crashes, &coordinatorpb.Crash{Request: key.request, Endpoint: key.endpoint})
-		}
-	}
+	r = &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
+	crashes, last := c.crashes.Since(p.crashesTold)
+	r.Crashes = EncodeCrashes(now, crashes)
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.askedAt) > summarizedFor {
 			continue
@@ -62,16 +59,15 @@
 		})
 	}
 	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < quietInterval {
-		return nil
+		return nil, 0
 	}
 	p.busy = true
-	return r
+	return r, last
 }
 
-func (c *Coordinator) tellPeer(ctx context.Context, h sharder.Host, r *coordinatorpb.PeerReport) {
+func (c *Coordinator) tellPeer(ctx context.Context, h sharder.Host, r *coordinatorpb.PeerReport, crashSeq uint64) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	asked := time.Now()
 	reply := &coordinatorpb.PeerReply{}
 	err := c.Network.Call(ctx, h.Addr, MethodPeer, r, reply)
 	c.mu.Lock()
@@ -84,7 +80,7 @@
 		klog.V(1).Infof("coordinator: no answer peer=%s reason=%q", h.ID, err)
 		return
 	}
-	p.reachedAt, p.crashesAt = time.Now(), asked
+	p.reachedAt, p.crashesTold = time.Now(), crashSeq
 	if history := DecodeHistory(reply.GetHistory(), c.workspaces); len(history) > 0 {
 		c.allots.Learn(time.Now(), history)
 	}
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"expvar"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,28 +22,15 @@
 	hold = 15 * time.Second
 	// toldFor is how long hosts tell each other of a crash, so that lost datagrams lose none.
 	toldFor = 5 * time.Second
-	// keptFor is how long a crash is remembered, so that it is counted once.
-	keptFor = time.Minute
 	// maxBroken bounds the broken exchanges that wait for a sign of a crash at one endpoint.
 	maxBroken = 256
 )
 
 var countCrashes = expvar.NewMap("crashwatcher_crashes")
 
-// Crash is an endpoint that crashed while it ran a request, both by digest.
-type Crash struct {
-	Fingerprint uint64
-	Endpoint    uint64
-}
-
 type brokenRun struct {
 	fingerprint uint64
-	at          time.Time
-}
-
-type note struct {
-	at   time.Time
-	here bool
+	began, at   time.Time
 }
 
 // Watcher follows the crashes of endpoints by request. It is not safe for concurrent use.
@@ -50,12 +38,14 @@
 	started    time.Time
 	quarantine *quarantiner.Quarantine
 	broken     map[string][]brokenRun
-	counted    map[Crash]note
+	book       quarantiner.Book
+	// seen are the crashes that this host has seen lately.
+	seen []quarantiner.Crash
 }
 
 // New returns a watcher that knows of no crash.
 func New(now time.Time) *Watcher {
-	return &Watcher{started: now, quarantine: quarantiner.New(hold), broken: map[string][]brokenRun{}, counted: map[Crash]note{}}
+	return &Watcher{started: now, quarantine: quarantiner.New(hold), broken: map[string][]brokenRun{}}
 }
 
 // Name is the form of a fingerprint in logs.
@@ -69,10 +59,10 @@
 	return 0
 }
 
-// Broke notes an exchange that the endpoint broke off.
-func (w *Watcher) Broke(now time.Time, endpoint string, fingerprint uint64) {
+// Broke notes an exchange that the endpoint broke off, with the time at which the request was sent.
+func (w *Watcher) Broke(now time.Time, endpoint string, fingerprint uint64, began time.Time) {
 	if runs := w.broken[endpoint]; len(runs) < maxBroken {
-		w.broken[endpoint] = append(runs, brokenRun{fingerprint: fingerprint, at: now})
+		w.broken[endpoint] = append(runs, brokenRun{fingerprint: fingerprint, began: began, at: now})
 	}
 }
 
@@ -82,39 +72,38 @@
 // Crashed counts the crash of an endpoint for the requests that it had just broken off.
 func (w *Watcher) Crashed(now time.Time, endpoint string) {
 	for _, r := range w.broken[endpoint] {
-		if now.Sub(r.at) <= ConfirmedWithin {
-			w.count(now, Crash{Fingerprint: r.fingerprint, Endpoint: xxhash.Sum64String(endpoint)}, true)
+		if now.Sub(r.at) > ConfirmedWithin {
+			continue
+		}
+		c := quarantiner.Crash{Fingerprint: r.fingerprint, Endpoint: xxhash.Sum64String(endpoint), Began: r.began, At: r.at}
+		if w.count(now, c, "seen") {
+			w.seen = append(w.seen, c)
 		}
 	}
 	delete(w.broken, endpoint)
 }
 
-// Heard counts the crashes that a peer has seen.
-func (w *Watcher) Heard(now time.Time, crashes []Crash) {
+// Heard counts the crashes that other hosts have seen.
+func (w *Watcher) Heard(now time.Time, crashes []quarantiner.Crash) {
 	for _, c := range crashes {
-		w.count(now, c, false)
+		w.count(now, c, "told")
 	}
 }
 
-func (w *Watcher) count(now time.Time, c Crash, here bool) {
-	source := "told"
-	if here {
-		source = "seen"
+// count returns false if the crash was known.
+func (w *Watcher) count(now time.Time, c quarantiner.Crash, source string) bool {
+	fingerprint, endpoint := Name(c.Fingerprint), Name(c.Endpoint)
+	if !w.book.Add(now, c) {
+		countCrashes.Add("known", 1)
+		klog.V(1).InfoS("crashwatcher: crash is known already", "fingerprint", fingerprint, "endpoint_digest", endpoint, "source", source)
+		return false
 	}
-	if n, known := w.counted[c]; known {
-		if here || now.Sub(n.at) > toldFor {
-			countCrashes.Add("known", 1)
-			klog.InfoS("crashwatcher: crash is known already", "fingerprint", Name(c.Fingerprint), "endpoint_digest", Name(c.Endpoint),
-				"source", source, "known_for", now.Sub(n.at))
-		}
-		return
-	}
-	w.counted[c] = note{at: now, here: here}
-	w.quarantine.Crashed(now.Sub(w.started), Name(c.Fingerprint), Name(c.Endpoint))
+	w.quarantine.Crashed(c.At.Sub(w.started), fingerprint, endpoint, c.Began.Sub(w.started))
 	countCrashes.Add(source, 1)
 	crashes, refused := w.State(now, c.Fingerprint)
-	klog.InfoS("crashwatcher: crash counted", "fingerprint", Name(c.Fingerprint), "endpoint_digest", Name(c.Endpoint), "source", source,
+	klog.InfoS("crashwatcher: crash counted", "fingerprint", fingerprint, "endpoint_digest", endpoint, "source", source,
 		"crashes", crashes, "refused_for", refused, "watching_for", now.Sub(w.started))
+	return true
 }
 
 // State returns the crashes that count against a request, and how long it is still refused.
@@ -126,26 +115,19 @@
 func (w *Watcher) Finished(now time.Time, fingerprint uint64) {
 	crashes, _ := w.State(now, fingerprint)
 	if _, cleared := w.quarantine.Finished(now.Sub(w.started), Name(fingerprint)); cleared {
+		w.book.Remove(fingerprint)
 		countCrashes.Add("cleared", 1)
 		klog.InfoS("crashwatcher: request cleared", "fingerprint", Name(fingerprint), "crashes", crashes)
 	}
 }
 
 // Told returns the crashes that this host has seen lately, and forgets old ones.
-func (w *Watcher) Told(now time.Time) []Crash {
-	var out []Crash
-	for c, n := range w.counted {
-		switch age := now.Sub(n.at); {
-		case age > keptFor:
-			delete(w.counted, c)
-		case n.here && age <= toldFor:
-			out = append(out, c)
-		}
-	}
+func (w *Watcher) Told(now time.Time) []quarantiner.Crash {
+	w.seen = slices.DeleteFunc(w.seen, func(c quarantiner.Crash) bool { return now.Sub(c.At) > toldFor })
 	for endpoint, runs := range w.broken {
 		if now.Sub(runs[len(runs)-1].at) > ConfirmedWithin {
 			delete(w.broken, endpoint)
 		}
 	}
-	return out
+	return slices.Clone(w.seen)
 }
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -125,8 +125,8 @@
 }
 
 // broke notes that an endpoint broke a run of the request off.
-func broke(w *crashwatcher.Watcher, at time.Time, endpoint string, _ time.Time) {
-	w.Broke(at, endpoint, fatal)
+func broke(w *crashwatcher.Watcher, at time.Time, endpoint string, began time.Time) {
+	w.Broke(at, endpoint, fatal, began)
 }
 
 // tell tells all hosts what one of them has seen.
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -9,8 +9,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/asker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
-	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -33,7 +33,7 @@
 type shared struct {
 	mu      sync.Mutex
 	told    map[uint64]float64
-	crashes map[crashwatcher.Crash]bool
+	crashes map[quarantiner.Crash]bool
 	// sums is the id of the sums that were heard last, last their value, and total what they have grown by since the start of
 	// this host. One coordinator's sums begin anew where those of another one ended.
 	sums  uint64
@@ -58,12 +58,12 @@
 	if news {
 		r.Uses = coordinator.EncodeUses(changed, 1)
 	}
-	seen := map[crashwatcher.Crash]bool{}
+	seen := map[quarantiner.Crash]bool{}
 	for _, c := range h.gateway.Crashes() {
 		seen[c] = true
 		if !h.shared.crashes[c] {
 			news = true
-			r.Crashes = append(r.Crashes, &coordinatorpb.Crash{Request: c.Fingerprint, Endpoint: c.Endpoint})
+			r.Crashes = append(r.Crashes, coordinator.EncodeCrashes(time.Now(), []quarantiner.Crash{c})...)
 		}
 	}
 	h.shared.crashes = seen
@@ -81,11 +81,7 @@
 
 // heard takes what other hosts have used and seen.
 func (h *Host) heard(o *coordinatorpb.Orders) {
-	crashes := make([]crashwatcher.Crash, 0, len(o.GetCrashes()))
-	for _, c := range o.GetCrashes() {
-		crashes = append(crashes, crashwatcher.Crash{Fingerprint: c.GetRequest(), Endpoint: c.GetEndpoint()})
-	}
-	h.gateway.HeardCrashes(crashes)
+	h.gateway.HeardCrashes(coordinator.DecodeCrashes(time.Now(), o.GetCrashes()))
 	index := h.index.Load()
 	if o.GetOthers() == nil || index == nil {
 		return
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,11 +70,12 @@
 			q.giveUp(err, last)
 			return
 		}
+		began := time.Now()
 		v, answer, err := q.send(grant)
 		q.log(grant, v, err)
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
-		q.watchCrash(grant.Choice.Endpoint, sendEnd{
+		q.watchCrash(grant.Choice.Endpoint, began, sendEnd{
 			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
 			brokenOff: v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent),
 			succeeded: v == answered && answer.status < http.StatusMultipleChoices,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 )
 
 const (
@@ -20,14 +21,14 @@
 )
 
 // Crashes returns what this host tells its peers of endpoints that crashed.
-func (g *Gateway) Crashes() []crashwatcher.Crash {
+func (g *Gateway) Crashes() []quarantiner.Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.crashes.Told(time.Now())
 }
 
 // HeardCrashes takes the crashes that a peer has seen.
-func (g *Gateway) HeardCrashes(crashes []crashwatcher.Crash) {
+func (g *Gateway) HeardCrashes(crashes []quarantiner.Crash) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.Heard(time.Now(), crashes)
@@ -70,8 +71,8 @@
 	succeeded bool
 }
 
-// watchCrash tells the watcher how a send has ended.
-func (q *request) watchCrash(e balancer.Endpoint, end sendEnd) {
+// watchCrash tells the watcher how a send that began at a time has ended.
+func (q *request) watchCrash(e balancer.Endpoint, began time.Time, end sendEnd) {
 	g, now := q.g, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -79,7 +80,7 @@
 	case end.unreachable || end.replaced:
 		g.crashes.Crashed(now, e.ID)
 	case end.brokenOff:
-		g.crashes.Broke(now, e.ID, q.fingerprint())
+		g.crashes.Broke(now, e.ID, q.fingerprint(), began)
 		g.confirmCrash(e)
 	case end.succeeded:
 		g.crashes.Finished(now, q.fingerprint())
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -13,8 +13,9 @@
 	maxCrashes = 2
 	// maxRecords bounds the remembered fingerprints of each kind.
 	maxRecords = 32_768
-	// sameCrash is the time within which signs of a crash at one endpoint belong to one crash.
-	sameCrash = 10 * time.Second
+	// restart is the least time between the crash of an endpoint and a run of its next process. What hosts tell each other may
+	// also be late by as much.
+	restart = time.Second
 )
 
 // Verdict says how a fingerprint may run.
@@ -44,9 +45,9 @@
 }
 
 type crashRecord struct {
-	count        int
-	lastEndpoint string
-	lastAt       time.Duration
+	count int
+	// lastAt is the time of the last crash of each endpoint.
+	lastAt       map[string]time.Duration
 	refusedUntil time.Duration
 }
 
@@ -76,8 +77,9 @@
 	return Fresh, 0
 }
 
-// Crashed records that a run of the fingerprint was at an endpoint when it crashed.
-func (q *Quarantine) Crashed(now time.Duration, fingerprint, endpoint string) {
+// Crashed records that a run of the fingerprint, begun at a time, was at an endpoint when it crashed. Runs that began before the
+// last known crash of the endpoint were broken off by that one; a later one was broken off by a further crash.
+func (q *Quarantine) Crashed(now time.Duration, fingerprint, endpoint string, began time.Duration) {
 	if fingerprint == "" {
 		return
 	}
@@ -86,24 +88,32 @@
 	c := q.crashes.get(key)
 	if c == nil {
 		c = q.crashes.put(key)
-	} else if c.lastEndpoint == endpoint && now-c.lastAt < sameCrash {
+	}
+	if last, known := c.lastAt[endpoint]; known && began < last+restart {
 		return
 	}
+	if c.lastAt == nil {
+		c.lastAt = map[string]time.Duration{}
+	}
 	c.count++
-	c.lastEndpoint, c.lastAt = endpoint, now
+	c.lastAt[endpoint] = now
 	if c.count >= maxCrashes {
-		c.refusedUntil = now + q.hold
+		c.refusedUntil = max(c.refusedUntil, now+q.hold)
 	}
 }
 
-// Absolve takes back the crash of an endpoint that turned out to be alive.
+// Absolve takes back the last crash of an endpoint that turned out to be alive.
 func (q *Quarantine) Absolve(fingerprint, endpoint string) {
 	key := xxhash.Sum64String(fingerprint)
 	c := q.crashes.get(key)
-	if c == nil || c.lastEndpoint != endpoint {
+	if c == nil {
+		return
+	}
+	if _, known := c.lastAt[endpoint]; !known {
 		return
 	}
-	c.lastEndpoint, c.refusedUntil = "", 0
+	delete(c.lastAt, endpoint)
+	c.refusedUntil = 0
 	if c.count--; c.count <= 0 {
 		q.crashes.remove(key)
 	}
@@ -145,7 +155,6 @@
 	c := q.crashes.get(key)
 	if c == nil {
 		c = q.crashes.put(key)
-		c.lastAt = now - sameCrash
 	}
 	c.count = max(c.count, count)
 	c.refusedUntil = max(c.refusedUntil, now+refused)
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -115,7 +115,7 @@
 // suspectRuns marks the fingerprints of the runs named and, when connections were reset, of all runs at the endpoint.
 func (s *Scheduler) suspectRuns(e *endpoint, f EndpointFailed) {
 	hit := make(map[*request]struct{})
-	var prints []string
+	var broken []endedRun
 	for _, id := range f.RequestIDs {
 		if r := s.requests[id]; r != nil {
 			hit[r] = struct{}{}
@@ -123,7 +123,7 @@
 		}
 		for _, r := range s.ended {
 			if r.id == id && r.endpoint == e.Name {
-				prints = append(prints, r.print)
+				broken = append(broken, r)
 			}
 		}
 	}
@@ -133,13 +133,14 @@
 		}
 	}
 	for _, r := range sorted(hit) {
-		prints = append(prints, r.d.Fingerprint)
+		broken = append(broken, endedRun{r.id, e.Name, r.d.Fingerprint, r.startedAt})
 	}
-	for _, fp := range prints {
+	for _, r := range broken {
+		fp := r.print
 		if fp == "" {
 			continue
 		}
-		s.quarantine.Crashed(s.now, fp, e.Name)
+		s.quarantine.Crashed(s.now, fp, e.Name, r.startedAt)
 		e.struck = append(e.struck, fp)
 		s.emit(Decision{Verb: "quarantine", Endpoint: e.Name, Reason: "ran at a failed endpoint: " + fp})
 		s.shareSuspect(fp)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -12,7 +12,10 @@
 )
 
 // endedRun is a run that ended without an answer.
-type endedRun struct{ id, endpoint, print string }
+type endedRun struct {
+	id, endpoint, print string
+	startedAt           time.Duration
+}
 
 // estimate predicts the tokens of a request.
 func (s *Scheduler) estimate(r *request) {
@@ -175,7 +178,7 @@
 	if done {
 		s.learn(e, r, f)
 	} else {
-		s.ended = append(s.ended, endedRun{r.id, e.Name, r.d.Fingerprint})
+		s.ended = append(s.ended, endedRun{r.id, e.Name, r.d.Fingerprint, r.startedAt})
 		if len(s.ended) > maxEnded {
 			s.ended = append([]endedRun(nil), s.ended[maxEnded/2:]...)
 		}
