quarantiner, crashwatcher: the hold grows with each crash, ends at other moments at each host, and one run at a time tries again

Callers saw endpoints crash anew each 15 s under the same request. Cause: the hold ended for all hosts at once, each host let all copies through that came before the next crash was known, and the next hold was no longer. Now the first hold is 60 to 90 s, differs between hosts, and grows by four with each crash up to an hour; after it a host lets one run begin and refuses the others until that one has ended. A request that is refused by mistake is not refused for longer than before in effect: its caller's deadline ends within 15 s.

Ruled out: a longer hold alone, since 300 hosts would still begin at one moment.

--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -18,8 +18,12 @@
 	// ConfirmedWithin is the time after a broken exchange in which a refused connect, or another endpoint at the address, shows
 	// that the endpoint has crashed and not only lost one answer.
 	ConfirmedWithin = 3 * time.Second
-	// hold is how long a request that has crashed two endpoints is refused.
-	hold = 15 * time.Second
+	// hold is how long a request that has crashed two endpoints is refused at least, and holdSpread the part of it by which hosts
+	// differ, so that they do not all try it again at one moment.
+	hold       = time.Minute
+	holdSpread = 0.5
+	// tryFor bounds the time in which one run of a request that was refused keeps others from beginning.
+	tryFor = 15 * time.Second
 	// toldFor is how long hosts tell each other of a crash, so that lost datagrams lose none.
 	toldFor = 5 * time.Second
 	// maxBroken bounds the broken exchanges that wait for a sign of a crash at one endpoint.
@@ -43,9 +47,10 @@
 	seen []quarantiner.Crash
 }
 
-// New returns a watcher that knows of no crash.
-func New(now time.Time) *Watcher {
-	return &Watcher{started: now, quarantine: quarantiner.New(hold), broken: map[string][]brokenRun{}}
+// New returns a watcher that knows of no crash. Share is a number from 0 to 1 that differs between hosts.
+func New(now time.Time, share float64) *Watcher {
+	own := time.Duration(float64(hold) * (1 + holdSpread*share))
+	return &Watcher{started: now, quarantine: quarantiner.New(own), broken: map[string][]brokenRun{}}
 }
 
 // Name is the form of a fingerprint in logs.
@@ -59,6 +64,20 @@
 	return 0
 }
 
+// Begin returns 0 if a run of a request may begin, or how long the request is still refused.
+func (w *Watcher) Begin(now time.Time, fingerprint uint64) time.Duration {
+	left := w.Refused(now, fingerprint)
+	if left == 0 {
+		w.quarantine.Try(now.Sub(w.started), Name(fingerprint), tryFor)
+	}
+	return left
+}
+
+// NotRun ends the trial of a request that an endpoint did not run, so that the next run may begin.
+func (w *Watcher) NotRun(now time.Time, fingerprint uint64) {
+	w.quarantine.Try(now.Sub(w.started), Name(fingerprint), 0)
+}
+
 // Broke notes an exchange that the endpoint broke off, with the time at which the request was sent.
 func (w *Watcher) Broke(now time.Time, endpoint string, fingerprint uint64, began time.Time) {
 	if runs := w.broken[endpoint]; len(runs) < maxBroken {
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -75,7 +75,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	hosts := make([]*crashwatcher.Watcher, d.hosts)
 	for i := range hosts {
-		hosts[i] = crashwatcher.New(start)
+		hosts[i] = crashwatcher.New(start, rng.Float64())
 	}
 	upAt, lives := make([]time.Duration, d.endpoints), make([]int, d.endpoints)
 	var events []event
@@ -94,7 +94,7 @@
 		if d.restarts > 0 && now >= nextRestart {
 			nextRestart += d.restarts
 			i := rng.IntN(len(hosts))
-			hosts[i] = crashwatcher.New(start.Add(now))
+			hosts[i] = crashwatcher.New(start.Add(now), rng.Float64())
 			learn(start.Add(now), hosts[i], hosts)
 		}
 		if now < next {
@@ -102,7 +102,7 @@
 		}
 		next += d.gap
 		w, e := hosts[rng.IntN(len(hosts))], rng.IntN(d.endpoints)
-		if now < upAt[e] || w.Refused(start.Add(now), fatal) > 0 {
+		if now < upAt[e] || w.Begin(start.Add(now), fatal) > 0 {
 			continue
 		}
 		runs = append(runs, now)
@@ -177,7 +177,7 @@
 // they had, and the request would run on at them without a limit.
 func TestEndpointReturnsUnderItsName(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
-	w := crashwatcher.New(start)
+	w := crashwatcher.New(start, 0)
 	var got []bool
 	for i, at := range []time.Duration{0, 4 * time.Second} {
 		now := start.Add(at)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -159,7 +160,7 @@
 	g.Client.OnDial = func(string) { countDials.Add(1) }
 	g.allots = allotter.New(time.Now(), g.AllotmentWindow)
 	g.repeats = map[string]*allotter.Repeats{}
-	g.crashes = crashwatcher.New(time.Now())
+	g.crashes = crashwatcher.New(time.Now(), rand.Float64())
 	g.confirming, g.doubted = map[string]bool{}, map[string]time.Time{}
 	g.opened = make(chan struct{})
 	g.guard = &guardListener{Listener: g.Listener, open: map[*guardConn]struct{}{}}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,6 +11,9 @@
 const (
 	// maxCrashes is the number of endpoints that one fingerprint may cost before it is refused.
 	maxCrashes = 2
+	// holdGrowth is the factor by which each further crash makes the hold longer, up to longestHold or the first hold.
+	holdGrowth  = 4
+	longestHold = time.Hour
 	// maxRecords bounds the remembered fingerprints of each kind.
 	maxRecords = 32_768
 	// restart is the least time between the crash of an endpoint and a run of its next process. What hosts tell each other may
@@ -49,16 +52,29 @@
 	// lastAt is the time of the last crash of each endpoint.
 	lastAt       map[string]time.Duration
 	refusedUntil time.Duration
+	// triedUntil is the time until which a run after the hold keeps others from beginning.
+	triedUntil time.Duration
 }
 
-// New returns an empty quarantine that refuses a fingerprint for hold after its second crash.
+// New returns an empty quarantine that refuses a fingerprint for hold after its second crash, and longer after each further one.
 func New(hold time.Duration) *Quarantine {
 	return &Quarantine{hold: hold, crashes: newRecords[crashRecord](), proven: newRecords[struct{}]()}
 }
 
-// SetHold changes the time for which later second crashes are refused.
+// SetHold changes the time for which a fingerprint is refused after its second crash; it holds for later crashes.
 func (q *Quarantine) SetHold(hold time.Duration) { q.hold = hold }
 
+// holdAfter returns for how long a fingerprint is refused after a number of crashes.
+func (q *Quarantine) holdAfter(crashes int) time.Duration {
+	hold, longest := q.hold, max(q.hold, longestHold)
+	for range crashes - maxCrashes {
+		if hold *= holdGrowth; hold >= longest {
+			return longest
+		}
+	}
+	return hold
+}
+
 // Verdict returns how a fingerprint may run, and for Refused the time until it may be tried again.
 func (q *Quarantine) Verdict(now time.Duration, fingerprint string) (Verdict, time.Duration) {
 	if fingerprint == "" {
@@ -66,8 +82,8 @@
 	}
 	key := xxhash.Sum64String(fingerprint)
 	if c := q.crashes.get(key); c != nil {
-		if c.count >= maxCrashes && now < c.refusedUntil {
-			return Refused, c.refusedUntil - now
+		if until := max(c.refusedUntil, c.triedUntil); c.count >= maxCrashes && now < until {
+			return Refused, until - now
 		}
 		return Suspect, 0
 	}
@@ -77,6 +93,14 @@
 	return Fresh, 0
 }
 
+// Try notes that a run begins. If the fingerprint has been refused before, others are refused until the run has shown how it ends,
+// for a time at most.
+func (q *Quarantine) Try(now time.Duration, fingerprint string, atMost time.Duration) {
+	if c := q.crashes.get(xxhash.Sum64String(fingerprint)); c != nil && c.count >= maxCrashes {
+		c.triedUntil = now + atMost
+	}
+}
+
 // Crashed records that a run of the fingerprint, begun at a time, was at an endpoint when it crashed. Runs that began before the
 // last known crash of the endpoint were broken off by that one; a later one was broken off by a further crash.
 func (q *Quarantine) Crashed(now time.Duration, fingerprint, endpoint string, began time.Duration) {
@@ -98,7 +122,7 @@
 	c.count++
 	c.lastAt[endpoint] = now
 	if c.count >= maxCrashes {
-		c.refusedUntil = max(c.refusedUntil, now+q.hold)
+		c.refusedUntil = max(c.refusedUntil, now+q.holdAfter(c.count))
 	}
 }
 
