gateway: a request that waits for a place is refused if the same request crashes endpoints meanwhile

Now it is asked before each send; the place that was granted goes back unused. A request of which nothing ran is answered 503, one that may have run 502. TestWaitingRequestIsRefusedAfterCrashes failed without the check (200, and the endpoint had run it).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,11 @@
 			return
 		}
 		began := time.Now()
+		if left := q.beginRun(began); left > 0 {
+			grant.Refuse(began, false)
+			q.giveUp(&admitter.RefusedError{Reason: quarantined, RetryAfter: min(left, quarantineRetry)}, last)
+			return
+		}
 		v, answer, err := q.send(grant)
 		q.log(grant, v, err)
 		var unreachable *exchanger.NotSentError
@@ -78,7 +83,7 @@
 		q.watchCrash(grant.Choice.Endpoint, began, sendEnd{
 			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
 			brokenOff: v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent),
-			succeeded: v == answered && answer.status < http.StatusMultipleChoices,
+			succeeded: v == answered && answer.status < http.StatusMultipleChoices, notRun: v == notRun,
 		})
 		switch v {
 		case answered:
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
@@ -16,6 +17,8 @@
 const (
 	// crashConfirmDelay is the time between a broken exchange and the connect that shows whether the endpoint has crashed.
 	crashConfirmDelay = 30 * time.Millisecond
+	// quarantined is the reason for which a request that has crashed endpoints is refused.
+	quarantined admitter.Reason = "quarantine"
 	// quarantineRetry is the longest time after which the caller of a refused request may ask again.
 	quarantineRetry = 5 * time.Second
 )
@@ -34,36 +37,46 @@
 	g.crashes.Heard(time.Now(), crashes)
 }
 
-// fingerprint identifies a request that is sent again: the same workspace, method, path and body.
-func (q *request) fingerprint() uint64 {
+// readFingerprint identifies a request that is sent again: the same workspace, method, path and body.
+func (q *request) readFingerprint() {
 	h := xxhash.New()
 	for _, part := range []string{q.workspaceName(), q.r.Method, q.r.RequestURI} {
 		_, _ = h.WriteString(part + "\n") // a digest never fails
 	}
 	_, _ = h.Write(q.body)
-	return h.Sum64()
+	q.fingerprint = h.Sum64()
 }
 
 // admitSuspect refuses a request that has crashed two endpoints.
 func (q *request) admitSuspect() bool {
-	fingerprint := q.fingerprint()
+	q.readFingerprint()
 	q.g.mu.Lock()
-	left := q.g.crashes.Refused(time.Now(), fingerprint)
-	crashes, _ := q.g.crashes.State(time.Now(), fingerprint)
+	left := q.g.crashes.Refused(time.Now(), q.fingerprint)
+	crashes, _ := q.g.crashes.State(time.Now(), q.fingerprint)
 	q.g.mu.Unlock()
 	if crashes > 0 {
-		klog.InfoS("gateway: suspect arrived", "request", q.id, "fingerprint", crashwatcher.Name(fingerprint), "crashes", crashes,
+		klog.InfoS("gateway: suspect arrived", "request", q.id, "fingerprint", crashwatcher.Name(q.fingerprint), "crashes", crashes,
 			"refused_for", left)
 	}
 	if left > 0 {
-		q.refuse(http.StatusServiceUnavailable, "quarantine", min(left, quarantineRetry))
+		q.refuse(http.StatusServiceUnavailable, string(quarantined), min(left, quarantineRetry))
 	}
 	return left == 0
 }
 
+// beginRun returns 0 if the request may be sent now, or how long it is refused: the same request may have crashed endpoints while
+// this one waited.
+func (q *request) beginRun(now time.Time) time.Duration {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.g.crashes.Begin(now, q.fingerprint)
+}
+
 // sendEnd says of a send what may tell that its endpoint has crashed, or that it has not.
 type sendEnd struct {
 	unreachable, replaced bool
+	// notRun is true if the endpoint stated that it did not run the request.
+	notRun bool
 	// brokenOff is true if the endpoint ended the exchange without a whole answer.
 	brokenOff bool
 	// succeeded is true if the endpoint gave a whole answer of success. A failure may come from an endpoint that did not run the
@@ -76,14 +89,17 @@
 	g, now := q.g, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if end.unreachable || end.notRun {
+		g.crashes.NotRun(now, q.fingerprint)
+	}
 	switch {
 	case end.unreachable || end.replaced:
 		g.crashes.Crashed(now, e.ID)
 	case end.brokenOff:
-		g.crashes.Broke(now, e.ID, q.fingerprint(), began)
+		g.crashes.Broke(now, e.ID, q.fingerprint, began)
 		g.confirmCrash(e)
 	case end.succeeded:
-		g.crashes.Finished(now, q.fingerprint())
+		g.crashes.Finished(now, q.fingerprint)
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
@@ -20,6 +22,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 )
 
@@ -601,3 +604,41 @@
 		t.Errorf("statuses after a crash, a failure, a crash and then (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that waits for a place while the same request crashes endpoints, and then runs all the same.
+func TestWaitingRequestIsRefusedAfterCrashes(t *testing.T) {
+	release := make(chan struct{})
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		if r.RequestURI == "/order/slow" {
+			<-release
+		}
+		return []string{answer(r, 200, signed, "done")}, false
+	})
+	h := startHost(t, e)
+	var wg sync.WaitGroup
+	const more = 12 // than the endpoint has places
+	var refused atomic.Int64
+	for range more {
+		wg.Go(func() {
+			if status, _, _, _ := h.send(t, post("/order/slow", "k")); status != 200 {
+				refused.Add(1)
+			}
+		})
+	}
+	for refused.Load()+int64(len(e.seen())) < more {
+		time.Sleep(time.Millisecond)
+	}
+	var status int
+	wg.Go(func() { status, _, _, _ = h.send(t, post("/order/poison", "k")) })
+	time.Sleep(40 * time.Millisecond)
+	now, print := time.Now(), xxhash.Sum64String("w\nPOST\n/order/poison\nhi")
+	h.gateway.HeardCrashes([]quarantiner.Crash{
+		{Fingerprint: print, Endpoint: 1, Began: now, At: now}, {Fingerprint: print, Endpoint: 2, Began: now, At: now},
+	})
+	close(release)
+	wg.Wait()
+	ran := slices.ContainsFunc(e.seen(), func(line string) bool { return strings.Contains(line, "poison") })
+	if diff := cmp.Diff([]any{503, false}, []any{status, ran}); diff != "" {
+		t.Errorf("status, and whether the endpoint has run it (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,9 +50,11 @@
 	work      balancer.Work
 	units     float64
 	// checked is true if the coordinator that places the request checks the allotment.
-	checked  bool
-	body     []byte
-	deadline time.Time
+	checked bool
+	body    []byte
+	// fingerprint is a digest of what makes it the same request if it comes again.
+	fingerprint uint64
+	deadline    time.Time
 
 	// sends counts the endpoints that a byte of the request was written to, and ran tells whether one of them may have run it.
 	sends int
