coordinator: hosts that join are told the crashes that are known

A request that had crashed endpoints ran again at each host that had started since. Cause: a crash was told once, to the hosts that had a session at that moment. Class: state that is sent as an event only.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -111,6 +111,9 @@
 	if history := DecodeHistory(hello.GetHistory(), c.workspaces); len(history) > 0 && s.age > historyFor {
 		c.allots.Learn(s.since, history)
 	}
+	if crashes, _ := c.crashes.Since(0); len(crashes) > 0 {
+		s.order(func(o *coordinatorpb.Orders) { o.Crashes = EncodeCrashes(s.since, crashes) })
+	}
 	c.mu.Unlock()
 	for _, earlier := range []*session{before, lingers} {
 		if earlier != nil {
