coordinator: a coordinator that has started again is told all

Cause: what a peer had been told was only forgotten after a call that failed; a process that is back before the next call never heard the crashes of before, nor the use of allotments until it changed. The calls of the process before could also bring back what had been forgotten. Class: a peer is known by its name instead of its process. A peer's report with a new process number now replaces what is known of it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -163,8 +163,8 @@
 			c.dismiss()
 		}
 		for _, p := range c.Peers() {
-			if report, crashSeq := c.peerReport(now, p.ID); report != nil {
-				c.wg.Go(func() { c.tellPeer(ctx, p, report, crashSeq) })
+			if call := c.peerReport(now, p.ID); call != nil {
+				c.wg.Go(func() { c.tellPeer(ctx, p, call) })
 			}
 		}
 		c.tellOthers(now)
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -33,8 +33,16 @@
 	crashesTold uint64
 }
 
-// peerReport is what another coordinator is told at this moment, with the number of the last crash in it, or nil if that can wait.
-func (c *Coordinator) peerReport(now time.Time, id string) (r *coordinatorpb.PeerReport, crashSeq uint64) {
+// peerCall is one report to another coordinator. Its peer is another value once a new process of that host has been heard.
+type peerCall struct {
+	peer   *peer
+	report *coordinatorpb.PeerReport
+	// crashSeq is the number of the last crash that is known.
+	crashSeq uint64
+}
+
+// peerReport is what another coordinator is told at this moment, or nil if that can wait.
+func (c *Coordinator) peerReport(now time.Time, id string) *peerCall {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[id]
@@ -43,10 +51,10 @@
 		c.peers[id] = p
 	}
 	if p.busy {
-		return nil, 0
+		return nil
 	}
 	own, _ := c.tally.Hosts(now, useFor)
-	r = &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
+	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
 	crashes, last := c.crashes.Since(p.crashesTold)
 	r.Crashes = EncodeCrashes(now, crashes)
 	for key, s := range c.shards {
@@ -59,35 +67,35 @@
 		})
 	}
 	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < quietInterval {
-		return nil, 0
+		return nil
 	}
 	p.busy = true
-	return r, last
+	return &peerCall{peer: p, report: r, crashSeq: last}
 }
 
-func (c *Coordinator) tellPeer(ctx context.Context, h sharder.Host, r *coordinatorpb.PeerReport, crashSeq uint64) {
+func (c *Coordinator) tellPeer(ctx context.Context, h sharder.Host, call *peerCall) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply := &coordinatorpb.PeerReply{}
-	err := c.Network.Call(ctx, h.Addr, MethodPeer, r, reply)
+	err := c.Network.Call(ctx, h.Addr, MethodPeer, call.report, reply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.peers[h.ID]
+	p := call.peer
 	p.busy = false
 	if err != nil {
 		// It may have started again, and then needs to hear all.
-		p.told = nil
+		p.told, p.crashesTold = nil, 0
 		klog.V(1).Infof("coordinator: no answer peer=%s reason=%q", h.ID, err)
 		return
 	}
-	p.reachedAt, p.crashesTold = time.Now(), crashSeq
+	p.reachedAt, p.crashesTold = time.Now(), call.crashSeq
 	if history := DecodeHistory(reply.GetHistory(), c.workspaces); len(history) > 0 {
 		c.allots.Learn(time.Now(), history)
 	}
 	if p.told == nil {
 		p.told = map[uint64]float64{}
 	}
-	maps.Copy(p.told, DecodeUses(r.GetUses()))
+	maps.Copy(p.told, DecodeUses(call.report.GetUses()))
 }
 
 // HandlePeer takes the report of another coordinator.
@@ -107,6 +115,10 @@
 	if known == nil || known.process != r.GetProcess() {
 		known = &heardUse{process: r.GetProcess(), used: map[string]float64{}}
 		c.heard[r.GetHost()] = known
+		if p := c.peers[r.GetHost()]; p != nil {
+			// A process that has started again needs to hear all.
+			c.peers[r.GetHost()] = &peer{reachedAt: p.reachedAt}
+		}
 	}
 	for workspace, units := range totals {
 		if name, ok := c.workspaces[workspace]; ok {
