forwarder, asker: the next coordinator is told all crashes that a host knows

Cause: hosts told their own crashes once, for 5 s, to the coordinator of that moment; what only lost coordinators knew was lost, also what a report that broke on its way had held. A host now tells all it knows, heard or seen, whenever it tells another coordinator than the last time; the same holds for its use of allotments, where a coordinator that it had told before over a link that stayed up was told changes only.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -92,7 +92,9 @@
 	ctx    context.Context
 	ticket uint64
 	links  map[string]*link
-	runs   map[uint64]*run
+	// lastTold is the link by which others were last told what this host has used and seen.
+	lastTold *link
+	runs     map[uint64]*run
 	// wanted are the zones whose coordinators are in use, with the time of the last use.
 	wanted map[string]time.Time
 	wake   chan struct{}
@@ -189,7 +191,8 @@
 		return
 	}
 	a.mu.Lock()
-	all := !l.usesTold
+	// What was told to another coordinator since may be lost with that one.
+	all := !l.usesTold || a.lastTold != l
 	a.mu.Unlock()
 	r := &coordinatorpb.Report{}
 	if !a.Tell(r, all) {
@@ -198,8 +201,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !l.up {
+		a.lastTold = nil
 		return
 	}
+	a.lastTold = l
 	l.usesTold = l.usesTold || all
 	l.reportLocked(func(p *coordinatorpb.Report) {
 		if p.Uses == nil {
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -479,3 +479,60 @@
 		}
 	})
 }
+
+// Guards against news that are lost with a coordinator: a host that goes back to one that it has told before, over a link that has
+// stayed up for another zone, must tell it all that it has told others since.
+func TestFormerCoordinatorIsToldAll(t *testing.T) {
+	run(t, 3, 120, 1, func(f *fleet) {
+		// The second coordinator of this zone is the first one of another.
+		const host, zone = 2, "z2"
+		first, second := sharder.Owners(zone, f.hosts())[0], sharder.Owners(zone, f.hosts())[1]
+		var mu sync.Mutex
+		told := map[bool]int{}
+		f.askers[host].Tell = func(_ *coordinatorpb.Report, all bool) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			told[all]++
+			return true
+		}
+		full := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return told[true]
+		}
+		// More than the own zone's engines can begin, for as long as the test lasts, so that links to all zones are in use.
+		var wg sync.WaitGroup
+		stop := make(chan struct{})
+		for i := range 101 {
+			at := host
+			if i == 0 {
+				at = 0 // so that its zone tells of its free places
+			}
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						_ = f.serve(at, 0, 100*time.Millisecond, 100*time.Millisecond)
+					}
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		var got []int
+		for range 2 {
+			f.kill(first.ID)
+			before := full()
+			time.Sleep(3 * time.Second)
+			got = append(got, min(1, full()-before))
+			f.start(first.ID)
+			time.Sleep(5 * time.Second)
+		}
+		close(stop)
+		wg.Wait()
+		if diff := cmp.Diff([]int{1, 1}, got); diff != "" {
+			t.Errorf("told all to %s at the first and second loss of %s (-want +got):\n%s", second.ID, first.ID, diff)
+		}
+	})
+}
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"expvar"
-	"slices"
 	"strconv"
 	"time"
 
@@ -24,8 +23,6 @@
 	holdSpread = 0.5
 	// tryFor bounds the time in which one run of a request that was refused keeps others from beginning.
 	tryFor = 15 * time.Second
-	// toldFor is how long hosts tell each other of a crash, so that lost datagrams lose none.
-	toldFor = 5 * time.Second
 	// maxBroken bounds the broken exchanges that wait for a sign of a crash at one endpoint.
 	maxBroken = 256
 )
@@ -43,7 +40,7 @@
 	quarantine *quarantiner.Quarantine
 	broken     map[string][]brokenRun
 	book       quarantiner.Book
-	// seen are the crashes that this host has seen lately.
+	// seen are the crashes that this host has seen and not told yet.
 	seen []quarantiner.Crash
 }
 
@@ -140,13 +137,18 @@
 	}
 }
 
-// Told returns the crashes that this host has seen lately, and forgets old ones.
-func (w *Watcher) Told(now time.Time) []quarantiner.Crash {
-	w.seen = slices.DeleteFunc(w.seen, func(c quarantiner.Crash) bool { return now.Sub(c.At) > toldFor })
+// Told returns the crashes that this host has seen since the last call, or all that it knows. It also forgets broken exchanges
+// that nothing shows to be crashes.
+func (w *Watcher) Told(now time.Time, all bool) []quarantiner.Crash {
 	for endpoint, runs := range w.broken {
 		if now.Sub(runs[len(runs)-1].at) > ConfirmedWithin {
 			delete(w.broken, endpoint)
 		}
 	}
-	return slices.Clone(w.seen)
+	news := w.seen
+	w.seen = nil
+	if all {
+		news, _ = w.book.Since(0)
+	}
+	return news
 }
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -10,7 +10,6 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
-	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -31,9 +30,8 @@
 
 // shared is what this host has told and heard of the use of allotments.
 type shared struct {
-	mu      sync.Mutex
-	told    map[uint64]float64
-	crashes map[quarantiner.Crash]bool
+	mu   sync.Mutex
+	told map[uint64]float64
 	// sums is the id of the sums that were heard last, last their value, and total what they have grown by since the start of
 	// this host. One coordinator's sums begin anew where those of another one ended.
 	sums  uint64
@@ -58,15 +56,9 @@
 	if news {
 		r.Uses = coordinator.EncodeUses(changed, 1)
 	}
-	seen := map[quarantiner.Crash]bool{}
-	for _, c := range h.gateway.Crashes() {
-		seen[c] = true
-		if !h.shared.crashes[c] {
-			news = true
-			r.Crashes = append(r.Crashes, coordinator.EncodeCrashes(time.Now(), []quarantiner.Crash{c})...)
-		}
-	}
-	h.shared.crashes = seen
+	crashes := h.gateway.Crashes(all)
+	r.Crashes = coordinator.EncodeCrashes(time.Now(), crashes)
+	news = news || len(crashes) > 0
 	return news
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,11 +23,11 @@
 	quarantineRetry = 5 * time.Second
 )
 
-// Crashes returns what this host tells its peers of endpoints that crashed.
-func (g *Gateway) Crashes() []quarantiner.Crash {
+// Crashes returns what this host tells others of endpoints that crashed: what it has seen since the last call, or all it knows.
+func (g *Gateway) Crashes(all bool) []quarantiner.Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.Told(time.Now())
+	return g.crashes.Told(time.Now(), all)
 }
 
 // HeardCrashes takes the crashes that a peer has seen.
