--- /dev/null
+++ b/internal/forwarder/crash_host_test.go
@@ -0,0 +1,130 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
+)
+
+// backAfter is the time after which a crashed stand-in takes connections again, under its name and address.
+const backAfter = 1500 * time.Millisecond
+
+// frail is endpoints that a request for /a/fatal crashes.
+type frail struct {
+	entries []cataloguer.Entry
+	crashes atomic.Int64
+}
+
+// Read implements cataloguer.Source.
+func (f *frail) Read(context.Context) ([]cataloguer.Entry, error) { return f.entries, nil }
+
+func startFrail(t *testing.T, ids ...string) *frail {
+	t.Helper()
+	f := &frail{}
+	for _, id := range ids {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.entries = append(f.entries, cataloguer.Entry{ID: id, Pool: "p", Addr: l.Addr().String(), Zone: "z", Slots: 4})
+		var closed atomic.Bool
+		var open atomic.Pointer[net.Listener]
+		open.Store(&l)
+		t.Cleanup(func() {
+			closed.Store(true)
+			_ = (*open.Load()).Close()
+		})
+		go func() {
+			for addr := l.Addr().String(); !closed.Load(); {
+				f.serve(*open.Load())
+				time.Sleep(backAfter)
+				if again, err := net.Listen("tcp", addr); err == nil {
+					open.Store(&again)
+				}
+			}
+		}()
+	}
+	return f
+}
+
+// serve answers until it has crashed.
+func (f *frail) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			for reader := bufio.NewReader(c); ; {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if strings.HasSuffix(r.URL.Path, "/fatal") {
+					f.crashes.Add(1)
+					_ = l.Close()
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 1\r\n\r\nw")
+			}
+		}()
+	}
+}
+
+// Guards against a request that crashes endpoints and is free again at hosts that start later, on real sockets: what the first host
+// has seen reaches the second by way of the coordinator, also when the first has stopped.
+func TestCrashingRequestAtHostThatStartsLater(t *testing.T) {
+	controlAddr := freeAddr(t)
+	endpoints := startFrail(t, "e1", "e2", "e3")
+	c := startControl(t, controlAddr, endpoints)
+	start := func(id string) (addr string, stop func()) {
+		caller := freeAddr(t)
+		h := newHost(id, freeAddr(t), caller, freeAddr(t), controlAddr, endpoints)
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.Run(ctx) }()
+		stop = func() {
+			cancel()
+			if err := <-stopped; err != nil {
+				t.Errorf("a planned stop ends with %v", err)
+			}
+		}
+		return caller, stop
+	}
+	first, stopFirst := start("h1")
+	eventually(t, first, "k1", http.StatusServiceUnavailable, 10*time.Second)
+	limit, done := context.WithTimeout(context.Background(), 10*time.Second)
+	defer done()
+	if _, err := c.participant.Client().ImportConfig(limit, 1, document(t, 1, "k1"), "operator"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, first, "k1", http.StatusOK, 5*time.Second)
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		if status, body := getPath(t, first, "k1", "/a/fatal"); status == http.StatusServiceUnavailable && body == "quarantine\n" {
+			break
+		}
+	}
+	got := []any{endpoints.crashes.Load()}
+	time.Sleep(500 * time.Millisecond) // until the coordinator has been told
+	stopFirst()
+	second, stopSecond := start("h2")
+	defer stopSecond()
+	eventually(t, second, "k1", http.StatusOK, 10*time.Second)
+	time.Sleep(time.Second) // until the host has joined its coordinator
+	status, body := getPath(t, second, "k1", "/a/fatal")
+	got = append(got, status, body, endpoints.crashes.Load())
+	if diff := cmp.Diff([]any{int64(2), 503, "quarantine\n", int64(2)}, got); diff != "" {
+		t.Errorf("crashes, answer of the host that started later, crashes after it (-want +got):\n%s", diff)
+	}
+}
--- a/internal/forwarder/host_test.go
+++ b/internal/forwarder/host_test.go
@@ -133,7 +133,12 @@
 
 func get(t *testing.T, addr, apiKey string) (int, string) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/a/x", nil)
+	return getPath(t, addr, apiKey, "/a/x")
+}
+
+func getPath(t *testing.T, addr, apiKey, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,15 +156,9 @@
 	return resp.StatusCode, string(body)
 }
 
-// The whole path on real sockets: a host answers 503 before it knows a configuration, serves by the newest one, refuses a key
-// that was taken away, and stops serving once it cannot confirm its configuration: a key may have been taken away meanwhile.
-func TestHost(t *testing.T) {
-	peer, caller, ready := freeAddr(t), freeAddr(t), freeAddr(t)
-	controlAddr := freeAddr(t)
-	endpoints := source{addr: startEndpoint(t)}
-	c := startControl(t, controlAddr, endpoints)
-	h := &forwarder.Host{
-		HostID: "h1", Zone: "z", PeerAddr: peer, CallerAddr: caller, ReadyAddr: ready, ReadyPath: "/ready", Key: key,
+func newHost(id, peer, caller, ready, controlAddr string, endpoints cataloguer.Source) *forwarder.Host {
+	return &forwarder.Host{
+		HostID: id, Zone: "z", PeerAddr: peer, CallerAddr: caller, ReadyAddr: ready, ReadyPath: "/ready", Key: key,
 		Controllers: map[string]string{"c": controlAddr}, Decode: decode, Endpoints: endpoints,
 		Headers: gateway.Headers{
 			RequestID: "X-Id", Deadline: "X-Deadline-Ms", Workspace: "X-Workspace", Instance: "X-Instance", NotRun: "X-Not-Run",
@@ -167,6 +166,16 @@
 		},
 		RepeatLimit: allotter.RepeatLimit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: 2 * time.Second,
 	}
+}
+
+// The whole path on real sockets: a host answers 503 before it knows a configuration, serves by the newest one, refuses a key
+// that was taken away, and stops serving once it cannot confirm its configuration: a key may have been taken away meanwhile.
+func TestHost(t *testing.T) {
+	peer, caller, ready := freeAddr(t), freeAddr(t), freeAddr(t)
+	controlAddr := freeAddr(t)
+	endpoints := source{addr: startEndpoint(t)}
+	c := startControl(t, controlAddr, endpoints)
+	h := newHost("h1", peer, caller, ready, controlAddr, endpoints)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() {
