crashwatcher: a host that sees a suspect request answered tells the others

Cause: an answer cleared a request at the host that saw it only. Class: state that is not told to those who act on it. Cleared requests are now told as crashes are; one that has crashed two endpoints is not cleared by an answer elsewhere. TestAnswerClearsAtAllHosts and TestClearedRequestIsTold failed before.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -211,7 +211,7 @@
 			p.Uses = &coordinatorpb.Uses{}
 		}
 		proto.Merge(p.Uses, r.GetUses())
-		p.Crashes = append(p.Crashes, r.GetCrashes()...)
+		p.Crashes, p.Cleared = append(p.Crashes, r.GetCrashes()...), append(p.Cleared, r.GetCleared()...)
 	})
 }
 
--- a/internal/asker/link.go
+++ b/internal/asker/link.go
@@ -344,7 +344,7 @@
 		l.hand(e.GetTicket(), &answer{ticket: e.GetTicket(), elsewhere: e.GetZone()})
 	}
 	a.mu.Unlock()
-	if o.GetOthers() != nil || len(o.GetCrashes()) > 0 {
+	if o.GetOthers() != nil || len(o.GetCrashes())+len(o.GetCleared()) > 0 {
 		a.Heard(o)
 	}
 }
--- a/internal/coordinator/charge.go
+++ b/internal/coordinator/charge.go
@@ -16,6 +16,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashSeen(now, r.GetCrashes())
+	for _, fingerprint := range c.clearSeen(r.GetCleared()) {
+		for _, p := range c.peers {
+			p.clear(fingerprint)
+		}
+	}
 	if r.GetUses() == nil {
 		return
 	}
--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -23,6 +23,34 @@
 	}
 }
 
+// clearSeen forgets the crashes of requests that have been answered since, and tells all hosts. It returns those that were cleared.
+// The caller holds the lock.
+func (c *Coordinator) clearSeen(fingerprints []uint64) []uint64 {
+	var cleared []uint64
+	for _, fingerprint := range fingerprints {
+		if c.crashes.Clear(fingerprint) {
+			cleared = append(cleared, fingerprint)
+		}
+	}
+	if len(cleared) == 0 {
+		return nil
+	}
+	for _, s := range c.sessions {
+		s.order(func(o *coordinatorpb.Orders) { o.Cleared = append(o.Cleared, cleared...) })
+	}
+	return cleared
+}
+
+// maxCleared bounds the cleared requests that wait to be told to another coordinator.
+const maxCleared = 256
+
+// clear notes a request that was cleared. What finds no room is lost: the request counts as having crashed one endpoint.
+func (p *peer) clear(fingerprint uint64) {
+	if len(p.cleared) < maxCleared {
+		p.cleared = append(p.cleared, fingerprint)
+	}
+}
+
 // EncodeCrashes returns the message form of crashes. Hosts have clocks of their own, so that times are sent as ages.
 func EncodeCrashes(now time.Time, crashes []quarantiner.Crash) []*coordinatorpb.Crash {
 	var out []*coordinatorpb.Crash
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,8 @@
 	// told are the totals that it has taken last, and crashesTold is the number of the last crash that it was told.
 	told        map[uint64]float64
 	crashesTold uint64
+	// cleared are the requests that were cleared and that it has not been told of.
+	cleared []uint64
 }
 
 // peerCall is one report to another coordinator. Its peer is another value once a new process of that host has been heard.
@@ -56,7 +59,7 @@
 	own, _ := c.tally.Hosts(now, useFor)
 	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.process, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.knowsSince) < historyFor, Uses: EncodeUses(Changed(p.told, c.tally.Own()), own)}
 	crashes, last := c.crashes.Since(p.crashesTold)
-	r.Crashes = EncodeCrashes(now, crashes)
+	r.Crashes, r.Cleared = EncodeCrashes(now, crashes), slices.Clone(p.cleared)
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.askedAt) > summarizedFor {
 			continue
@@ -66,7 +69,7 @@
 			Shard: &coordinatorpb.Shard{Pool: key.Pool, Zone: key.Zone}, Free: uint32(max(free, 0)), Queue: uint32(waiting),
 		})
 	}
-	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < quietInterval {
+	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetCleared())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < quietInterval {
 		return nil
 	}
 	p.busy = true
@@ -88,7 +91,7 @@
 		klog.V(1).Infof("coordinator: no answer peer=%s reason=%q", h.ID, err)
 		return
 	}
-	p.reachedAt, p.crashesTold = time.Now(), call.crashSeq
+	p.reachedAt, p.crashesTold, p.cleared = time.Now(), call.crashSeq, p.cleared[len(call.report.GetCleared()):]
 	if history := DecodeHistory(reply.GetHistory(), c.workspaces); len(history) > 0 {
 		c.allots.Learn(time.Now(), history)
 	}
@@ -131,6 +134,7 @@
 		c.summaries[shardOf(s.GetShard())] = summary{free: int(s.GetFree()), queue: int(s.GetQueue()), at: now}
 	}
 	c.crashSeen(now, r.GetCrashes())
+	c.clearSeen(r.GetCleared())
 	reply := &coordinatorpb.PeerReply{}
 	if r.GetYoung() && now.Sub(c.knowsSince) > historyFor {
 		reply.History = &coordinatorpb.Uses{}
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -315,3 +315,33 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a request that was answered after its first crash and yet counts as suspect at hosts that did not see the answer,
+// or that join later. One that has crashed two endpoints is not cleared by one answer.
+func TestClearedRequestIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := oneEndpoint(1)
+		first, second := join(ctx, c, "a", 1), join(ctx, c, "b", 1)
+		first.reports <- &coordinatorpb.Report{
+			Crashes: []*coordinatorpb.Crash{{Request: 7, Endpoint: 1}, {Request: 8, Endpoint: 1}, {Request: 8, Endpoint: 2}},
+		}
+		synctest.Wait()
+		first.reports <- &coordinatorpb.Report{Cleared: []uint64{7, 8, 9}}
+		synctest.Wait()
+		var cleared []uint64
+		for len(second.orders) > 0 {
+			cleared = append(cleared, (<-second.orders).GetCleared()...)
+		}
+		later := join(ctx, c, "c", 1)
+		if diff := cmp.Diff([]any{[]uint64{7}, []uint64{8, 8}}, []any{cleared, later.toldCrashes()}); diff != "" {
+			t.Errorf("cleared at another host, crashes told to one that joins later (-want +got):\n%s", diff)
+		}
+		cancel()
+		for _, e := range []*entry{first, second, later} {
+			close(e.reports)
+			<-e.ended
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -29,6 +29,13 @@
 
 var countCrashes = expvar.NewMap("crashwatcher_crashes")
 
+// News is what hosts tell each other.
+type News struct {
+	Crashes []quarantiner.Crash
+	// Cleared are the requests that an endpoint has answered after a crash had counted against them.
+	Cleared []uint64
+}
+
 type brokenRun struct {
 	fingerprint uint64
 	began, at   time.Time
@@ -40,8 +47,8 @@
 	quarantine *quarantiner.Quarantine
 	broken     map[string][]brokenRun
 	book       quarantiner.Book
-	// seen are the crashes that this host has seen and not told yet.
-	seen []quarantiner.Crash
+	// news is what this host has seen and not told yet.
+	news News
 }
 
 // New returns a watcher that knows of no crash. Share is a number from 0 to 1 that differs between hosts.
@@ -93,17 +100,20 @@
 		}
 		c := quarantiner.Crash{Fingerprint: r.fingerprint, Endpoint: xxhash.Sum64String(endpoint), Began: r.began, At: r.at}
 		if w.count(now, c, "seen") {
-			w.seen = append(w.seen, c)
+			w.news.Crashes = append(w.news.Crashes, c)
 		}
 	}
 	delete(w.broken, endpoint)
 }
 
-// Heard counts the crashes that other hosts have seen.
-func (w *Watcher) Heard(now time.Time, crashes []quarantiner.Crash) {
-	for _, c := range crashes {
+// Heard takes what other hosts have seen.
+func (w *Watcher) Heard(now time.Time, n News) {
+	for _, c := range n.Crashes {
 		w.count(now, c, "told")
 	}
+	for _, fingerprint := range n.Cleared {
+		w.clear(now, fingerprint, "told")
+	}
 }
 
 // count returns false if the crash was known.
@@ -129,26 +139,35 @@
 
 // Finished clears a request to which an endpoint has given a whole answer of success.
 func (w *Watcher) Finished(now time.Time, fingerprint uint64) {
+	if w.clear(now, fingerprint, "seen") {
+		w.news.Cleared = append(w.news.Cleared, fingerprint)
+	}
+}
+
+// clear returns false if nothing counted against the request, or if it is refused.
+func (w *Watcher) clear(now time.Time, fingerprint uint64, source string) bool {
 	crashes, _ := w.State(now, fingerprint)
-	if _, cleared := w.quarantine.Finished(now.Sub(w.started), Name(fingerprint)); cleared {
-		w.book.Remove(fingerprint)
-		countCrashes.Add("cleared", 1)
-		klog.InfoS("crashwatcher: request cleared", "fingerprint", Name(fingerprint), "crashes", crashes)
+	if _, cleared := w.quarantine.Finished(now.Sub(w.started), Name(fingerprint)); !cleared {
+		return false
 	}
+	w.book.Remove(fingerprint)
+	countCrashes.Add("cleared", 1)
+	klog.InfoS("crashwatcher: request cleared", "fingerprint", Name(fingerprint), "crashes", crashes, "source", source)
+	return true
 }
 
-// Told returns the crashes that this host has seen since the last call, or all that it knows. It also forgets broken exchanges
+// Told returns what this host has seen since the last call, or all the crashes that it knows. It also forgets broken exchanges
 // that nothing shows to be crashes.
-func (w *Watcher) Told(now time.Time, all bool) []quarantiner.Crash {
+func (w *Watcher) Told(now time.Time, all bool) News {
 	for endpoint, runs := range w.broken {
 		if now.Sub(runs[len(runs)-1].at) > ConfirmedWithin {
 			delete(w.broken, endpoint)
 		}
 	}
-	news := w.seen
-	w.seen = nil
+	news := w.news
+	w.news = News{}
 	if all {
-		news, _ = w.book.Since(0)
+		news.Crashes, _ = w.book.Since(0)
 	}
 	return news
 }
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -196,3 +196,27 @@
 		t.Errorf("refused before and after each of two crashes (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that is refused at some hosts though an endpoint has answered it since its first crash: the host that
+// saw the answer tells the others.
+func TestAnswerClearsAtAllHosts(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	a, b := crashwatcher.New(now, 0), crashwatcher.New(now, 0)
+	hosts := []*crashwatcher.Watcher{a, b}
+	var got []bool
+	for i, finishes := range []bool{true, false, false} {
+		began := now.Add(time.Duration(i) * time.Second)
+		at, endpoint := began.Add(runsFor), fmt.Sprint("e", i)
+		broke(a, at, endpoint, began)
+		a.Crashed(at, endpoint)
+		tell(at, a, hosts)
+		if finishes {
+			a.Finished(at, fatal)
+			tell(at, a, hosts)
+		}
+		got = append(got, a.Refused(at, fatal) > 0, b.Refused(at, fatal) > 0)
+	}
+	if diff := cmp.Diff([]bool{false, false, false, false, true, true}, got); diff != "" {
+		t.Errorf("refused at both hosts after each crash (-want +got):\n%s", diff)
+	}
+}
--- a/internal/forwarder/share.go
+++ b/internal/forwarder/share.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/asker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -56,9 +57,9 @@
 	if news {
 		r.Uses = coordinator.EncodeUses(changed, 1)
 	}
-	crashes := h.gateway.Crashes(all)
-	r.Crashes = coordinator.EncodeCrashes(time.Now(), crashes)
-	news = news || len(crashes) > 0
+	crashes := h.gateway.CrashNews(all)
+	r.Crashes, r.Cleared = coordinator.EncodeCrashes(time.Now(), crashes.Crashes), crashes.Cleared
+	news = news || len(crashes.Crashes)+len(crashes.Cleared) > 0
 	return news
 }
 
@@ -73,7 +74,9 @@
 
 // heard takes what other hosts have used and seen.
 func (h *Host) heard(o *coordinatorpb.Orders) {
-	h.gateway.HeardCrashes(coordinator.DecodeCrashes(time.Now(), o.GetCrashes()))
+	h.gateway.HeardCrashes(crashwatcher.News{
+		Crashes: coordinator.DecodeCrashes(time.Now(), o.GetCrashes()), Cleared: o.GetCleared(),
+	})
 	index := h.index.Load()
 	if o.GetOthers() == nil || index == nil {
 		return
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -11,7 +11,6 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
-	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 )
 
 const (
@@ -23,18 +22,19 @@
 	quarantineRetry = 5 * time.Second
 )
 
-// Crashes returns what this host tells others of endpoints that crashed: what it has seen since the last call, or all it knows.
-func (g *Gateway) Crashes(all bool) []quarantiner.Crash {
+// CrashNews returns what this host tells others of requests that crash endpoints: what it has seen since the last call, or all that
+// it knows.
+func (g *Gateway) CrashNews(all bool) crashwatcher.News {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.crashes.Told(time.Now(), all)
 }
 
-// HeardCrashes takes the crashes that a peer has seen.
-func (g *Gateway) HeardCrashes(crashes []quarantiner.Crash) {
+// HeardCrashes takes what other hosts have seen of such requests.
+func (g *Gateway) HeardCrashes(n crashwatcher.News) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.Heard(time.Now(), crashes)
+	g.crashes.Heard(time.Now(), n)
 }
 
 // readFingerprint identifies a request that is sent again: the same workspace, method, path and body.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
@@ -632,9 +633,9 @@
 	wg.Go(func() { status, _, _, _ = h.send(t, post("/order/poison", "k")) })
 	time.Sleep(40 * time.Millisecond)
 	now, print := time.Now(), xxhash.Sum64String("w\nPOST\n/order/poison\nhi")
-	h.gateway.HeardCrashes([]quarantiner.Crash{
+	h.gateway.HeardCrashes(crashwatcher.News{Crashes: []quarantiner.Crash{
 		{Fingerprint: print, Endpoint: 1, Began: now, At: now}, {Fingerprint: print, Endpoint: 2, Began: now, At: now},
-	})
+	}})
 	close(release)
 	wg.Wait()
 	ran := slices.ContainsFunc(e.seen(), func(line string) bool { return strings.Contains(line, "poison") })
--- a/internal/quarantiner/book.go
+++ b/internal/quarantiner/book.go
@@ -66,6 +66,22 @@
 	b.noted = slices.DeleteFunc(b.noted, func(n noted) bool { return n.Fingerprint == fingerprint })
 }
 
+// Clear forgets the crash of a request that has been answered since. It returns false if there was none, or if the request had
+// crashed so many endpoints that one answer does not clear it.
+func (b *Book) Clear(fingerprint uint64) bool {
+	crashes := 0
+	for _, n := range b.noted {
+		if n.Fingerprint == fingerprint {
+			crashes++
+		}
+	}
+	if crashes == 0 || crashes >= maxCrashes {
+		return false
+	}
+	b.Remove(fingerprint)
+	return true
+}
+
 // Since returns the crashes that were noted after a number, and the number of the last one. After 0 it returns all.
 func (b *Book) Since(seq uint64) ([]Crash, uint64) {
 	var out []Crash
