gateway, crashwatcher: an endpoint that falls silent under a request counts as crashed

A request that makes endpoints fall silent instead of closing their connections was never refused. Cause: an exchange that this host ended, because its caller left or the endpoint was silent for too long, was no sign of a crash, and callers leave before anything else shows it. Class: the absence of an answer is taken for the caller's doing. Such an exchange is now noted if the endpoint had sent nothing for 600 ms, and counts if the endpoint takes no connections afterwards while another endpoint answers this host. TestSilentCrashCounts failed before (five crashes, no refusal) and passes; TestCallersThatLeaveMakeNoSuspect and TestSilenceOfAllEndpointsShowsNothing hold the other side.

--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -36,9 +36,18 @@
 	Cleared []uint64
 }
 
+// Run is an exchange that ended without a whole answer.
+type Run struct {
+	Fingerprint uint64
+	// Began is when the request was sent.
+	Began time.Time
+	// SilentSince is the time of the last byte of the endpoint, if this host ended the exchange; else zero.
+	SilentSince time.Time
+}
+
 type brokenRun struct {
-	fingerprint uint64
-	began, at   time.Time
+	Run
+	at time.Time
 }
 
 // Watcher follows the crashes of endpoints by request. It is not safe for concurrent use.
@@ -47,6 +56,8 @@
 	quarantine *quarantiner.Quarantine
 	broken     map[string][]brokenRun
 	book       quarantiner.Book
+	// answeredAt is when an endpoint answered this host last.
+	answeredAt time.Time
 	// news is what this host has seen and not told yet.
 	news News
 }
@@ -82,10 +93,10 @@
 	w.quarantine.Try(now.Sub(w.started), Name(fingerprint), 0)
 }
 
-// Broke notes an exchange that the endpoint broke off, with the time at which the request was sent.
-func (w *Watcher) Broke(now time.Time, endpoint string, fingerprint uint64, began time.Time) {
+// Broke notes an exchange without a whole answer.
+func (w *Watcher) Broke(now time.Time, endpoint string, r Run) {
 	if runs := w.broken[endpoint]; len(runs) < maxBroken {
-		w.broken[endpoint] = append(runs, brokenRun{fingerprint: fingerprint, began: began, at: now})
+		w.broken[endpoint] = append(runs, brokenRun{Run: r, at: now})
 	}
 }
 
@@ -94,16 +105,25 @@
 
 // Crashed counts the crash of an endpoint for the requests that it had just broken off.
 func (w *Watcher) Crashed(now time.Time, endpoint string) {
+	var undecided []brokenRun
 	for _, r := range w.broken[endpoint] {
-		if now.Sub(r.at) > ConfirmedWithin {
+		switch {
+		case now.Sub(r.at) > ConfirmedWithin:
+			continue
+		case w.answeredAt.Before(r.SilentSince):
+			// While no endpoint answers this host, the silence of one shows nothing.
+			undecided = append(undecided, r)
 			continue
 		}
-		c := quarantiner.Crash{Fingerprint: r.fingerprint, Endpoint: xxhash.Sum64String(endpoint), Began: r.began, At: r.at}
+		c := quarantiner.Crash{Fingerprint: r.Fingerprint, Endpoint: xxhash.Sum64String(endpoint), Began: r.Began, At: r.at}
 		if w.count(now, c, "seen") {
 			w.news.Crashes = append(w.news.Crashes, c)
 		}
 	}
 	delete(w.broken, endpoint)
+	if len(undecided) > 0 {
+		w.broken[endpoint] = undecided
+	}
 }
 
 // Heard takes what other hosts have seen.
@@ -139,6 +159,7 @@
 
 // Finished clears a request to which an endpoint has given a whole answer of success.
 func (w *Watcher) Finished(now time.Time, fingerprint uint64) {
+	w.answeredAt = now
 	if w.clear(now, fingerprint, "seen") {
 		w.news.Cleared = append(w.news.Cleared, fingerprint)
 	}
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -126,7 +126,7 @@
 
 // broke notes that an endpoint broke a run of the request off.
 func broke(w *crashwatcher.Watcher, at time.Time, endpoint string, began time.Time) {
-	w.Broke(at, endpoint, fatal, began)
+	w.Broke(at, endpoint, crashwatcher.Run{Fingerprint: fatal, Began: began})
 }
 
 // tell tells all hosts what one of them has seen.
@@ -220,3 +220,22 @@
 		t.Errorf("refused at both hosts after each crash (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against requests that count as suspect because this host was cut off: all endpoints are silent then.
+func TestSilenceOfAllEndpointsShowsNothing(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	w := crashwatcher.New(start, 0)
+	var got []int
+	for i, other := range []time.Duration{-1, 1} {
+		began := start.Add(time.Duration(i) * time.Minute)
+		silent, at := began.Add(time.Second), began.Add(3*time.Second)
+		w.Finished(silent.Add(other*step), fatal+1)
+		w.Broke(at, "e", crashwatcher.Run{Fingerprint: fatal, Began: began, SilentSince: silent})
+		w.Crashed(at.Add(time.Second), "e")
+		crashes, _ := w.State(at, fatal)
+		got = append(got, crashes)
+	}
+	if diff := cmp.Diff([]int{0, 1}, got); diff != "" {
+		t.Errorf("crashes that count if no endpoint, and if another one has answered meanwhile (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,9 +80,10 @@
 		q.log(grant, v, err)
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
-		q.watchCrash(grant.Choice.Endpoint, began, sendEnd{
-			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
-			brokenOff: v == interrupted && !errors.Is(err, errCallerLeft) && !errors.Is(err, errSilent),
+		givenUp := errors.Is(err, errCallerLeft) || errors.Is(err, errSilent)
+		q.watchCrash(grant.Choice.Endpoint, sendEnd{
+			began: began, unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
+			brokenOff: v == interrupted && !givenUp, givenUp: v == interrupted && givenUp,
 			succeeded: v == answered && answer.status < http.StatusMultipleChoices, notRun: v == notRun,
 		})
 		switch v {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// doubtfulSilence is the silence of an endpoint from which on an exchange that this host ends may have ended by a crash. Callers that
+	// leave of their own accord mostly do so sooner.
+	doubtfulSilence = 600 * time.Millisecond
 	// crashConfirmDelay is the time between a broken exchange and the connect that shows whether the endpoint has crashed.
 	crashConfirmDelay = 30 * time.Millisecond
 	// quarantined is the reason for which a request that has crashed endpoints is refused.
@@ -74,18 +77,19 @@
 
 // sendEnd says of a send what may tell that its endpoint has crashed, or that it has not.
 type sendEnd struct {
+	began                 time.Time
 	unreachable, replaced bool
 	// notRun is true if the endpoint stated that it did not run the request.
 	notRun bool
-	// brokenOff is true if the endpoint ended the exchange without a whole answer.
-	brokenOff bool
+	// brokenOff is true if the endpoint ended the exchange without a whole answer, and givenUp if this host did.
+	brokenOff, givenUp bool
 	// succeeded is true if the endpoint gave a whole answer of success. A failure may come from an endpoint that did not run the
 	// request.
 	succeeded bool
 }
 
-// watchCrash tells the watcher how a send that began at a time has ended.
-func (q *request) watchCrash(e balancer.Endpoint, began time.Time, end sendEnd) {
+// watchCrash tells the watcher how a send has ended.
+func (q *request) watchCrash(e balancer.Endpoint, end sendEnd) {
 	g, now := q.g, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -96,13 +100,26 @@
 	case end.unreachable || end.replaced:
 		g.crashes.Crashed(now, e.ID)
 	case end.brokenOff:
-		g.crashes.Broke(now, e.ID, q.fingerprint, began)
+		g.crashes.Broke(now, e.ID, crashwatcher.Run{Fingerprint: q.fingerprint, Began: end.began})
 		g.confirmCrash(e)
+	case end.givenUp:
+		silent := latest(end.began, q.lastAt)
+		if now.Sub(silent) >= doubtfulSilence {
+			g.crashes.Broke(now, e.ID, crashwatcher.Run{Fingerprint: q.fingerprint, Began: end.began, SilentSince: silent})
+			g.confirmCrash(e)
+		}
 	case end.succeeded:
 		g.crashes.Finished(now, q.fingerprint)
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // confirmCrash finds out whether an endpoint that broke an answer off still takes connections. The caller holds the lock.
 func (g *Gateway) confirmCrash(e balancer.Endpoint) {
 	if g.confirming[e.ID] || g.closed.Load() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -516,14 +516,16 @@
 // crashPool is stand-ins that a request for /order/poison crashes. Their ports take no connections from then on.
 type crashPool struct {
 	endpoints []*endpoint
-	mu        sync.Mutex
-	runs      int
+	// silent lets a stand-in that has crashed keep its connections open without a byte.
+	silent bool
+	mu     sync.Mutex
+	runs   int
 }
 
 // startCrashPool starts n stand-ins. While fails is true, they answer with a failure instead.
-func startCrashPool(t *testing.T, n int, fails func() bool) *crashPool {
+func startCrashPool(t *testing.T, n int, silent bool, fails func() bool) *crashPool {
 	t.Helper()
-	p := &crashPool{}
+	p := &crashPool{silent: silent}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -544,11 +546,15 @@
 				switch {
 				case fails():
 					_, _ = io.WriteString(c, answer(r, 500, signed, "failed"))
-				case strings.HasPrefix(r.RequestURI, "/order/poison"):
+				case strings.HasSuffix(r.RequestURI, "/poison"):
 					p.mu.Lock()
 					p.runs++
 					p.mu.Unlock()
 					_ = l.Close()
+					if p.silent {
+						t.Cleanup(func() { _ = c.Close() })
+						continue
+					}
 				default:
 					_, _ = io.WriteString(c, answer(r, 200, signed, "done"))
 				}
@@ -568,7 +574,7 @@
 // A request that crashes each endpoint that runs it comes again. Without a limit one caller empties the pool. An endpoint that
 // only broke one answer off has not crashed, and other requests are not refused.
 func TestCrashingRequest(t *testing.T) {
-	p := startCrashPool(t, 4, func() bool { return false })
+	p := startCrashPool(t, 4, false, func() bool { return false })
 	h := startHost(t, p.endpoints...)
 	statuses := map[int]int{}
 	for range 12 {
@@ -592,7 +598,7 @@
 // running it says nothing of the request, and the crashes before it must go on to count.
 func TestFailureAnswerClearsNothing(t *testing.T) {
 	var failing atomic.Bool
-	p := startCrashPool(t, 5, failing.Load)
+	p := startCrashPool(t, 5, false, failing.Load)
 	h := startHost(t, p.endpoints...)
 	var got []int
 	for _, fails := range []bool{false, true, false, false} {
@@ -643,3 +649,52 @@
 		t.Errorf("status, and whether the endpoint has run it (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that makes endpoints fall silent instead of closing their connections: its caller leaves, or another
+// endpoint is asked, before anything shows that the first one has crashed.
+func TestSilentCrashCounts(t *testing.T) {
+	p := startCrashPool(t, 6, true, func() bool { return false })
+	h := startHost(t, p.endpoints...)
+	for range 5 {
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, post("/chat/poison", "k")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(900 * time.Millisecond)
+		_ = c.Close()
+		// Other work goes on meanwhile.
+		h.send(t, post("/order/other", "k"))
+		time.Sleep(150 * time.Millisecond)
+	}
+	status, _, _, _ := h.send(t, post("/chat/poison", "k"))
+	if diff := cmp.Diff([]int{2, 503}, []int{p.crashes(), status}); diff != "" {
+		t.Errorf("crashes, status afterwards (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against work that is refused because its callers leave: an endpoint that takes connections has not crashed, however long
+// it was silent.
+func TestCallersThatLeaveMakeNoSuspect(t *testing.T) {
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		time.Sleep(time.Second)
+		return []string{stream(r), chunk("id: 1\ndata: x\n\n"), "0\r\n\r\n"}, false
+	})
+	h := startHost(t, e)
+	for range 3 {
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, post("/chat/long", "k")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(800 * time.Millisecond)
+		_ = c.Close()
+	}
+	if status, _, _, _ := h.send(t, post("/chat/long", "k")); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+}
