gateway: callers of a quarantined request are told when it may run again

They were told to come back after 5 s at most, while the request is refused for a minute or more, and were refused each time. The assertion in TestWaitingRequestIsRefusedAfterCrashes failed before (Retry-After 5.000).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,7 +73,7 @@
 		began := time.Now()
 		if left := q.beginRun(began); left > 0 {
 			grant.Refuse(began, false)
-			q.giveUp(&admitter.RefusedError{Reason: quarantined, RetryAfter: min(left, quarantineRetry)}, last)
+			q.giveUp(&admitter.RefusedError{Reason: quarantined, RetryAfter: left}, last)
 			return
 		}
 		v, answer, err := q.send(grant)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -21,8 +21,6 @@
 	crashConfirmDelay = 30 * time.Millisecond
 	// quarantined is the reason for which a request that has crashed endpoints is refused.
 	quarantined admitter.Reason = "quarantine"
-	// quarantineRetry is the longest time after which the caller of a refused request may ask again.
-	quarantineRetry = 5 * time.Second
 )
 
 // CrashNews returns what this host tells others of requests that crash endpoints: what it has seen since the last call, or all that
@@ -62,7 +60,7 @@
 			"refused_for", left)
 	}
 	if left > 0 {
-		q.refuse(http.StatusServiceUnavailable, string(quarantined), min(left, quarantineRetry))
+		q.refuse(http.StatusServiceUnavailable, string(quarantined), left)
 	}
 	return left == 0
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -648,6 +649,11 @@
 	if diff := cmp.Diff([]any{503, false}, []any{status, ran}); diff != "" {
 		t.Errorf("status, and whether the endpoint has run it (-want +got):\n%s", diff)
 	}
+	// A caller that is told to come back before the end of the hold is refused again each time.
+	_, header, _, _ := h.send(t, post("/order/poison", "k"))
+	if wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err != nil || wait < 55 {
+		t.Errorf("Retry-After %q, want what is left of a minute or more", header.Get("Retry-After"))
+	}
 }
 
 // Guards against a request that makes endpoints fall silent instead of closing their connections: its caller leaves, or another
