crashwatcher: news and broken exchanges are bounded while no coordinator can be told

Both were only cleared when a report went out, so that a host without a coordinator, or an embedded gateway, kept them. Found by reading.

--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -25,6 +25,8 @@
 	tryFor = 15 * time.Second
 	// maxBroken bounds the broken exchanges that wait for a sign of a crash at one endpoint.
 	maxBroken = 256
+	// maxNews bounds the crashes and the cleared requests that are kept while no coordinator can be told.
+	maxNews = 1024
 )
 
 var countCrashes = expvar.NewMap("crashwatcher_crashes")
@@ -177,14 +179,8 @@
 	return true
 }
 
-// Told returns what this host has seen since the last call, or all the crashes that it knows. It also forgets broken exchanges
-// that nothing shows to be crashes.
-func (w *Watcher) Told(now time.Time, all bool) News {
-	for endpoint, runs := range w.broken {
-		if now.Sub(runs[len(runs)-1].at) > ConfirmedWithin {
-			delete(w.broken, endpoint)
-		}
-	}
+// Told returns what this host has seen since the last call, or all the crashes that it knows.
+func (w *Watcher) Told(all bool) News {
 	news := w.news
 	w.news = News{}
 	if all {
@@ -192,3 +188,14 @@
 	}
 	return news
 }
+
+// Sweep forgets broken exchanges that nothing has shown to be crashes, and the oldest news while nobody takes them.
+func (w *Watcher) Sweep(now time.Time) {
+	for endpoint, runs := range w.broken {
+		if now.Sub(runs[len(runs)-1].at) > ConfirmedWithin {
+			delete(w.broken, endpoint)
+		}
+	}
+	w.news.Crashes = w.news.Crashes[max(0, len(w.news.Crashes)-maxNews):]
+	w.news.Cleared = w.news.Cleared[max(0, len(w.news.Cleared)-maxNews):]
+}
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -131,7 +131,7 @@
 
 // tell tells all hosts what one of them has seen.
 func tell(now time.Time, from *crashwatcher.Watcher, hosts []*crashwatcher.Watcher) {
-	seen := from.Told(now, false)
+	seen := from.Told(false)
 	for _, w := range hosts {
 		if w != from {
 			w.Heard(now, seen)
@@ -143,7 +143,7 @@
 func learn(now time.Time, w *crashwatcher.Watcher, hosts []*crashwatcher.Watcher) {
 	for _, other := range hosts {
 		if other != w {
-			w.Heard(now, other.Told(now, true))
+			w.Heard(now, other.Told(true))
 			return
 		}
 	}
@@ -189,7 +189,7 @@
 		w.Crashed(now.Add(runsFor+seenAfter), "e")
 		got = append(got, w.Refused(now.Add(runsFor+seenAfter), fatal) > 0)
 		if i == 0 {
-			w.Heard(now.Add(runsFor+toldAfter), w.Told(now.Add(runsFor+toldAfter), true))
+			w.Heard(now.Add(runsFor+toldAfter), w.Told(true))
 		}
 	}
 	if diff := cmp.Diff([]bool{false, false, false, true}, got); diff != "" {
@@ -239,3 +239,21 @@
 		t.Errorf("crashes that count if no endpoint, and if another one has answered meanwhile (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against memory that grows while no coordinator can be told.
+func TestNewsAreBounded(t *testing.T) {
+	const bound, more = 1024, 1500
+	now := time.Unix(1_000_000, 0)
+	w := crashwatcher.New(now, 0)
+	for i := range uint64(more) {
+		w.Broke(now, "e", crashwatcher.Run{Fingerprint: i, Began: now})
+		w.Crashed(now, "e")
+		w.Finished(now, i)
+		w.Broke(now, fmt.Sprint("silent", i), crashwatcher.Run{Fingerprint: i, Began: now})
+	}
+	w.Sweep(now.Add(time.Minute))
+	news := w.Told(false)
+	if diff := cmp.Diff([]int{bound, bound, 0}, []int{len(news.Crashes), len(news.Cleared), w.Broken("silent0")}); diff != "" {
+		t.Errorf("crashes and cleared requests to tell, broken exchanges kept (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,7 +28,7 @@
 func (g *Gateway) CrashNews(all bool) crashwatcher.News {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.Told(time.Now(), all)
+	return g.crashes.Told(all)
 }
 
 // HeardCrashes takes what other hosts have seen of such requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,6 +218,9 @@
 	})
 	g.Client.Sweep(func(addr string) bool { return addrs[addr] })
 	g.checkDoubtful(time.Now())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.Sweep(time.Now())
 }
 
 // limits returns the bounds on what callers send, from the table in force where it names them.
