asker: TestFormerCoordinatorIsToldAll replaced a function of a host that runs

The fleet now has the function before its hosts start. The test still fails without the change that it guards.

--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,14 +48,16 @@
 	// overfullAt is when a request was last placed at an engine without a free place.
 	overfullAt time.Time
 	slots      int
-	wg         sync.WaitGroup
+	// tell is the Tell of entry hosts with their numbers; nil tells nothing. It is set before the fleet starts.
+	tell func(host int, all bool) bool
+	wg   sync.WaitGroup
 }
 
 var zones = []string{"z0", "z1", "z2"}
 
-func newFleet(t *testing.T, ctx context.Context, hosts, engines, slots int) *fleet {
+func newFleet(t *testing.T, ctx context.Context, hosts, engines, slots int, tell func(host int, all bool) bool) *fleet {
 	f := &fleet{
-		t: t, ctx: ctx, controls: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, silent: map[string]bool{},
+		t: t, tell: tell, ctx: ctx, controls: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, silent: map[string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, most: map[string]int{}, slots: slots,
 	}
 	for i := range engines {
@@ -121,7 +124,7 @@
 	local := admitter.New(b)
 	a := &asker.Asker{
 		Zone: zones[i%3], Network: network{f: f, from: fmt.Sprintf("h%d", i)}, Hosts: f.hosts, Incarnation: func() uint64 { return 1 },
-		Local: local, Tell: func(*coordinatorpb.Report, bool) bool { return false }, Heard: func(*coordinatorpb.Orders) {},
+		Local: local, Tell: func(_ *coordinatorpb.Report, all bool) bool { return f.tell != nil && f.tell(i, all) }, Heard: func(*coordinatorpb.Orders) {},
 	}
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
@@ -321,10 +324,16 @@
 }
 
 func run(t *testing.T, hosts, engines, slots int, body func(f *fleet)) {
+	t.Helper()
+	runTelling(t, hosts, engines, slots, nil, body)
+}
+
+// runTelling runs a fleet whose entry hosts tell their coordinators something.
+func runTelling(t *testing.T, hosts, engines, slots int, tell func(host int, all bool) bool, body func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := newFleet(t, ctx, hosts, engines, slots)
+		f := newFleet(t, ctx, hosts, engines, slots, tell)
 		body(f)
 		f.stop(cancel)
 	})
@@ -483,23 +492,17 @@
 // Guards against news that are lost with a coordinator: a host that goes back to one that it has told before, over a link that has
 // stayed up for another zone, must tell it all that it has told others since.
 func TestFormerCoordinatorIsToldAll(t *testing.T) {
-	run(t, 3, 120, 1, func(f *fleet) {
-		// The second coordinator of this zone is the first one of another.
-		const host, zone = 2, "z2"
-		first, second := sharder.Owners(zone, f.hosts())[0], sharder.Owners(zone, f.hosts())[1]
-		var mu sync.Mutex
-		told := map[bool]int{}
-		f.askers[host].Tell = func(_ *coordinatorpb.Report, all bool) bool {
-			mu.Lock()
-			defer mu.Unlock()
-			told[all]++
-			return true
-		}
-		full := func() int {
-			mu.Lock()
-			defer mu.Unlock()
-			return told[true]
+	// The second coordinator of this zone is the first one of another.
+	const host, zone = 2, "z2"
+	var toldAll atomic.Int64
+	tell := func(from int, all bool) bool {
+		if from == host && all {
+			toldAll.Add(1)
 		}
+		return true
+	}
+	runTelling(t, 3, 120, 1, tell, func(f *fleet) {
+		first, second := sharder.Owners(zone, f.hosts())[0], sharder.Owners(zone, f.hosts())[1]
 		// More than the own zone's engines can begin, for as long as the test lasts, so that links to all zones are in use.
 		var wg sync.WaitGroup
 		stop := make(chan struct{})
@@ -523,9 +526,9 @@
 		var got []int
 		for range 2 {
 			f.kill(first.ID)
-			before := full()
+			before := toldAll.Load()
 			time.Sleep(3 * time.Second)
-			got = append(got, min(1, full()-before))
+			got = append(got, min(1, int(toldAll.Load()-before)))
 			f.start(first.ID)
 			time.Sleep(5 * time.Second)
 		}
