gateway: the rest of a body that was not needed is no part of the next request

A host that had been told to stop at 26.4 s took a request at 32.0 s and cut it at the end of its grace. Cause: a request that is refused before its body is read (here while the configuration was not confirmed) leaves its body to the HTTP library, which reads it after the handler, when bytes were already recorded for the next request. Such a connection was never ended by a stop; a body above 16 KiB also made the next request a 431, and the check for two lengths looked at the wrong bytes. Class: a boundary between two requests that two parts see at different moments. Ruled out: the race of a stop with a request that has just arrived (the bytes lay there for seconds).

The refusal is now sent within the handler; the library then reads the body before it. TestRefusalBeforeBody failed before (431, 431, and a stop that waits to its end) and passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -241,6 +241,70 @@
 	}
 }
 
+// Guards against a body that is taken for the beginning of the next request: the host answers without the body, and the rest of it
+// arrives afterwards. A connection in that state was not ended when its host stopped, and its next request was cut off; a long body
+// counted as a header that is too long; and what the next head states was not checked.
+func TestRefusalBeforeBody(t *testing.T) {
+	e := startEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+		return []string{answer(r, http.StatusOK, signed, "done")}, false
+	})
+	h := startHost(t, e)
+	refused := func(more string) (*net.TCPConn, *bufio.Reader) {
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		body := strings.Repeat("b", 20<<10) + more
+		head := fmt.Sprintf("POST /order/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nAuthorization: Token x\r\nContent-Length: %d\r\n\r\n", len(body))
+		if _, err := io.WriteString(c, head); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		if _, err := io.WriteString(c, body); err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(c)
+		if status := nextStatus(t, reader); status != http.StatusUnauthorized {
+			t.Fatalf("status %d, want 401", status)
+		}
+		return c.(*net.TCPConn), reader
+	}
+	next, reader := refused("")
+	if _, err := io.WriteString(next, post("/order/", "k")); err != nil {
+		t.Fatal(err)
+	}
+	got := []any{nextStatus(t, reader)}
+	ambiguous, reader := refused("\r\n\r\n")
+	if _, err := io.WriteString(ambiguous, post("/order/", "k", "Transfer-Encoding: chunked\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, nextStatus(t, reader))
+	refused("")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := h.gateway.Close(ctx); err != nil {
+		t.Error(err)
+	}
+	got = append(got, ctx.Err())
+	if diff := cmp.Diff([]any{200, 400, nil}, got); diff != "" {
+		t.Errorf("next request, one with two lengths, end of a stop (-want +got):\n%s", diff)
+	}
+}
+
+// nextStatus reads an answer and returns its status.
+func nextStatus(t *testing.T, reader *bufio.Reader) int {
+	t.Helper()
+	r, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		t.Fatal(err)
+	}
+	return r.StatusCode
+}
+
 // Refusals are true and come with the status that tells callers what to do; nothing reaches an endpoint.
 func TestRefusals(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	// checked is true if the coordinator that places the request checks the allotment.
 	checked bool
 	body    []byte
+	// bodyRead is true once the whole body was read, and refused once this system has answered the request itself.
+	bodyRead, refused bool
 	// fingerprint is a digest of what makes it the same request if it comes again.
 	fingerprint uint64
 	deadline    time.Time
@@ -83,7 +85,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	if c, ok := r.Context().Value(connKey{}).(*guardConn); ok {
-		defer c.next()
+		defer func() {
+			if q.refused && !q.bodyRead {
+				q.sendRefusal()
+			}
+			c.next()
+		}()
 		f, head := c.check()
 		switch {
 		case f == framingAmbiguous:
@@ -188,6 +195,7 @@
 
 func (q *request) readBody(limit int64) bool {
 	if q.r.ContentLength == 0 {
+		q.bodyRead = true
 		return true
 	}
 	if q.r.ContentLength > limit {
@@ -214,7 +222,7 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		klog.V(1).Infof("gateway: limit of the body's time stays request=%s reason=%q", q.id, err)
 	}
-	q.body = body
+	q.body, q.bodyRead = body, true
 	return true
 }
 
@@ -318,6 +326,15 @@
 	if _, err := io.WriteString(q.w, text); err != nil {
 		klog.V(1).Infof("gateway: refusal not delivered request=%s reason=%q", q.id, err)
 	}
+	q.refused = true
+}
+
+// sendRefusal sends an answer that was made before the body was read. The HTTP library then reads the rest of the body, which must
+// not be taken for the head of the next request.
+func (q *request) sendRefusal() {
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		klog.V(1).Infof("gateway: refusal not delivered request=%s reason=%q", q.id, err)
+	}
 }
 
 func (q *request) workspaceName() string {
