--- a/internal/forwarder/crash_host_test.go
+++ b/internal/forwarder/crash_host_test.go
@@ -19,24 +19,24 @@
 // backAfter is the time after which a crashed stand-in takes connections again, under its name and address.
 const backAfter = 1500 * time.Millisecond
 
-// frail is endpoints that a request for /a/fatal crashes.
-type frail struct {
+// crashable is a set of endpoints that a request for /a/fatal crashes.
+type crashable struct {
 	entries []cataloguer.Entry
 	crashes atomic.Int64
 }
 
 // Read implements cataloguer.Source.
-func (f *frail) Read(context.Context) ([]cataloguer.Entry, error) { return f.entries, nil }
+func (s *crashable) Read(context.Context) ([]cataloguer.Entry, error) { return s.entries, nil }
 
-func startFrail(t *testing.T, ids ...string) *frail {
+func startCrashable(t *testing.T, ids ...string) *crashable {
 	t.Helper()
-	f := &frail{}
+	s := &crashable{}
 	for _, id := range ids {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.entries = append(f.entries, cataloguer.Entry{ID: id, Pool: "p", Addr: l.Addr().String(), Zone: "z", Slots: 4})
+		s.entries = append(s.entries, cataloguer.Entry{ID: id, Pool: "p", Addr: l.Addr().String(), Zone: "z", Slots: 4})
 		var closed atomic.Bool
 		var open atomic.Pointer[net.Listener]
 		open.Store(&l)
@@ -46,7 +46,7 @@
 		})
 		go func() {
 			for addr := l.Addr().String(); !closed.Load(); {
-				f.serve(*open.Load())
+				s.serve(*open.Load())
 				time.Sleep(backAfter)
 				if again, err := net.Listen("tcp", addr); err == nil {
 					open.Store(&again)
@@ -54,11 +54,11 @@
 			}
 		}()
 	}
-	return f
+	return s
 }
 
 // serve answers until it has crashed.
-func (f *frail) serve(l net.Listener) {
+func (s *crashable) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -72,7 +72,7 @@
 					return
 				}
 				if strings.HasSuffix(r.URL.Path, "/fatal") {
-					f.crashes.Add(1)
+					s.crashes.Add(1)
 					_ = l.Close()
 					return
 				}
@@ -86,7 +86,7 @@
 // has seen reaches the second by way of the coordinator, also when the first has stopped.
 func TestCrashingRequestAtHostThatStartsLater(t *testing.T) {
 	controlAddr := freeAddr(t)
-	endpoints := startFrail(t, "e1", "e2", "e3")
+	endpoints := startCrashable(t, "e1", "e2", "e3")
 	c := startControl(t, controlAddr, endpoints)
 	start := func(id string) (addr string, stop func()) {
 		caller := freeAddr(t)
