--- a/internal/asker/allotment_test.go
+++ b/internal/asker/allotment_test.go
@@ -10,6 +10,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/allotter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 )
 
 const (
@@ -133,3 +135,69 @@
 		}
 	})
 }
+
+// tracker is what an entry host knows of the allotments from its coordinators.
+type tracker struct {
+	mu     sync.Mutex
+	allots *allotter.Allotter
+	id     uint64
+	last   float64
+	total  map[string]float64
+}
+
+func newTracker() *tracker {
+	t := &tracker{allots: allotter.New(time.Now(), window), total: map[string]float64{}}
+	t.allots.SetLimits(time.Now(), map[string]allotter.Limit{"w": {Rate: allotted, Burst: allotted}})
+	return t
+}
+
+func (t *tracker) heard(o *coordinatorpb.Orders) {
+	units, told := coordinator.DecodeUses(o.GetOthers())[coordinator.Digest("w")]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.GetOthers() == nil {
+		return
+	}
+	if o.GetOthersId() == t.id && told {
+		t.total["w"] += max(0, units-t.last)
+	}
+	if t.id = o.GetOthersId(); told {
+		t.last = units
+	}
+	t.allots.Heard(time.Now(), "others", time.Hour, t.total)
+	t.allots.SetHosts("others", int(o.GetOthers().GetHosts()))
+}
+
+func (t *tracker) windows() *coordinatorpb.Uses {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := &coordinatorpb.Uses{}
+	for workspace, parts := range t.allots.Windows(time.Now()) {
+		coordinator.AddWindow(u, coordinator.Digest(workspace), parts)
+	}
+	return u
+}
+
+// Guards against a workspace that is admitted twice: a coordinator that the others do not reach serves its hosts for most of a second
+// before it dismisses them, and the next one must know from these hosts what was used meanwhile.
+func TestAllotmentWhenCoordinatorIsCutOff(t *testing.T) {
+	run(t, 60, 30, 40, func(f *fleet) {
+		f.limit()
+		time.Sleep(10 * time.Second)
+		parts := f.admitted(0.3, 5*time.Second)
+		f.mu.Lock()
+		f.apart[f.owner(0)] = true
+		f.mu.Unlock()
+		parts = append(parts, f.admitted(5, 8*time.Second)...)
+		if got, allowed := most(parts), allotted*(window.Seconds()+1)*1.1; got > allowed {
+			t.Errorf("%.0f units in a window, want at most %.0f", got, allowed)
+		}
+		late := 0.0
+		for _, units := range f.admitted(5, 9*time.Second) {
+			late += units
+		}
+		if want := 0.8 * 9 * allotted; late < want {
+			t.Errorf("%.0f units in the 9 s after it, want at least %.0f", late, want)
+		}
+	})
+}
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -40,14 +40,18 @@
 	controls map[string]*coordinator.Coordinator
 	alive    map[string]bool
 	silent   map[string]bool
-	streams  map[string][]*pipe
-	askers   []*asker.Asker
-	locals   []*admitter.Admitter
-	running  map[string]int
-	most     map[string]int
+	// apart are control hosts that the others do not reach, while entry hosts do.
+	apart   map[string]bool
+	streams map[string][]*pipe
+	askers  []*asker.Asker
+	locals  []*admitter.Admitter
+	running map[string]int
+	most    map[string]int
 	// overfullAt is when a request was last placed at an engine without a free place.
 	overfullAt time.Time
 	slots      int
+	// tracking lets entry hosts follow the allotments as coordinators tell them.
+	tracking bool
 	// tell is the Tell of entry hosts with their numbers; nil tells nothing. It is set before the fleet starts.
 	tell func(host int, all bool) bool
 	wg   sync.WaitGroup
@@ -57,7 +61,7 @@
 
 func newFleet(t *testing.T, ctx context.Context, hosts, engines, slots int, tell func(host int, all bool) bool) *fleet {
 	f := &fleet{
-		t: t, tell: tell, ctx: ctx, controls: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, silent: map[string]bool{},
+		t: t, tell: tell, tracking: tell == nil, ctx: ctx, controls: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, silent: map[string]bool{}, apart: map[string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, most: map[string]int{}, slots: slots,
 	}
 	for i := range engines {
@@ -126,6 +130,10 @@
 		Zone: zones[i%3], Network: network{f: f, from: fmt.Sprintf("h%d", i)}, Hosts: f.hosts, Incarnation: func() uint64 { return 1 },
 		Local: local, Tell: func(_ *coordinatorpb.Report, all bool) bool { return f.tell != nil && f.tell(i, all) }, Heard: func(*coordinatorpb.Orders) {},
 	}
+	if f.tracking {
+		t := newTracker()
+		a.Tell, a.Heard, a.Windows = func(r *coordinatorpb.Report, all bool) bool { return all }, t.heard, t.windows
+	}
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
 	a.SetEndpoints(f.endpoints)
@@ -164,7 +172,10 @@
 	if err != nil {
 		return err
 	}
-	if c == nil {
+	n.f.mu.Lock()
+	apart := method == coordinator.MethodPeer && (n.f.apart[addr] || n.f.apart[n.from])
+	n.f.mu.Unlock()
+	if c == nil || apart {
 		<-ctx.Done()
 		return ctx.Err()
 	}
