--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -132,7 +132,7 @@
 	}
 	if f.tracking {
 		t := newTracker()
-		a.Tell, a.Heard, a.Windows = func(r *coordinatorpb.Report, all bool) bool { return all }, t.heard, t.windows
+		a.Tell, a.Heard, a.Windows = func(_ *coordinatorpb.Report, all bool) bool { return all }, t.heard, t.windows
 	}
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
