--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -350,16 +350,11 @@
 	return out
 }
 
-// Learn takes the windows that a peer knows, if this host has just started.
+// Learn takes the windows that a peer knows. Only a host that has just started needs them.
 func (a *Allotter) Learn(now time.Time, history map[string][]float64) {
-	if now.Sub(a.started) < historyFor {
-		a.LearnMore(now, history)
+	if now.Sub(a.started) >= historyFor {
+		return
 	}
-}
-
-// LearnMore takes the windows that a peer knows where they hold more than this host knows. A host that is late with totals that
-// are in these windows is counted twice until they end.
-func (a *Allotter) LearnMore(now time.Time, history map[string][]float64) {
 	for name, parts := range history {
 		c := a.accounts[name]
 		if c == nil {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -109,8 +109,7 @@
 	// What the host has used meanwhile was told to another coordinator.
 	c.tally.Gone(s.host)
 	if history := DecodeHistory(hello.GetHistory(), c.workspaces); len(history) > 0 && s.age > historyFor {
-		// It may come from a coordinator that admitted while the others did not reach it.
-		c.allots.LearnMore(s.since, history)
+		c.allots.Learn(s.since, history)
 	}
 	if crashes, _ := c.crashes.Since(0); len(crashes) > 0 {
 		s.order(func(o *coordinatorpb.Orders) { o.Crashes = EncodeCrashes(s.since, crashes) })
