gateway: log how far interrupted runs had got, and their prompt parts

The logs could not tell which of the requests at a crashed endpoint had triggered the crash, nor what these have in common. The line "run interrupted" now has the stage of the response and the shared parts of the prompt, and gateway_interrupted_runs counts by stage.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -210,6 +210,7 @@
 	if !q.rule.Repeatable() {
 		req.MaxIdleTime = nonIdempotentMaxIdleTime
 	}
+	q.answering, q.sendEvents = false, 0
 	first := q.sends == 0
 	limit := q.idleTimeout()
 	idleTimer := time.AfterFunc(limit, cancel)
@@ -225,6 +226,7 @@
 		return q.recordInterrupted(grant, err)
 	}
 	defer response.Close()
+	q.answering = true
 	q.g.recordStatus(e.ID, response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(q.g.Headers.NotRun) != "" {
 		// The head is sufficient; an endless body must not delay the caller.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,9 +87,32 @@
 	succeeded bool
 }
 
+// runStage returns how far the endpoint of the last send had got with its response: "waiting" before the head, "answering" before
+// the first event, or "streaming".
+func (q *request) runStage() string {
+	switch {
+	case !q.answering:
+		return "waiting"
+	case q.sendEvents == 0:
+		return "answering"
+	}
+	return "streaming"
+}
+
+// logInterruptedRun logs what distinguishes the run that crashed an endpoint from the runs beside it.
+func (q *request) logInterruptedRun(e balancer.Endpoint, result sendResult) {
+	interruptedRuns.Add(q.runStage(), 1)
+	klog.InfoS("gateway: run interrupted", "request", q.id, "fingerprint", crashwatcher.FormatFingerprint(q.fingerprint), "endpoint", e.ID,
+		"stage", q.runStage(), "events", q.sendEvents, "parts", strings.Join(q.sharedParts, " "), "canceled", result.canceled,
+		"after", time.Since(result.began))
+}
+
 // recordCrashEvidence reports the result of a send to the crash watcher.
 func (q *request) recordCrashEvidence(e balancer.Endpoint, result sendResult) {
 	g, now := q.g, time.Now()
+	if (result.interrupted || result.canceled) && !result.unreachable {
+		q.logInterruptedRun(e, result)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if result.unreachable || result.notRun {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 var (
 	requestCounts   = expvar.NewMap("gateway_requests")
 	sendCounts      = expvar.NewMap("gateway_sends")
+	interruptedRuns = expvar.NewMap("gateway_interrupted_runs")
 	dialCount       = expvar.NewInt("gateway_endpoint_connects")
 	waitTimes       = observer.NewHistogram("gateway_wait_ms")
 	firstEventTimes = observer.NewHistogram("gateway_first_event_ms")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,8 @@
 	bodyRead, refused bool
 	// fingerprint is a digest that is equal for repetitions of the same request.
 	fingerprint uint64
+	// sharedParts are the IDs of the prompt parts that other requests may also contain: all but the last part.
+	sharedParts []string
 	deadline    time.Time
 
 	// sends is the number of endpoints to which a byte of the request was written, and mayHaveRun is true if one of them may have
@@ -68,10 +70,14 @@
 	// written.
 	lastEvent string
 	streaming bool
+	// answering is true once the endpoint of the current send has sent the head of its response.
+	answering bool
 	waited    time.Duration
 	// events is the number of complete events sent to the caller, and firstEvent is the time from the arrival to the first one.
 	events     int
 	firstEvent time.Duration
+	// sendEvents is the number of events of the current send.
+	sendEvents int
 	// lastEventAt is the time of the last event, and longestGap the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
@@ -252,12 +258,14 @@
 	if p := index.Pool(q.pool); p != nil && p.Engine != nil {
 		q.work.TokensPerEvent = p.Engine.TokensPerEvent
 	}
-	q.work.Parts = parsePromptParts(q.r.Header.Get(h.PromptParts))
+	var ids []string
+	q.work.Parts, ids = parsePromptParts(q.r.Header.Get(h.PromptParts))
+	q.sharedParts = ids[:max(0, len(ids)-1)]
 }
 
-// parsePromptParts parses the segments of a prompt. It stops at the first malformed segment and drops the rest.
-func parsePromptParts(header string) []cacheestimator.Part {
-	var out []cacheestimator.Part
+// parsePromptParts parses the segments of a prompt and returns them with their IDs. It stops at the first malformed segment and
+// drops the rest.
+func parsePromptParts(header string) (out []cacheestimator.Part, ids []string) {
 	digest := xxhash.New()
 	for part := range strings.SplitSeq(header, ",") {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
@@ -266,9 +274,9 @@
 			break
 		}
 		_, _ = digest.WriteString(id + ",") // a digest never fails
-		out = append(out, cacheestimator.Part{Key: digest.Sum64(), Tokens: n})
+		out, ids = append(out, cacheestimator.Part{Key: digest.Sum64(), Tokens: n}), append(ids, id)
 	}
-	return out
+	return out, ids
 }
 
 // takeAllotment takes the request's units from the allotment of its workspace, unless the placer checks it. It returns false if
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -135,6 +135,7 @@
 	for len(events) > 0 {
 		events = events[eventEnd(events):]
 		q.events++
+		q.sendEvents++
 	}
 }
 
