gateway, forwarder: failing tests for prompt parts that crash endpoints

In both, no two requests are alike, and one part of their prompts crashes each endpoint that begins to answer. Two entry hosts and a control host: six of six requests crash an endpoint, and a host that starts later runs them too. Requests with the same key and first part are served in both.

--- a/internal/forwarder/host_test.go
+++ b/internal/forwarder/host_test.go
@@ -139,6 +139,11 @@
 }
 
 func getPath(t *testing.T, addr, apiKey, path string) (int, string) {
+	t.Helper()
+	return getWithParts(t, addr, apiKey, path, "")
+}
+
+func getWithParts(t *testing.T, addr, apiKey, path, parts string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
@@ -146,6 +151,9 @@
 	}
 	req.Host = "h"
 	req.Header.Set("Authorization", "Token "+apiKey)
+	if parts != "" {
+		req.Header.Set("X-Parts", parts)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -164,7 +172,7 @@
 		Controllers: map[string]string{"c": controlAddr}, Decode: decode, Endpoints: endpoints,
 		Headers: gateway.Headers{
 			RequestID: "X-Id", Deadline: "X-Deadline-Ms", Workspace: "X-Workspace", Instance: "X-Instance", NotRun: "X-Not-Run",
-			Signature: "X-Signature", KeyScheme: "Token",
+			Signature: "X-Signature", KeyScheme: "Token", PromptParts: "X-Parts",
 		},
 		RetryLimit: ratelimiter.RetryLimit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, GracePeriod: 2 * time.Second,
 	}
