--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -3,10 +3,11 @@
 package quarantiner
 
 import (
-	"container/list"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/evictor"
 )
 
 const (
@@ -46,8 +47,8 @@
 // concurrent use.
 type Quarantine struct {
 	firstRefusal time.Duration
-	crashes      *lruMap[crashRecord]
-	proven       *lruMap[struct{}]
+	crashes      *evictor.Map[uint64, crashRecord]
+	proven       *evictor.Map[uint64, struct{}]
 }
 
 type crashRecord struct {
@@ -62,7 +63,7 @@
 // New returns an empty quarantine that refuses a fingerprint for firstRefusal after its second crash, and longer after each
 // further one.
 func New(firstRefusal time.Duration) *Quarantine {
-	return &Quarantine{firstRefusal: firstRefusal, crashes: newLRUMap[crashRecord](), proven: newLRUMap[struct{}]()}
+	return &Quarantine{firstRefusal: firstRefusal, crashes: evictor.New[uint64, crashRecord](maxFingerprints), proven: evictor.New[uint64, struct{}](maxFingerprints)}
 }
 
 // SetFirstRefusal changes the time for which a fingerprint is refused after its second crash. It applies to later crashes only.
@@ -85,13 +86,13 @@
 		return Unrestricted, 0
 	}
 	key := xxhash.Sum64String(fingerprint)
-	if c := q.crashes.get(key); c != nil {
+	if c := q.crashes.Get(key); c != nil {
 		if until := max(c.refusedUntil, c.trialUntil); c.count >= maxCrashes && now < until {
 			return Refused, until - now
 		}
 		return Suspect, 0
 	}
-	if q.proven.get(key) != nil {
+	if q.proven.Get(key) != nil {
 		return Unrestricted, 0
 	}
 	return Unproven, 0
@@ -100,7 +101,7 @@
 // StartTrial records the start of a run. If the fingerprint was refused before, its other runs are refused until this one has
 // ended, but for atMost at the longest.
 func (q *Quarantine) StartTrial(now time.Duration, fingerprint string, atMost time.Duration) {
-	if c := q.crashes.get(xxhash.Sum64String(fingerprint)); c != nil && c.count >= maxCrashes {
+	if c := q.crashes.Get(xxhash.Sum64String(fingerprint)); c != nil && c.count >= maxCrashes {
 		c.trialUntil = now + atMost
 	}
 }
@@ -113,10 +114,10 @@
 		return
 	}
 	key := xxhash.Sum64String(fingerprint)
-	q.proven.remove(key)
-	c := q.crashes.get(key)
+	q.proven.Remove(key)
+	c := q.crashes.Get(key)
 	if c == nil {
-		c = q.crashes.put(key)
+		c = q.crashes.Put(key)
 	}
 	if last, known := c.lastCrash[endpoint]; known && began < last+minRestartTime {
 		return
@@ -134,7 +135,7 @@
 // RetractCrash removes the last crash recorded for an endpoint that turned out to be alive.
 func (q *Quarantine) RetractCrash(fingerprint, endpoint string) {
 	key := xxhash.Sum64String(fingerprint)
-	c := q.crashes.get(key)
+	c := q.crashes.Get(key)
 	if c == nil {
 		return
 	}
@@ -144,7 +145,7 @@
 	delete(c.lastCrash, endpoint)
 	c.refusedUntil = 0
 	if c.count--; c.count <= 0 {
-		q.crashes.remove(key)
+		q.crashes.Remove(key)
 	}
 }
 
@@ -155,21 +156,21 @@
 		return false, false
 	}
 	key := xxhash.Sum64String(fingerprint)
-	if c := q.crashes.get(key); c != nil {
+	if c := q.crashes.Get(key); c != nil {
 		if c.count >= maxCrashes && now < c.refusedUntil {
 			return false, false
 		}
-		q.crashes.remove(key)
+		q.crashes.Remove(key)
 		cleared = true
 	}
-	changed = cleared || q.proven.get(key) == nil
-	q.proven.put(key)
+	changed = cleared || q.proven.Get(key) == nil
+	q.proven.Put(key)
 	return changed, cleared
 }
 
 // Crashes returns the number of crashes that a fingerprint caused, and how long it is still refused.
 func (q *Quarantine) Crashes(now time.Duration, fingerprint string) (count int, refused time.Duration) {
-	if c := q.crashes.get(xxhash.Sum64String(fingerprint)); c != nil {
+	if c := q.crashes.Get(xxhash.Sum64String(fingerprint)); c != nil {
 		return c.count, max(c.refusedUntil-now, 0)
 	}
 	return 0, 0
@@ -182,58 +183,14 @@
 		return
 	}
 	key := xxhash.Sum64String(fingerprint)
-	c := q.crashes.get(key)
+	c := q.crashes.Get(key)
 	if c == nil {
-		c = q.crashes.put(key)
+		c = q.crashes.Put(key)
 	}
 	c.count = max(c.count, count)
 	c.refusedUntil = max(c.refusedUntil, now+refused)
-	q.proven.remove(key)
+	q.proven.Remove(key)
 }
 
 // Len returns the number of fingerprints with recorded crashes.
-func (q *Quarantine) Len() int { return len(q.crashes.byKey) }
-
-// lruMap is a map that evicts the least recently used entry when it exceeds maxFingerprints.
-type lruMap[V any] struct {
-	order *list.List // of *lruEntry[V], the most recently used first
-	byKey map[uint64]*list.Element
-}
-
-type lruEntry[V any] struct {
-	key   uint64
-	value V
-}
-
-func newLRUMap[V any]() *lruMap[V] {
-	return &lruMap[V]{order: list.New(), byKey: make(map[uint64]*list.Element)}
-}
-
-func (m *lruMap[V]) get(key uint64) *V {
-	e := m.byKey[key]
-	if e == nil {
-		return nil
-	}
-	m.order.MoveToFront(e)
-	return &e.Value.(*lruEntry[V]).value
-}
-
-func (m *lruMap[V]) put(key uint64) *V {
-	if v := m.get(key); v != nil {
-		return v
-	}
-	e := &lruEntry[V]{key: key}
-	m.byKey[key] = m.order.PushFront(e)
-	if m.order.Len() > maxFingerprints {
-		oldest := m.order.Back()
-		delete(m.byKey, m.order.Remove(oldest).(*lruEntry[V]).key)
-	}
-	return &e.value
-}
-
-func (m *lruMap[V]) remove(key uint64) {
-	if e := m.byKey[key]; e != nil {
-		m.order.Remove(e)
-		delete(m.byKey, key)
-	}
-}
+func (q *Quarantine) Len() int { return q.crashes.Len() }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -75,8 +75,8 @@
 		q.RecordCrash(0, fmt.Sprint(i), "e", 0)
 		q.RecordSuccess(0, fmt.Sprint("ok", i))
 	}
-	if q.Len() > maxFingerprints || len(q.proven.byKey) > maxFingerprints {
-		t.Errorf("%d crashed and %d proven fingerprints are kept", q.Len(), len(q.proven.byKey))
+	if q.Len() > maxFingerprints || q.proven.Len() > maxFingerprints {
+		t.Errorf("%d crashed and %d proven fingerprints are kept", q.Len(), q.proven.Len())
 	}
 }
 
