attributor: refuse prompt parts that crash endpoints

The quarantine is keyed by the whole request, and no two of these are alike.

Hosts now report the prompt parts of the runs that a crash interrupted before they were answered, and the runs with such parts that survived. All hosts share this evidence through the coordinators as they share crashes: new entries at once, everything to hosts that join, to the next coordinator and to restarted ones. From the same evidence each host attributes crashes to parts: each crash has one cause, the runs whose response had begun go before the others at the endpoint, and the part that explains the most crashes against the fewest survivals relieves the other parts of the same requests. A part is refused from its second crash, if nothing with it survived and no other part explains them, or from the third. A few answers do not lift the refusal.

Ruled out: refusing the workspace or the first part, which sound requests share; counting all interrupted runs of a crash, which blames whatever was at the endpoint.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -214,6 +214,7 @@
 		}
 		proto.Merge(p.Uses, r.GetUses())
 		p.Crashes, p.Cleared = append(p.Crashes, r.GetCrashes()...), append(p.Cleared, r.GetCleared()...)
+		p.Evidence = append(p.Evidence, r.GetEvidence()...)
 	})
 }
 
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -346,7 +346,7 @@
 		l.deliver(e.GetTicket(), &answer{ticket: e.GetTicket(), spillZone: e.GetZone()})
 	}
 	a.mu.Unlock()
-	if o.GetOthers() != nil || len(o.GetCrashes())+len(o.GetCleared()) > 0 {
+	if o.GetOthers() != nil || len(o.GetCrashes())+len(o.GetCleared())+len(o.GetEvidence()) > 0 {
 		a.ApplyOrders(o)
 	}
 }
--- /dev/null
+++ b/internal/attributor/verdict.go
@@ -0,0 +1,173 @@
+package attributor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// certainCrashes is the number of crashes after which a part is harmful if it is the only one in all of them, each of its runs
+	// had begun to be answered, and none survived. likelyCrashes is the number after which it is harmful if few of its runs survived.
+	certainCrashes = 2
+	likelyCrashes  = 3
+	// survivalsPerCrash is the number of survivals that outweigh one crash. Hardly any sound run is interrupted between the head of
+	// its response and its first event, so few crashes at that moment are evidence against many survivals.
+	survivalsPerCrash = 4
+	// maxSurvivalsBefore is the largest number of survivals before the first crash of a part that count.
+	maxSurvivalsBefore = 6
+	// survivalMargin is the number of survivals beyond those that outweigh the interrupted runs that are recorded.
+	survivalMargin = 4
+	// minRestartTime is the least time between the crash of an endpoint and a run of its next process. Reports between hosts may
+	// also be delayed by this time.
+	minRestartTime = time.Second
+	// outageWindow is the time within which crashes without a response in progress count as one: they have a common cause.
+	outageWindow = time.Second
+)
+
+// Verdict states that a part of prompts is harmful.
+type Verdict struct {
+	// Crashes is the number of crashes attributed to the part, and LastCrash the time of the last one.
+	Crashes   int
+	LastCrash time.Time
+}
+
+// crash is one crash of an endpoint, as seen by all hosts together.
+type crash struct {
+	endpoint uint64
+	// began is the latest start, and at the earliest interruption, of the runs that it interrupted.
+	began, at time.Time
+	answering bool
+	// parts are those of the runs that had begun to be answered, or of all runs if there was none.
+	parts map[uint64]bool
+}
+
+// merge adds an interrupted run to the crash.
+func (c *crash) merge(e Evidence) {
+	if e.Began.After(c.began) {
+		c.began = e.Began
+	}
+	if e.At.Before(c.at) {
+		c.at = e.At
+	}
+	if c.answering && !e.Answering {
+		return
+	}
+	if !c.answering && e.Answering {
+		c.answering, c.parts = true, map[uint64]bool{}
+	}
+	for _, part := range e.Parts {
+		c.parts[part] = true
+	}
+}
+
+// crashes groups the interrupted runs by crash. A crashed endpoint runs nothing until its process has restarted, possibly under the
+// same name, so runs at one endpoint that overlap were interrupted by the same crash.
+func (l *Log) crashes() []*crash {
+	var out []*crash
+	byEndpoint := map[uint64][]*crash{}
+	for _, e := range l.entries {
+		if e.Survived > 0 {
+			continue
+		}
+		known := byEndpoint[e.Endpoint]
+		i := slices.IndexFunc(known, func(c *crash) bool {
+			return c.began.Before(e.At.Add(minRestartTime)) && e.Began.Before(c.at.Add(minRestartTime))
+		})
+		if i < 0 {
+			c := &crash{endpoint: e.Endpoint, began: e.Began, at: e.At, parts: map[uint64]bool{}}
+			byEndpoint[e.Endpoint] = append(known, c)
+			out, i, known = append(out, c), len(known), byEndpoint[e.Endpoint]
+		}
+		known[i].merge(e.Evidence)
+	}
+	slices.SortStableFunc(out, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// candidate is the evidence against one part.
+type candidate struct {
+	part               uint64
+	crashes, answering int
+	survivals          int
+	lastCrash          time.Time
+	// outageEnd is the end of the last group of crashes that count as one.
+	outageEnd time.Time
+}
+
+func (c *candidate) add(k *crash) {
+	if k.answering {
+		c.answering++
+	} else if k.at.Before(c.outageEnd) {
+		return
+	} else {
+		c.outageEnd = k.at.Add(outageWindow)
+	}
+	c.crashes++
+	c.lastCrash = k.at
+}
+
+func (c *candidate) isHarmful() bool {
+	if c.crashes < likelyCrashes {
+		return c.crashes == certainCrashes && c.answering == certainCrashes && c.survivals == 0
+	}
+	return c.survivals <= survivalsPerCrash*c.answering+c.crashes-c.answering
+}
+
+// suspicion returns the weight of the evidence against the part.
+func (c *candidate) suspicion() int { return survivalsPerCrash*c.crashes - c.survivals }
+
+// Verdicts returns the harmful parts. Each crash has one cause: the crashes that the most suspicious part explains do not count
+// against the other parts of the same requests.
+func (l *Log) Verdicts() map[uint64]Verdict {
+	verdicts := map[uint64]Verdict{}
+	counts := l.partCounts()
+	for unexplained := l.crashes(); ; {
+		worst := worstCandidates(unexplained, counts)
+		if len(worst) == 0 {
+			return verdicts
+		}
+		for _, c := range worst {
+			verdicts[c.part] = Verdict{Crashes: c.crashes, LastCrash: c.lastCrash}
+		}
+		unexplained = slices.DeleteFunc(unexplained, func(k *crash) bool {
+			return slices.ContainsFunc(worst, func(c *candidate) bool { return k.parts[c.part] })
+		})
+	}
+}
+
+// worstCandidates returns the harmful part with the most evidence against it. Parts that the evidence can't tell apart are returned
+// together, once they have likelyCrashes crashes.
+func worstCandidates(crashes []*crash, counts map[uint64]partCounts) []*candidate {
+	candidates := map[uint64]*candidate{}
+	for _, k := range crashes {
+		for part := range k.parts {
+			c := candidates[part]
+			if c == nil {
+				c = &candidate{part: part, survivals: counts[part].survivals()}
+				candidates[part] = c
+			}
+			c.add(k)
+		}
+	}
+	var worst []*candidate
+	for _, c := range candidates {
+		if !c.isHarmful() {
+			continue
+		}
+		order := 1
+		if len(worst) > 0 {
+			order = cmp.Or(cmp.Compare(c.suspicion(), worst[0].suspicion()), cmp.Compare(worst[0].survivals, c.survivals))
+		}
+		switch order {
+		case 1:
+			worst = []*candidate{c}
+		case 0:
+			worst = append(worst, c)
+		}
+	}
+	if len(worst) > 1 && worst[0].crashes < likelyCrashes {
+		return nil
+	}
+	return worst
+}
--- a/internal/coordinator/charge.go
+++ b/internal/coordinator/charge.go
@@ -10,12 +10,13 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/ratelimiter"
 )
 
-// applyUsage applies the crashes in a report and counts the units that the host has admitted without a coordinator.
+// applyUsage applies the crashes and the evidence in a report and counts the units that the host has admitted without a coordinator.
 func (s *session) applyUsage(now time.Time, r *coordinatorpb.Report) {
 	c := s.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordCrashes(now, r.GetCrashes())
+	c.recordEvidence(now, r.GetEvidence())
 	for _, fingerprint := range c.recordCleared(r.GetCleared()) {
 		for _, p := range c.peers {
 			p.queueCleared(fingerprint)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/attributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
@@ -114,6 +115,7 @@
 	peers          map[string]*peer
 	peerSummaries  map[sharder.Shard]shardSummary
 	crashes        quarantiner.CrashLog
+	evidence       attributor.Log
 	wg             sync.WaitGroup
 }
 
--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -57,8 +57,7 @@
 	var out []*coordinatorpb.Crash
 	for _, c := range crashes {
 		out = append(out, &coordinatorpb.Crash{
-			Request: c.Fingerprint, Endpoint: c.Endpoint, BeganMs: uint64(max(0, now.Sub(c.Began).Milliseconds())),
-			AgeMs: uint64(max(0, now.Sub(c.At).Milliseconds())),
+			Request: c.Fingerprint, Endpoint: c.Endpoint, BeganMs: encodeAge(now, c.Began), AgeMs: encodeAge(now, c.At),
 		})
 	}
 	return out
@@ -79,6 +78,8 @@
 // maxAge caps the ages in messages; a larger value cannot be a real age.
 const maxAge = 24 * time.Hour
 
+func encodeAge(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at).Milliseconds())) }
+
 func decodeAge(ms uint64) time.Duration {
 	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
 }
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -30,9 +30,10 @@
 type peer struct {
 	inFlight  bool
 	reachedAt time.Time
-	// sentTotals are the totals of the last report that was answered, and sentCrashSeq is the number of its last crash.
-	sentTotals   map[uint64]float64
-	sentCrashSeq uint64
+	// sentTotals are the totals of the last report that was answered, and sentCrashSeq and sentEvidenceSeq are the numbers of its
+	// last crash and piece of evidence.
+	sentTotals                    map[uint64]float64
+	sentCrashSeq, sentEvidenceSeq uint64
 	// pendingCleared are the fingerprints of cleared requests that have not been reported to it.
 	pendingCleared []uint64
 }
@@ -42,8 +43,8 @@
 type peerCall struct {
 	peer   *peer
 	report *coordinatorpb.PeerReport
-	// crashSeq is the number of the last known crash.
-	crashSeq uint64
+	// crashSeq and evidenceSeq are the numbers of the last known crash and piece of evidence.
+	crashSeq, evidenceSeq uint64
 }
 
 // nextPeerReport returns the report that is due to another coordinator, or nil if none is.
@@ -62,6 +63,8 @@
 	r := &coordinatorpb.PeerReport{Host: c.HostID, Process: c.processID, AgeMs: uint64(now.Sub(c.started).Milliseconds()), Young: now.Sub(c.allotmentsKnownSince) < historyMaxAge, Uses: EncodeUses(ChangedTotals(p.sentTotals, c.tally.LocalTotals()), own)}
 	crashes, last := c.crashes.Since(p.sentCrashSeq)
 	r.Crashes, r.Cleared = EncodeCrashes(now, crashes), slices.Clone(p.pendingCleared)
+	evidence, lastEvidence := c.evidence.Since(p.sentEvidenceSeq)
+	r.Evidence = EncodeEvidence(now, evidence)
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.lastAskAt) > shardIdleTimeout {
 			continue
@@ -71,11 +74,12 @@
 			Shard: &coordinatorpb.Shard{Pool: key.Pool, Zone: key.Zone}, Free: uint32(max(free, 0)), Queue: uint32(waiting),
 		})
 	}
-	if len(r.GetUses().GetUnits())+len(r.GetCrashes())+len(r.GetCleared())+len(r.GetSummaries()) == 0 && now.Sub(p.reachedAt) < idleReportInterval {
+	news := len(r.GetUses().GetUnits()) + len(r.GetCrashes()) + len(r.GetCleared()) + len(r.GetEvidence()) + len(r.GetSummaries())
+	if news == 0 && now.Sub(p.reachedAt) < idleReportInterval {
 		return nil
 	}
 	p.inFlight = true
-	return &peerCall{peer: p, report: r, crashSeq: last}
+	return &peerCall{peer: p, report: r, crashSeq: last, evidenceSeq: lastEvidence}
 }
 
 func (c *Coordinator) sendPeerReport(ctx context.Context, h sharder.Host, call *peerCall) {
@@ -89,11 +93,11 @@
 	p.inFlight = false
 	if err != nil {
 		// It may have restarted and then needs the full state.
-		p.sentTotals, p.sentCrashSeq = nil, 0
+		p.sentTotals, p.sentCrashSeq, p.sentEvidenceSeq = nil, 0, 0
 		klog.V(1).Infof("coordinator: peer report failed peer=%s reason=%q", h.ID, err)
 		return
 	}
-	p.reachedAt, p.sentCrashSeq, p.pendingCleared = time.Now(), call.crashSeq, p.pendingCleared[len(call.report.GetCleared()):]
+	p.reachedAt, p.sentCrashSeq, p.sentEvidenceSeq, p.pendingCleared = time.Now(), call.crashSeq, call.evidenceSeq, p.pendingCleared[len(call.report.GetCleared()):]
 	if history := DecodeHistory(reply.GetHistory(), c.workspaceNames); len(history) > 0 {
 		c.allotments.MergeWindows(time.Now(), history)
 	}
@@ -136,6 +140,7 @@
 		c.peerSummaries[shardOf(s.GetShard())] = shardSummary{free: int(s.GetFree()), queue: int(s.GetQueue()), receivedAt: now}
 	}
 	c.recordCrashes(now, r.GetCrashes())
+	c.recordEvidence(now, r.GetEvidence())
 	c.recordCleared(r.GetCleared())
 	reply := &coordinatorpb.PeerReply{}
 	if r.GetYoung() && now.Sub(c.allotmentsKnownSince) > historyMaxAge {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -114,6 +114,9 @@
 	if crashes, _ := c.crashes.Since(0); len(crashes) > 0 {
 		s.enqueue(func(o *coordinatorpb.Orders) { o.Crashes = EncodeCrashes(s.startedAt, crashes) })
 	}
+	if evidence, _ := c.evidence.Since(0); len(evidence) > 0 {
+		s.enqueue(func(o *coordinatorpb.Orders) { o.Evidence = EncodeEvidence(s.startedAt, evidence) })
+	}
 	c.mu.Unlock()
 	for _, previous := range []*session{active, disconnected} {
 		if previous != nil {
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -4,12 +4,15 @@
 
 import (
 	"expvar"
+	"math"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/attributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 )
 
@@ -36,6 +39,8 @@
 	Crashes []quarantiner.Crash
 	// Cleared holds the fingerprints of the requests that succeeded after a crash had been counted for them.
 	Cleared []uint64
+	// Evidence is the evidence about the parts of prompts.
+	Evidence []attributor.Evidence
 }
 
 // InterruptedRun is an exchange that ended without a complete response.
@@ -46,6 +51,11 @@
 	// IdleSince is the time of the last event from the endpoint, or of the send if there was none, if this host canceled the
 	// exchange; otherwise it is zero.
 	IdleSince time.Time
+	// Parts are the digests of the prompt parts that other requests may share. They are empty if the run survived long enough to
+	// show that they are harmless.
+	Parts []uint64
+	// Answering is true if the endpoint had begun to write its response.
+	Answering bool
 }
 
 type timedRun struct {
@@ -57,6 +67,7 @@
 type Watcher struct {
 	started     time.Time
 	quarantine  *quarantiner.Quarantine
+	parts       *attributor.Tracker
 	interrupted map[string][]timedRun
 	crashes     quarantiner.CrashLog
 	// lastSuccessAt is the time of the last successful response of any endpoint to this host.
@@ -68,29 +79,43 @@
 // New returns a Watcher without crashes. Share is a number from 0 to 1 that differs between hosts; it sets the quarantine jitter.
 func New(now time.Time, share float64) *Watcher {
 	quarantine := time.Duration(float64(minQuarantine) * (1 + quarantineJitter*share))
-	return &Watcher{started: now, quarantine: quarantiner.New(quarantine), interrupted: map[string][]timedRun{}}
+	return &Watcher{
+		started: now, quarantine: quarantiner.New(quarantine), parts: attributor.New(rand.New(rand.NewPCG(math.Float64bits(share), uint64(now.UnixNano())))),
+		interrupted: map[string][]timedRun{},
+	}
 }
 
 // FormatFingerprint returns a fingerprint in hexadecimal, as it is logged.
 func FormatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
-// RefusedFor returns how long a request is still refused; 0 means that it may run.
-func (w *Watcher) RefusedFor(now time.Time, fingerprint uint64) time.Duration {
-	if v, left := w.quarantine.Status(now.Sub(w.started), FormatFingerprint(fingerprint)); v == quarantiner.Refused {
-		return left
+// RefusedFor returns how long a request, or one of the parts of its prompt, is still refused; 0 means that it may run.
+func (w *Watcher) RefusedFor(now time.Time, fingerprint uint64, parts ...uint64) time.Duration {
+	left := w.parts.RefusedFor(now, parts)
+	if v, quarantined := w.quarantine.Status(now.Sub(w.started), FormatFingerprint(fingerprint)); v == quarantiner.Refused {
+		left = max(left, quarantined)
 	}
-	return 0
+	return left
 }
 
 // BeginRun returns 0 and starts a run if a request may run, or returns how long the request is still refused.
-func (w *Watcher) BeginRun(now time.Time, fingerprint uint64) time.Duration {
-	left := w.RefusedFor(now, fingerprint)
+func (w *Watcher) BeginRun(now time.Time, fingerprint uint64, parts ...uint64) time.Duration {
+	left := w.RefusedFor(now, fingerprint, parts...)
 	if left == 0 {
 		w.quarantine.StartTrial(now.Sub(w.started), FormatFingerprint(fingerprint), trialTimeout)
+		w.parts.BeginRun(now, parts)
 	}
 	return left
 }
 
+// EndRun ends a run with prompt parts, so that the next trial run with them may begin.
+func (w *Watcher) EndRun(parts []uint64) { w.parts.EndRun(parts) }
+
+// RecordSurvival records that the endpoint did not crash when it began to answer a run with prompt parts.
+func (w *Watcher) RecordSurvival(now time.Time, parts []uint64) { w.parts.RecordSurvival(now, parts) }
+
+// PartCrashes returns the largest number of crashes that one of the prompt parts has caused.
+func (w *Watcher) PartCrashes(parts []uint64) int { return w.parts.Crashes(parts) }
+
 // CancelRun ends the trial run of a request that the endpoint did not run, so that the next run may begin.
 func (w *Watcher) CancelRun(now time.Time, fingerprint uint64) {
 	w.quarantine.StartTrial(now.Sub(w.started), FormatFingerprint(fingerprint), 0)
@@ -109,6 +134,8 @@
 // RecordCrash records the confirmed crash of an endpoint for the requests whose exchanges with it were just interrupted.
 func (w *Watcher) RecordCrash(now time.Time, endpoint string) {
 	var unconfirmed []timedRun
+	var suspects []attributor.Run
+	digest := xxhash.Sum64String(endpoint)
 	for _, r := range w.interrupted[endpoint] {
 		switch {
 		case now.Sub(r.at) > ConfirmWindow:
@@ -118,11 +145,15 @@
 			unconfirmed = append(unconfirmed, r)
 			continue
 		}
-		c := quarantiner.Crash{Fingerprint: r.Fingerprint, Endpoint: xxhash.Sum64String(endpoint), Began: r.Began, At: r.at}
+		if r.IdleSince.IsZero() || r.Answering {
+			suspects = append(suspects, attributor.Run{Parts: r.Parts, Began: r.Began, At: r.at, Answering: r.Answering})
+		}
+		c := quarantiner.Crash{Fingerprint: r.Fingerprint, Endpoint: digest, Began: r.Began, At: r.at}
 		if w.addCrash(now, c, "seen") {
 			w.pending.Crashes = append(w.pending.Crashes, c)
 		}
 	}
+	w.parts.RecordCrash(now, digest, suspects)
 	delete(w.interrupted, endpoint)
 	if len(unconfirmed) > 0 {
 		w.interrupted[endpoint] = unconfirmed
@@ -137,6 +168,7 @@
 	for _, fingerprint := range n.Cleared {
 		w.clear(now, fingerprint, "told")
 	}
+	w.parts.Merge(now, n.Evidence)
 }
 
 // addCrash records a crash. It returns false if the crash was already recorded.
@@ -180,10 +212,12 @@
 	return true
 }
 
-// TakeUpdates returns and removes the pending updates of this host. If all is true, the result has all recorded crashes.
+// TakeUpdates returns and removes the pending updates of this host. If all is true, the result has all recorded crashes and
+// evidence.
 func (w *Watcher) TakeUpdates(all bool) Updates {
 	updates := w.pending
 	w.pending = Updates{}
+	updates.Evidence = w.parts.TakeUpdates(all)
 	if all {
 		updates.Crashes, _ = w.crashes.Since(0)
 	}
--- a/internal/forwarder/crash_host_test.go
+++ b/internal/forwarder/crash_host_test.go
@@ -20,7 +20,8 @@
 // restartDelay is the time after which a crashed test endpoint accepts connections again, under the same ID and address.
 const restartDelay = 1500 * time.Millisecond
 
-// crashingEndpoints is a set of endpoints that crash on a request for /a/fatal or with the prompt part "dead".
+// crashingEndpoints is a set of endpoints that crash on a request for /a/fatal, or when they begin to answer one with
+// the prompt part "dead".
 type crashingEndpoints struct {
 	entries []cataloguer.Entry
 	crashes atomic.Int64
@@ -72,7 +73,11 @@
 				if err != nil {
 					return
 				}
-				if strings.HasSuffix(r.URL.Path, "/fatal") || strings.Contains(r.Header.Get("X-Parts"), "dead:") {
+				hasPart := strings.Contains(r.Header.Get("X-Parts"), "dead:")
+				if hasPart {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 1\r\n\r\n")
+				}
+				if strings.HasSuffix(r.URL.Path, "/fatal") || hasPart {
 					s.crashes.Add(1)
 					_ = l.Close()
 					return
--- a/internal/forwarder/usage.go
+++ b/internal/forwarder/usage.go
@@ -60,7 +60,8 @@
 	}
 	crashes := h.gateway.TakeCrashUpdates(all)
 	r.Crashes, r.Cleared = coordinator.EncodeCrashes(time.Now(), crashes.Crashes), crashes.Cleared
-	hasChanges = hasChanges || len(crashes.Crashes)+len(crashes.Cleared) > 0
+	r.Evidence = coordinator.EncodeEvidence(time.Now(), crashes.Evidence)
+	hasChanges = hasChanges || len(crashes.Crashes)+len(crashes.Cleared)+len(crashes.Evidence) > 0
 	return hasChanges
 }
 
@@ -77,6 +78,7 @@
 func (h *Host) applyOrders(o *coordinatorpb.Orders) {
 	h.gateway.MergeCrashUpdates(crashwatcher.Updates{
 		Crashes: coordinator.DecodeCrashes(time.Now(), o.GetCrashes()), Cleared: o.GetCleared(),
+		Evidence: coordinator.DecodeEvidence(time.Now(), o.GetEvidence()),
 	})
 	index := h.index.Load()
 	if o.GetOthers() == nil || index == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,7 +85,7 @@
 		var replaced *replacedError
 		canceled := errors.Is(err, errCallerDisconnected) || errors.Is(err, errEndpointTimeout)
 		q.recordCrashEvidence(grant.Choice.Endpoint, sendResult{
-			began: began, unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
+			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
 			interrupted: outcome == interrupted && !canceled, canceled: outcome == interrupted && canceled,
 			succeeded: outcome == answered && response.status < http.StatusMultipleChoices, notRun: outcome == notRun,
 		})
@@ -210,7 +210,7 @@
 	if !q.rule.Repeatable() {
 		req.MaxIdleTime = nonIdempotentMaxIdleTime
 	}
-	q.answering, q.sendEvents = false, 0
+	q.answering, q.sendEvents, q.survived = false, 0, false
 	first := q.sends == 0
 	limit := q.idleTimeout()
 	idleTimer := time.AfterFunc(limit, cancel)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -20,6 +20,8 @@
 	suspectSilence = 600 * time.Millisecond
 	// crashConfirmDelay is the time between an interrupted exchange and the connection attempt that checks for a crash.
 	crashConfirmDelay = 30 * time.Millisecond
+	// survivalTime is the time after its first event from which a stream shows that its prompt did not crash the endpoint.
+	survivalTime = 50 * time.Millisecond
 	// quarantined is the reason of the refusal of a request that has crashed endpoints.
 	quarantined admitter.Reason = "quarantine"
 )
@@ -49,16 +51,18 @@
 	q.fingerprint = h.Sum64()
 }
 
-// checkQuarantine refuses a request that has crashed two endpoints. It returns false if it has refused the request.
+// checkQuarantine refuses a request that has crashed two endpoints, or that has a prompt part which crashes endpoints. It returns
+// false if it has refused the request.
 func (q *request) checkQuarantine() bool {
 	q.setFingerprint()
 	q.g.mu.Lock()
-	left := q.g.crashWatcher.RefusedFor(time.Now(), q.fingerprint)
+	left := q.g.crashWatcher.RefusedFor(time.Now(), q.fingerprint, q.partDigests...)
 	crashes, _ := q.g.crashWatcher.State(time.Now(), q.fingerprint)
+	partCrashes := q.g.crashWatcher.PartCrashes(q.partDigests)
 	q.g.mu.Unlock()
-	if crashes > 0 {
+	if crashes+partCrashes > 0 {
 		klog.InfoS("gateway: suspect arrived", "request", q.id, "fingerprint", crashwatcher.FormatFingerprint(q.fingerprint), "crashes", crashes,
-			"refused_for", left)
+			"part_crashes", partCrashes, "parts", strings.Join(q.sharedParts, " "), "refused_for", left)
 	}
 	if left > 0 {
 		q.refuse(http.StatusServiceUnavailable, string(quarantined), left)
@@ -66,17 +70,37 @@
 	return left == 0
 }
 
-// beginRun returns 0 if the request may be sent now, or how long it is refused: a request with the same fingerprint may have
-// crashed endpoints while this one waited.
+// beginRun returns 0 if the request may be sent now, or how long it is refused: a request with the same fingerprint or prompt part
+// may have crashed endpoints while this one waited.
 func (q *request) beginRun(now time.Time) time.Duration {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	return q.g.crashWatcher.BeginRun(now, q.fingerprint)
+	q.sendBegan = now
+	return q.g.crashWatcher.BeginRun(now, q.fingerprint, q.partDigests...)
+}
+
+// recordSurvival records, once per send, that the endpoint did not crash when it began to answer.
+func (q *request) recordSurvival(now time.Time) {
+	if q.survived || len(q.partDigests) == 0 {
+		return
+	}
+	q.survived = true
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.crashWatcher.RecordSurvival(now, q.partDigests)
+}
+
+// interruptedRun returns the facts about the current send for the crash watcher.
+func (q *request) interruptedRun(idleSince time.Time) crashwatcher.InterruptedRun {
+	r := crashwatcher.InterruptedRun{Fingerprint: q.fingerprint, Began: q.sendBegan, IdleSince: idleSince, Answering: q.answering}
+	if !q.survived {
+		r.Parts = q.partDigests
+	}
+	return r
 }
 
 // sendResult holds the facts about a finished send that indicate whether its endpoint has crashed.
 type sendResult struct {
-	began                 time.Time
 	unreachable, replaced bool
 	// notRun is true if the endpoint reported that it did not run the request.
 	notRun bool
@@ -104,7 +128,7 @@
 	interruptedRuns.Add(q.runStage(), 1)
 	klog.InfoS("gateway: run interrupted", "request", q.id, "fingerprint", crashwatcher.FormatFingerprint(q.fingerprint), "endpoint", e.ID,
 		"stage", q.runStage(), "events", q.sendEvents, "parts", strings.Join(q.sharedParts, " "), "canceled", result.canceled,
-		"after", time.Since(result.began))
+		"after", time.Since(q.sendBegan))
 }
 
 // recordCrashEvidence reports the result of a send to the crash watcher.
@@ -113,21 +137,25 @@
 	if (result.interrupted || result.canceled) && !result.unreachable {
 		q.logInterruptedRun(e, result)
 	}
+	if result.succeeded {
+		q.recordSurvival(now)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if result.unreachable || result.notRun {
 		g.crashWatcher.CancelRun(now, q.fingerprint)
 	}
+	g.crashWatcher.EndRun(q.partDigests)
 	switch {
 	case result.unreachable || result.replaced:
 		g.crashWatcher.RecordCrash(now, e.ID)
 	case result.interrupted:
-		g.crashWatcher.AddInterrupted(now, e.ID, crashwatcher.InterruptedRun{Fingerprint: q.fingerprint, Began: result.began})
+		g.crashWatcher.AddInterrupted(now, e.ID, q.interruptedRun(time.Time{}))
 		g.confirmCrash(e)
 	case result.canceled:
-		idleSince := latest(result.began, q.lastEventAt)
+		idleSince := latest(q.sendBegan, q.lastEventAt)
 		if now.Sub(idleSince) >= suspectSilence {
-			g.crashWatcher.AddInterrupted(now, e.ID, crashwatcher.InterruptedRun{Fingerprint: q.fingerprint, Began: result.began, IdleSince: idleSince})
+			g.crashWatcher.AddInterrupted(now, e.ID, q.interruptedRun(idleSince))
 			g.confirmCrash(e)
 		}
 	case result.succeeded:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/attributor"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/cacheestimator"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
@@ -57,8 +58,10 @@
 	bodyRead, refused bool
 	// fingerprint is a digest that is equal for repetitions of the same request.
 	fingerprint uint64
-	// sharedParts are the IDs of the prompt parts that other requests may also contain: all but the last part.
+	// sharedParts are the IDs of the prompt parts that other requests may also contain, which is all but the last part, and
+	// partDigests their digests.
 	sharedParts []string
+	partDigests []uint64
 	deadline    time.Time
 
 	// sends is the number of endpoints to which a byte of the request was written, and mayHaveRun is true if one of them may have
@@ -76,8 +79,12 @@
 	// events is the number of complete events sent to the caller, and firstEvent is the time from the arrival to the first one.
 	events     int
 	firstEvent time.Duration
-	// sendEvents is the number of events of the current send.
-	sendEvents int
+	// sendBegan is the start of the current send, sendEvents the number of its events, sendFirstEventAt the time of the first one, and survived is true once
+	// the send has shown that the endpoint does not crash when it begins to answer.
+	sendBegan        time.Time
+	sendEvents       int
+	sendFirstEventAt time.Time
+	survived         bool
 	// lastEventAt is the time of the last event, and longestGap the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
@@ -248,6 +255,11 @@
 	case q.workspace != nil:
 		q.units = q.workspace.DefaultCost
 	}
+	parts, ids := parsePromptParts(q.r.Header.Get(h.PromptParts))
+	q.sharedParts = ids[:max(0, len(ids)-1)]
+	for _, id := range q.sharedParts {
+		q.partDigests = append(q.partDigests, attributor.Digest(id))
+	}
 	if !q.rule.Model || !valid {
 		return
 	}
@@ -258,9 +270,7 @@
 	if p := index.Pool(q.pool); p != nil && p.Engine != nil {
 		q.work.TokensPerEvent = p.Engine.TokensPerEvent
 	}
-	var ids []string
-	q.work.Parts, ids = parsePromptParts(q.r.Header.Get(h.PromptParts))
-	q.sharedParts = ids[:max(0, len(ids)-1)]
+	q.work.Parts = parts
 }
 
 // parsePromptParts parses the segments of a prompt and returns them with their IDs. It stops at the first malformed segment and
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -137,6 +137,12 @@
 		q.events++
 		q.sendEvents++
 	}
+	if q.sendFirstEventAt.Before(q.sendBegan) {
+		q.sendFirstEventAt = now
+	}
+	if now.Sub(q.sendFirstEventAt) >= survivalTime {
+		q.recordSurvival(now)
+	}
 }
 
 // idAfter reports whether an event ID follows another one. IDs are increasing numbers; any other IDs follow each other if they
