crashwatcher: do not count crashes that a prompt part explains against other requests

Every run that a crash interrupted counted against its request, whatever caused the crash.

A crash that is attributed to a prompt part is now retracted from the other requests, at each host from the shared evidence, also when the attribution comes after the count. A request with three recorded crashes of which one is retracted stays refused.

--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,7 +50,9 @@
 	// verdicts are the harmful parts, and trialUntil the times until which a run with such a part prevents others.
 	verdicts   map[uint64]Verdict
 	trialUntil map[uint64]time.Time
-	survived   *evictor.Map[uint64, survivals]
+	// explained are the crashes that harmful parts caused.
+	explained []*crash
+	survived  *evictor.Map[uint64, survivals]
 }
 
 // survivals are the runs with a part that this host saw survive.
@@ -193,7 +196,7 @@
 // update determines the verdicts anew and logs those that have changed.
 func (t *Tracker) update(now time.Time) {
 	before := t.verdicts
-	t.verdicts = t.log.Verdicts()
+	t.verdicts, t.explained = t.log.attribute()
 	for part, v := range t.verdicts {
 		if before[part] != v {
 			klog.InfoS("attributor: part found harmful", "part_digest", FormatDigest(part), "crashes", v.Crashes, "survivals", t.log.partCounts()[part].survivals(),
@@ -208,6 +211,11 @@
 	}
 }
 
+// Explains reports whether a harmful part caused the crash of an endpoint that interrupted a run from began to at.
+func (t *Tracker) Explains(endpoint uint64, began, at time.Time) bool {
+	return slices.ContainsFunc(t.explained, func(c *crash) bool { return c.endpoint == endpoint && c.interrupted(began, at) })
+}
+
 // FormatDigest returns a digest in hexadecimal, as it is logged.
 func FormatDigest(digest uint64) string { return strconv.FormatUint(digest, 16) }
 
--- a/internal/attributor/verdict.go
+++ b/internal/attributor/verdict.go
@@ -42,6 +42,12 @@
 	parts map[uint64]bool
 }
 
+// interrupted reports whether a run at the endpoint was interrupted by this crash, by the times of its start and its interruption. A
+// crashed endpoint runs nothing until its process has restarted, possibly under the same name.
+func (c *crash) interrupted(began, at time.Time) bool {
+	return c.began.Before(at.Add(minRestartTime)) && began.Before(c.at.Add(minRestartTime))
+}
+
 // merge adds an interrupted run to the crash.
 func (c *crash) merge(e Evidence) {
 	if e.Began.After(c.began) {
@@ -61,8 +67,7 @@
 	}
 }
 
-// crashes groups the interrupted runs by crash. A crashed endpoint runs nothing until its process has restarted, possibly under the
-// same name, so runs at one endpoint that overlap were interrupted by the same crash.
+// crashes groups the interrupted runs by crash.
 func (l *Log) crashes() []*crash {
 	var out []*crash
 	byEndpoint := map[uint64][]*crash{}
@@ -71,9 +76,7 @@
 			continue
 		}
 		known := byEndpoint[e.Endpoint]
-		i := slices.IndexFunc(known, func(c *crash) bool {
-			return c.began.Before(e.At.Add(minRestartTime)) && e.Began.Before(c.at.Add(minRestartTime))
-		})
+		i := slices.IndexFunc(known, func(c *crash) bool { return c.interrupted(e.Began, e.At) })
 		if i < 0 {
 			c := &crash{endpoint: e.Endpoint, began: e.Began, at: e.At, parts: map[uint64]bool{}}
 			byEndpoint[e.Endpoint] = append(known, c)
@@ -120,18 +123,28 @@
 // Verdicts returns the harmful parts. Each crash has one cause: the crashes that the most suspicious part explains do not count
 // against the other parts of the same requests.
 func (l *Log) Verdicts() map[uint64]Verdict {
-	verdicts := map[uint64]Verdict{}
+	verdicts, _ := l.attribute()
+	return verdicts
+}
+
+// attribute returns the harmful parts and the crashes that they explain.
+func (l *Log) attribute() (verdicts map[uint64]Verdict, explained []*crash) {
+	verdicts = map[uint64]Verdict{}
 	counts := l.partCounts()
 	for unexplained := l.crashes(); ; {
 		worst := worstCandidates(unexplained, counts)
 		if len(worst) == 0 {
-			return verdicts
+			return verdicts, explained
 		}
 		for _, c := range worst {
 			verdicts[c.part] = Verdict{Crashes: c.crashes, LastCrash: c.lastCrash}
 		}
 		unexplained = slices.DeleteFunc(unexplained, func(k *crash) bool {
-			return slices.ContainsFunc(worst, func(c *candidate) bool { return k.parts[c.part] })
+			if !slices.ContainsFunc(worst, func(c *candidate) bool { return k.parts[c.part] }) {
+				return false
+			}
+			explained = append(explained, k)
+			return true
 		})
 	}
 }
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -70,6 +70,8 @@
 	parts       *attributor.Tracker
 	interrupted map[string][]timedRun
 	crashes     quarantiner.CrashLog
+	// retracted are the recorded crashes that do not count, because a harmful prompt part of another request caused them.
+	retracted map[quarantiner.Crash]bool
 	// lastSuccessAt is the time of the last successful response of any endpoint to this host.
 	lastSuccessAt time.Time
 	// pending holds the updates from this host that have not been taken yet.
@@ -154,6 +156,7 @@
 		}
 	}
 	w.parts.RecordCrash(now, digest, suspects)
+	w.retractExplained()
 	delete(w.interrupted, endpoint)
 	if len(unconfirmed) > 0 {
 		w.interrupted[endpoint] = unconfirmed
@@ -169,6 +172,26 @@
 		w.clear(now, fingerprint, "told")
 	}
 	w.parts.Merge(now, n.Evidence)
+	if len(n.Crashes)+len(n.Evidence) > 0 {
+		w.retractExplained()
+	}
+}
+
+// retractExplained retracts the recorded crashes that a harmful prompt part caused. The other requests at the endpoint are not to
+// blame, and requests with the part are refused because of it.
+func (w *Watcher) retractExplained() {
+	known, _ := w.crashes.Since(0)
+	retracted := map[quarantiner.Crash]bool{}
+	for _, c := range known {
+		if !w.parts.Explains(c.Endpoint, c.Began, c.At) {
+			continue
+		}
+		if retracted[c] = true; !w.retracted[c] {
+			crashCounts.Add("retracted", 1)
+			w.quarantine.RetractCrash(FormatFingerprint(c.Fingerprint), FormatFingerprint(c.Endpoint))
+		}
+	}
+	w.retracted = retracted
 }
 
 // addCrash records a crash. It returns false if the crash was already recorded.
--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -257,3 +257,36 @@
 		t.Errorf("pending crashes, pending cleared requests, kept interrupted exchanges (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against refusing a sound request because it ran twice at an endpoint that a harmful prompt part of other requests crashed,
+// whichever host saw those crashes.
+func TestCrashesOfHarmfulPartDoNotCount(t *testing.T) {
+	const soundFingerprint, harmfulPart = 5, 9
+	start := time.Unix(1_000_000, 0)
+	a, b := crashwatcher.New(start, 0), crashwatcher.New(start, 0.5)
+	hosts := []*crashwatcher.Watcher{a, b}
+	var got []int
+	for i := range 3 {
+		at := start.Add(time.Duration(3*i+1) * time.Second)
+		endpoint, began := fmt.Sprint("e", i), at.Add(-timeToCrash)
+		a.AddInterrupted(at, endpoint, crashwatcher.InterruptedRun{Fingerprint: soundFingerprint, Began: began.Add(-time.Second)})
+		b.AddInterrupted(at, endpoint, crashwatcher.InterruptedRun{
+			Fingerprint: uint64(100 + i), Began: began, Parts: []uint64{harmfulPart}, Answering: true,
+		})
+		for _, w := range hosts {
+			w.RecordCrash(at.Add(confirmDelay), endpoint)
+		}
+		broadcastUpdates(at.Add(propagationDelay), a, hosts)
+		broadcastUpdates(at.Add(propagationDelay), b, hosts)
+		for _, w := range hosts {
+			crashes, _ := w.State(at.Add(propagationDelay), soundFingerprint)
+			got = append(got, crashes)
+		}
+	}
+	later := crashwatcher.New(start.Add(time.Minute), 0)
+	copyCrashes(start.Add(time.Minute), later, hosts)
+	crashes, _ := later.State(start.Add(time.Minute), soundFingerprint)
+	if diff := cmp.Diff([]int{1, 1, 0, 0, 0, 0, 0}, append(got, crashes)); diff != "" {
+		t.Errorf("crashes of the sound request at two hosts after each crash, and at a host that starts later (-want +got):\n%s", diff)
+	}
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// RetractCrash removes the last crash recorded for an endpoint that turned out to be alive.
+// RetractCrash removes the last crash recorded for an endpoint that turned out to be alive or to have crashed for another reason.
 func (q *Quarantine) RetractCrash(fingerprint, endpoint string) {
 	key := xxhash.Sum64String(fingerprint)
 	c := q.crashes.Get(key)
@@ -143,8 +143,10 @@
 		return
 	}
 	delete(c.lastCrash, endpoint)
-	c.refusedUntil = 0
-	if c.count--; c.count <= 0 {
+	if c.count--; c.count < maxCrashes {
+		c.refusedUntil = 0
+	}
+	if c.count <= 0 {
 		q.crashes.Remove(key)
 	}
 }
