gateway: a stream without length or events is not a complete answer

An endpoint that crashed after the head of a response without a length looked as if it had answered an empty stream in full: the caller got 200 without an event, and the prompt parts of the request counted as having survived. Such a response ends with its connection, so its end before the first event shows nothing; it now counts as interrupted (502), and the usual check for a crash follows. Streams with a length or in chunks may still be empty.

TestResponseWithoutLength, case "stream not begun": 200 before, 502 now.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -227,6 +227,9 @@
 	}
 }
 
+// Framed reports whether the response has a length or is chunked. The end of any other response is the end of its connection.
+func (r *Response) Framed() bool { return r.Length >= 0 || isChunked(r.http) }
+
 // MarkComplete records that the complete body was read, so that the connection may be reused.
 func (r *Response) MarkComplete() { r.complete = true }
 
@@ -234,7 +237,7 @@
 // to close it, and closes the connection otherwise.
 func (r *Response) Close() {
 	stopped := r.stopCancel()
-	keep := r.complete && stopped && !r.http.Close && (r.Length >= 0 || isChunked(r.http))
+	keep := r.complete && stopped && !r.http.Close && r.Framed()
 	select {
 	case err := <-r.written:
 		keep = keep && err == nil
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -51,6 +51,7 @@
 		"stream to its end": {"/chat/", "id: 1\ndata: a\n\n", false, 200, true},
 		"stream reset":      {"/chat/", "id: 1\ndata: a\n\n", true, 200, false},
 		"stream cut":        {"/chat/", "id: 1\ndata: a\n\nid: 2\nda", false, 200, false},
+		"stream not begun":  {"/chat/", "", false, 502, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startRawEndpoint(t, "e1", func(conn net.Conn, r *http.Request) error {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,8 +27,12 @@
 	streamReadBytes = 4 << 10
 )
 
-// errIncompleteEvent reports a stream that ended within an event.
-var errIncompleteEvent = eris.New("stream ended within an event")
+// errIncompleteEvent reports a stream that ended within an event, and errEmptyStream one that ended with its connection before the
+// first event, which does not distinguish a complete stream from a crash.
+var (
+	errIncompleteEvent = eris.New("stream ended within an event")
+	errEmptyStream     = eris.New("stream without a length ended before its first event")
+)
 
 // relay forwards complete events as they arrive and records the ID of the last one.
 func (q *request) relay(grant *admitter.Grant, response *exchanger.Response, idleTimer *time.Timer, limit time.Duration) (sendOutcome, bufferedResponse, error) {
@@ -58,6 +62,8 @@
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !response.Framed() && q.sendEvents == 0:
+			return q.recordInterrupted(grant, errEmptyStream)
 		case errors.Is(err, io.EOF) && len(buffer) == 0:
 			if !q.streaming {
 				if err := q.writeEvents(control, response, nil); err != nil {
