gateway: log the limits that endpoints state

The logs did not show which endpoint had named a limit, when, and in whose answers. The gateway now reads the header, logs each change and counts it in gateway_endpoint_limits. The limit is not applied yet.

--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,6 +23,9 @@
 	healthCheckTimeout = time.Second
 	// maxSlowdownPercent is the largest duration of work, in percent of the usual duration, that is accepted in a load header.
 	maxSlowdownPercent = 100_000
+	// minLimit is the lowest limit of an endpoint that is applied, in requests per second. A request now and then shows whether the
+	// endpoint still states the limit.
+	minLimit = 0.1
 	// refusalBodyTimeout is the longest wait for the body of a response whose head states that the request did not run.
 	refusalBodyTimeout = 100 * time.Millisecond
 )
@@ -34,6 +38,9 @@
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = parseRetryAfter(response.Header)
 	}
+	if response.Status != http.StatusMisdirectedRequest {
+		g.recordLimit(id, parseLimit(response.Header.Get(g.Headers.Limit)))
+	}
 	now := time.Now()
 	if percent := parseSlowdown(response.Header.Get(g.Headers.Load)); percent > 0 {
 		g.Admitter.Update(func(b *balancer.Balancer) { b.RecordSpeed(now, id, percent) })
@@ -65,6 +72,34 @@
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
+// recordLimit records the limit that an endpoint states in a response, in requests per second; 0 means none.
+func (g *Gateway) recordLimit(id string, rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.endpointLimits[id]
+	if rate == before {
+		return
+	}
+	if rate > 0 {
+		g.endpointLimits[id] = rate
+		limitChanges.Add("stated", 1)
+	} else {
+		delete(g.endpointLimits, id)
+		limitChanges.Add("lifted", 1)
+	}
+	klog.InfoS("gateway: endpoint limit changed", "endpoint", id, "requests_per_s", rate, "before", before, "source", "seen")
+}
+
+// parseLimit returns the number of requests per second in a limit header; 0 if it is missing or invalid. A limit of 0 is returned as
+// minLimit.
+func parseLimit(header string) float64 {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 1) {
+		return 0
+	}
+	return max(rate, minLimit)
+}
+
 // parseSlowdown returns the fourth value of a load header, the current duration of work in percent of the usual duration; 0 if it
 // is missing or invalid.
 func parseSlowdown(load string) float64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 var (
 	requestCounts   = expvar.NewMap("gateway_requests")
 	sendCounts      = expvar.NewMap("gateway_sends")
+	limitChanges    = expvar.NewMap("gateway_endpoint_limits")
 	interruptedRuns = expvar.NewMap("gateway_interrupted_runs")
 	dialCount       = expvar.NewInt("gateway_endpoint_connects")
 	waitTimes       = observer.NewHistogram("gateway_wait_ms")
@@ -81,6 +82,8 @@
 	Load string
 	// Leaving marks the responses of an endpoint that is draining.
 	Leaving string
+	// Limit holds the number of requests per second, as a decimal number, that an endpoint takes from all hosts together.
+	Limit string
 	// LastEventID holds the ID of the last event that the caller of a resumed stream has received.
 	LastEventID string
 	// KeyScheme is the scheme before the API key in the Authorization header.
@@ -114,6 +117,9 @@
 	RetryAfter time.Duration
 }
 
+// Limits maps the IDs of endpoints to the requests per second that they take from all hosts together.
+type Limits map[string]float64
+
 // Gateway forwards requests. Set the exported fields, then call Init before any other method.
 type Gateway struct {
 	// Listener accepts the callers' connections.
@@ -142,6 +148,8 @@
 	crashWatcher *crashwatcher.Watcher
 	// confirmingCrash holds the IDs of the endpoints with a crash check in progress.
 	confirmingCrash map[string]bool
+	// endpointLimits are the current limits of endpoints.
+	endpointLimits Limits
 	// healthCheckedAt holds the time of the last health check of draining endpoints, by endpoint ID.
 	healthCheckedAt map[string]time.Time
 	checks          sync.WaitGroup
@@ -165,7 +173,7 @@
 	g.allotments = ratelimiter.New(time.Now(), g.AllotmentWindow)
 	g.retryBudgets = map[string]*ratelimiter.RetryBudget{}
 	g.crashWatcher = crashwatcher.New(time.Now(), rand.Float64())
-	g.confirmingCrash, g.healthCheckedAt = map[string]bool{}, map[string]time.Time{}
+	g.confirmingCrash, g.healthCheckedAt, g.endpointLimits = map[string]bool{}, map[string]time.Time{}, Limits{}
 	g.tableReady = make(chan struct{})
 	g.tracker = &trackingListener{Listener: g.Listener, conns: map[*trackedConn]struct{}{}}
 	g.server = &http.Server{
