--- a/internal/forwarder/host_test.go
+++ b/internal/forwarder/host_test.go
@@ -172,7 +172,7 @@
 		Controllers: map[string]string{"c": controlAddr}, Decode: decode, Endpoints: endpoints,
 		Headers: gateway.Headers{
 			RequestID: "X-Id", Deadline: "X-Deadline-Ms", Workspace: "X-Workspace", Instance: "X-Instance", NotRun: "X-Not-Run",
-			Signature: "X-Signature", KeyScheme: "Token", PromptParts: "X-Parts",
+			Signature: "X-Signature", KeyScheme: "Token", PromptParts: "X-Parts", Limit: "X-Limit",
 		},
 		RetryLimit: ratelimiter.RetryLimit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, GracePeriod: 2 * time.Second,
 	}
