balancer, coordinator: place within the limits that endpoints state

An endpoint in need names the requests a second that it takes from all hosts together. It got several times as many as soon as the load of its pool rose, because nothing read the header: endpoints were chosen by load and speed alone.

The coordinator that places the requests at an endpoint now does so within the limit: a token bucket that starts empty, so that what was sent before the limit was known, or by a former coordinator, is not added to a burst. Requests wait in the queue for the next permit if the pool has no other place. Hosts report each change that they see, also that an answer names no limit any more; the coordinator tells all hosts, because the host that sees the end of a limit need not be the one that saw its start. A host that joins tells what it knows, so that a new coordinator has the limits at once. A host that places without a coordinator avoids limited endpoints; if all endpoints of the pool are limited, it uses its share.

Ruled out: a limit per host (each host sees few of the answers, and the sum is what counts), and the limits as a load figure (it would be exceeded when the others are full, which is the incident).

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -83,7 +83,9 @@
 	FillReport func(r *coordinatorpb.Report, all bool) bool
 	// This host's view of the allotment windows; the function may be nil.
 	Windows func() *coordinatorpb.Uses
-	// Applies the usage and the crashes that other hosts have reported.
+	// EndpointLimits returns the limits of endpoints that this host knows; the function may be nil.
+	EndpointLimits func() []*coordinatorpb.EndpointLimit
+	// Applies the usage, the crashes and the limits that other hosts have reported.
 	ApplyOrders func(*coordinatorpb.Orders)
 
 	started       time.Time
@@ -233,6 +235,19 @@
 	}
 }
 
+// ReportLimit reports to the coordinators the number of requests per second that an endpoint takes from all hosts together; 0 means
+// that it states no limit any more.
+func (a *Acquirer) ReportLimit(endpoint string, perSecond float64) {
+	limit := &coordinatorpb.EndpointLimit{Endpoint: endpoint, PerS: perSecond}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		if l.connected {
+			l.reportLocked(func(p *coordinatorpb.Report) { p.Limits = append(p.Limits, limit) })
+		}
+	}
+}
+
 // ReportSpeed reports to the coordinators how long work takes at an endpoint, in percent of the usual time. It is sent with the
 // next report.
 func (a *Acquirer) ReportSpeed(endpoint string, percent float64) {
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -52,6 +52,9 @@
 	slots        int
 	// trackAllotments makes entry hosts track the allotments by the orders of coordinators.
 	trackAllotments bool
+	// trackLimits makes entry hosts track the limits of endpoints in limits.
+	trackLimits bool
+	limits      []*limitTracker
 	// fillReport is called with the number of the host when an entry host fills its usage report; nil reports nothing. It is set
 	// before the hosts start.
 	fillReport func(host int, all bool) bool
@@ -60,11 +63,12 @@
 
 var zones = []string{"z0", "z1", "z2"}
 
-func newFixture(t *testing.T, ctx context.Context, hosts, engines, slots int, fillReport func(host int, all bool) bool) *fixture {
+func newFixture(t *testing.T, ctx context.Context, hosts, engines, slots int, configure func(f *fixture)) *fixture {
 	f := &fixture{
-		t: t, fillReport: fillReport, trackAllotments: fillReport == nil, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{},
+		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, peak: map[string]int{}, slots: slots,
 	}
+	configure(f)
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
 		f.endpoints = append(f.endpoints, balancer.Endpoint{ID: id, Addr: id, Zone: zones[i%3], Pool: "p", Slots: slots, Engine: true})
@@ -126,6 +130,7 @@
 
 func (f *fixture) addHost(i int) {
 	b := balancer.New(zones[i%3])
+	b.AvoidLimited = true
 	local := admitter.New(b)
 	a := &acquirer.Acquirer{
 		Zone: zones[i%3], Network: network{f: f, from: fmt.Sprintf("h%d", i)}, ControlHosts: f.hosts, Incarnation: func() uint64 { return 1 },
@@ -135,6 +140,9 @@
 		t := newTracker()
 		a.FillReport, a.ApplyOrders, a.Windows = func(_ *coordinatorpb.Report, all bool) bool { return all }, t.applyOrders, t.windows
 	}
+	if f.trackLimits {
+		f.trackLimitsOf(a, local)
+	}
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
 	a.SetEndpoints(f.endpoints)
@@ -337,15 +345,21 @@
 
 func run(t *testing.T, hosts, engines, slots int, body func(f *fixture)) {
 	t.Helper()
-	runReporting(t, hosts, engines, slots, nil, body)
+	runWith(t, hosts, engines, slots, func(f *fixture) { f.trackAllotments = true }, body)
 }
 
 // runReporting runs a fixture whose entry hosts fill their usage reports with a function.
 func runReporting(t *testing.T, hosts, engines, slots int, fillReport func(host int, all bool) bool, body func(f *fixture)) {
+	t.Helper()
+	runWith(t, hosts, engines, slots, func(f *fixture) { f.fillReport = fillReport }, body)
+}
+
+// runWith runs a fixture that is configured before its hosts start.
+func runWith(t *testing.T, hosts, engines, slots int, configure, body func(f *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := newFixture(t, ctx, hosts, engines, slots, fillReport)
+		f := newFixture(t, ctx, hosts, engines, slots, configure)
 		body(f)
 		f.stop(cancel)
 	})
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -234,6 +234,9 @@
 	if a.Windows != nil {
 		hello.Hello.History = a.Windows()
 	}
+	if a.EndpointLimits != nil {
+		hello.Hello.Limits = a.EndpointLimits()
+	}
 	now := time.Now()
 	a.mu.Lock()
 	l.stream, l.cancel, l.seq, l.pending = stream, cancel, 1, nil
@@ -346,7 +349,7 @@
 		l.deliver(e.GetTicket(), &answer{ticket: e.GetTicket(), spillZone: e.GetZone()})
 	}
 	a.mu.Unlock()
-	if o.GetOthers() != nil || len(o.GetCrashes())+len(o.GetCleared())+len(o.GetEvidence()) > 0 {
+	if o.GetOthers() != nil || len(o.GetCrashes())+len(o.GetCleared())+len(o.GetEvidence())+len(o.GetLimits()) > 0 {
 		a.ApplyOrders(o)
 	}
 }
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -90,10 +90,10 @@
 	queues     map[string][]*waiter
 	seq        uint64
 	grantTimes map[string][]time.Time
-	// lastScan is the time of the last scan of a pool's queue without a grant. scanScheduled marks pools with a pending scan.
-	lastScan      map[string]time.Time
-	scanScheduled map[string]bool
-	overloads     map[string]overload
+	// lastScan is the time of the last scan of a pool's queue without a grant, and scanDue the time of the next scheduled one.
+	lastScan  map[string]time.Time
+	scanDue   map[string]time.Time
+	overloads map[string]overload
 }
 
 // overload is a period in which a pool refuses requests, with the times of its first and last refusal.
@@ -103,7 +103,7 @@
 func New(b *balancer.Balancer) *Admitter {
 	return &Admitter{
 		balancer: b, queues: map[string][]*waiter{}, grantTimes: map[string][]time.Time{}, overloads: map[string]overload{},
-		lastScan: map[string]time.Time{}, scanScheduled: map[string]bool{},
+		lastScan: map[string]time.Time{}, scanDue: map[string]time.Time{},
 	}
 }
 
@@ -359,11 +359,15 @@
 // that fit, such as those with a smaller prompt. The caller holds the lock.
 func (a *Admitter) dispatch(now time.Time, pool string) {
 	queue := a.queues[pool]
-	if len(queue) == 0 || !a.balancer.HasRoom(now, pool) {
+	if len(queue) == 0 {
+		return
+	}
+	defer a.awaitPermit(now, pool)
+	if !a.balancer.HasRoom(now, pool) {
 		return
 	}
 	if now.Sub(a.lastScan[pool]) < scanInterval {
-		a.scheduleDispatch(pool)
+		a.scheduleDispatch(pool, scanInterval)
 		return
 	}
 	remaining, failures := queue[:0], 0
@@ -387,17 +391,32 @@
 	a.queues[pool] = remaining
 }
 
-// scheduleDispatch dispatches the queue of a pool after scanInterval unless that is already scheduled. The caller holds the lock.
-func (a *Admitter) scheduleDispatch(pool string) {
-	if a.scanScheduled[pool] {
+// awaitPermit schedules a dispatch for the time at which the limit of an endpoint admits the next request, if requests wait. No
+// other event may come until then. The caller holds the lock.
+func (a *Admitter) awaitPermit(now time.Time, pool string) {
+	if len(a.queues[pool]) == 0 {
+		return
+	}
+	if wait, limited := a.balancer.NextPermit(now, pool); limited {
+		a.scheduleDispatch(pool, max(wait, scanInterval))
+	}
+}
+
+// scheduleDispatch dispatches the queue of a pool after a delay unless that is already scheduled for an earlier time. The caller
+// holds the lock.
+func (a *Admitter) scheduleDispatch(pool string, delay time.Duration) {
+	at := time.Now().Add(delay)
+	if due, scheduled := a.scanDue[pool]; scheduled && !at.Before(due) {
 		return
 	}
-	a.scanScheduled[pool] = true
-	time.AfterFunc(scanInterval, func() {
+	a.scanDue[pool] = at
+	time.AfterFunc(delay, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.scanScheduled[pool] = false
-		a.dispatch(time.Now(), pool)
+		if a.scanDue[pool].Equal(at) {
+			delete(a.scanDue, pool)
+			a.dispatch(time.Now(), pool)
+		}
 	})
 }
 
@@ -412,7 +431,7 @@
 func (a *Admitter) grant(now time.Time, w *waiter, choice balancer.Choice, queued int) {
 	pool := w.req.Pool
 	a.grantTimes[pool] = append(a.recentGrants(now, pool), now)
-	w.granted <- &Grant{Choice: choice, QueueLength: queued, admitter: a, run: a.balancer.Start(choice, w.req.Work)}
+	w.granted <- &Grant{Choice: choice, QueueLength: queued, admitter: a, run: a.balancer.Place(now, choice, w.req.Work)}
 }
 
 // Update calls change with the balancer while holding the lock, then dispatches the queues of all pools.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -117,3 +117,33 @@
 		t.Errorf("error %v, want a refusal with reason no_endpoint", err)
 	}
 }
+
+// Guards against requests that wait until they are refused although the limit of the only endpoint admits them meanwhile: no request
+// ends or arrives that would make the queue move.
+func TestWaitingRequestsAreGrantedWithinLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer.New("z")
+		b.SetEndpoints([]balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 8, Engine: true}})
+		a := admitter.New(b)
+		began := time.Now()
+		a.Update(func(b *balancer.Balancer) { b.SetLimit(began, "a", 2) })
+		var mu sync.Mutex
+		var granted []time.Duration
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() {
+				_, err := a.Acquire(t.Context(), admitter.Request{Pool: "p", Patience: 1800 * time.Millisecond})
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					granted = append(granted, time.Since(began).Round(100*time.Millisecond))
+				}
+			})
+		}
+		wg.Wait()
+		want := []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond}
+		if diff := cmp.Diff(want, granted); diff != "" {
+			t.Errorf("times of the grants (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -148,13 +148,20 @@
 	// accepts nothing from this host.
 	announcedLeaving bool
 	heldUntil        time.Time
+	// permits is the limit that the endpoint states, or nil.
+	permits *permits
 }
 
 // Balancer holds the endpoints of all pools. It is not safe for concurrent use.
 type Balancer struct {
 	// Zone is the availability zone of this host.
 	Zone string
+	// AvoidLimited excludes endpoints with a limit while others of their pool have none. Hosts that place work beside others set it,
+	// because they do not know how much of the limit the others use.
+	AvoidLimited bool
 
+	// share is the part of each limit that this balancer may use; 0 means all of it.
+	share      float64
 	endpoints  map[string]*endpoint
 	pools      map[string][]*endpoint
 	medianPace map[string]float64
@@ -162,6 +169,8 @@
 	medianStated map[string]float64
 	// candidates is a scratch buffer of Pick.
 	candidates []Choice
+	// limits are the limits that endpoints state, by ID. They may include endpoints that are not in the list yet.
+	limits map[string]*permits
 	// notices are the announcements of endpoints. They are kept while an endpoint is temporarily missing from the list.
 	notices map[instanceKey]notice
 }
@@ -171,6 +180,7 @@
 	return &Balancer{
 		Zone: zone, endpoints: map[string]*endpoint{}, pools: map[string][]*endpoint{},
 		medianPace: map[string]float64{}, medianStated: map[string]float64{}, notices: map[instanceKey]notice{},
+		limits: map[string]*permits{},
 	}
 }
 
@@ -183,7 +193,7 @@
 		if known == nil || known.Addr != e.Addr {
 			known = &endpoint{prefixCache: cacheestimator.New()}
 			n := b.notices[instanceKey{id: e.ID, addr: e.Addr}]
-			known.announcedLeaving, known.heldUntil = !n.leavingSince.IsZero(), n.heldUntil
+			known.announcedLeaving, known.heldUntil, known.permits = !n.leavingSince.IsZero(), n.heldUntil, b.limits[e.ID]
 		}
 		known.Endpoint = e
 		next[e.ID] = known
@@ -231,7 +241,7 @@
 // of a slow one.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
 	members := b.pools[pool]
-	if !slices.ContainsFunc(members, func(e *endpoint) bool { return e.available(now) && b.hasRoom(e, w) }) {
+	if !slices.ContainsFunc(members, func(e *endpoint) bool { return b.available(now, e) && b.hasRoom(e, w) }) {
 		// Fast path: under overload, usually no endpoint has room.
 		return Choice{}, false
 	}
@@ -239,7 +249,7 @@
 	anyInTime, anyWithoutLongGap := false, false
 	candidates := b.candidates[:0]
 	for _, e := range members {
-		if !e.available(now) {
+		if !b.available(now, e) {
 			continue
 		}
 		c := b.evaluate(now, e, w)
@@ -264,15 +274,15 @@
 
 // HasRoom reports whether any endpoint of a pool could take a small piece of work now.
 func (b *Balancer) HasRoom(now time.Time, pool string) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return e.available(now) && b.hasRoom(e, Work{}) })
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e) && b.hasRoom(e, Work{}) })
 }
 
 // FreePlaces returns the number of free places of the available endpoints of a pool.
 func (b *Balancer) FreePlaces(now time.Time, pool string) int {
 	free := 0
 	for _, e := range b.pools[pool] {
-		if e.available(now) && b.hasRoom(e, Work{}) {
-			free += max(e.Slots, 1) - e.load.Running
+		if b.available(now, e) && b.hasRoom(e, Work{}) {
+			free += min(max(e.Slots, 1)-e.load.Running, b.freePermits(now, e))
 		}
 	}
 	return free
@@ -305,8 +315,13 @@
 	return taken, all
 }
 
-// available reports whether an endpoint may take work. After a failed connect, it is tried by one request at a time.
-func (e *endpoint) available(now time.Time) bool {
+// available reports whether an endpoint may take work now.
+func (b *Balancer) available(now time.Time, e *endpoint) bool {
+	return e.accepts(now) && b.freePermits(now, e) > 0 && !b.avoids(e)
+}
+
+// accepts reports whether an endpoint may take work within its limit. After a failed connect, it is tried by one request at a time.
+func (e *endpoint) accepts(now time.Time) bool {
 	return !e.isLeaving() && !now.Before(e.heldUntil) && !now.Before(e.unavailableUntil) && (e.failedConnects == 0 || e.load.Running == 0)
 }
 
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -20,7 +20,15 @@
 	ended         bool
 }
 
-// Start counts a request that is sent to the chosen endpoint.
+// Place counts a request that this balancer has placed at the chosen endpoint, also against the limit of the endpoint.
+func (b *Balancer) Place(now time.Time, c Choice, w Work) *Run {
+	if e, ok := b.endpoints[c.Endpoint.ID]; ok {
+		b.takePermit(now, e)
+	}
+	return b.Start(c, w)
+}
+
+// Start counts a request at an endpoint that another host has placed there.
 func (b *Balancer) Start(c Choice, w Work) *Run {
 	r := &Run{work: w}
 	e, ok := b.endpoints[c.Endpoint.ID]
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,8 @@
 	peerSummaries  map[sharder.Shard]shardSummary
 	crashes        quarantiner.CrashLog
 	evidence       attributor.Log
+	// endpointLimits are the limits that endpoints state, in requests per second by ID; 0 if the endpoint has lifted it.
+	endpointLimits map[string]float64
 	wg             sync.WaitGroup
 }
 
@@ -140,6 +142,7 @@
 	c.peerUses = map[string]*peerUse{}
 	c.disconnected = map[string]*session{}
 	c.incarnations, c.peers = map[string]uint64{}, map[string]*peer{}
+	c.endpointLimits = map[string]float64{}
 	c.peerSummaries = map[sharder.Shard]shardSummary{}
 	c.tally = ratelimiter.NewTally(now, c.AllotmentWindow)
 	c.allotments, c.workspaceNames = c.newAllotments(now), map[uint64]string{}
@@ -246,6 +249,11 @@
 	s := c.shards[key]
 	if s == nil {
 		s = &shard{key: key, admitter: admitter.New(balancer.New(key.Zone))}
+		s.admitter.Update(func(b *balancer.Balancer) {
+			for id, rate := range c.endpointLimits {
+				b.SetLimit(time.Now(), id, rate)
+			}
+		})
 		s.setEndpoints(c.endpoints)
 		c.shards[key] = s
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -114,6 +114,10 @@
 	if crashes, _ := c.crashes.Since(0); len(crashes) > 0 {
 		s.enqueue(func(o *coordinatorpb.Orders) { o.Crashes = EncodeCrashes(s.startedAt, crashes) })
 	}
+	c.recordLimits(s.startedAt, hello.GetLimits(), true)
+	if len(c.endpointLimits) > 0 {
+		s.enqueue(func(o *coordinatorpb.Orders) { o.Limits = EncodeLimits(c.endpointLimits) })
+	}
 	if evidence, _ := c.evidence.Since(0); len(evidence) > 0 {
 		s.enqueue(func(o *coordinatorpb.Orders) { o.Evidence = EncodeEvidence(s.startedAt, evidence) })
 	}
@@ -223,6 +227,7 @@
 		s.applyNotice(now, n)
 	}
 	s.applyStated(now, r.GetStated())
+	s.applyLimits(now, r.GetLimits())
 	s.applyUsage(now, r)
 	for _, p := range r.GetAsks() {
 		s.startAsk(now, p)
@@ -327,6 +332,16 @@
 	}
 }
 
+// applyLimits applies the limits that endpoints have stated in answers to the host.
+func (s *session) applyLimits(now time.Time, limits []*coordinatorpb.EndpointLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.recordLimits(now, limits, false)
+}
+
 // applyStated applies the speeds that endpoints report.
 func (s *session) applyStated(now time.Time, stated []*coordinatorpb.Stated) {
 	if len(stated) == 0 {
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -20,6 +20,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
+	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
@@ -137,7 +139,9 @@
 	h.participant.Register()
 	h.startedParticipant.Store(h.participant)
 	h.participant.Subscribe(h.applyConfig)
-	h.admitter = admitter.New(balancer.New(h.Zone))
+	endpoints := balancer.New(h.Zone)
+	endpoints.AvoidLimited = true
+	h.admitter = admitter.New(endpoints)
 	listener, err := net.Listen("tcp", h.CallerAddr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", h.CallerAddr)
@@ -145,7 +149,9 @@
 	h.participant.Agent().OnMembers(func(members []marshaller.Member) { h.knownControlHosts.Store(new(controlHosts(members, ""))) })
 	h.acquirer = &acquirer.Acquirer{
 		Zone: h.Zone, Network: network{h.transport}, ControlHosts: h.controlHosts, Incarnation: h.participant.Incarnation,
-		Local: h.admitter, FillReport: h.fillReport, ApplyOrders: h.applyOrders, Windows: h.usageWindows, ChargeAllotment: func(workspace string, units float64) (bool, time.Duration) {
+		Local: h.admitter, FillReport: h.fillReport, ApplyOrders: h.applyOrders, Windows: h.usageWindows,
+		EndpointLimits: func() []*coordinatorpb.EndpointLimit { return coordinator.EncodeLimits(h.gateway.EndpointLimits()) },
+		ChargeAllotment: func(workspace string, units float64) (bool, time.Duration) {
 			return h.gateway.ChargeAllotment(workspace, units)
 		},
 	}
--- a/internal/forwarder/usage.go
+++ b/internal/forwarder/usage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/acquirer"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/crashwatcher"
@@ -38,6 +39,8 @@
 	sumsID   uint64
 	lastSums map[uint64]float64
 	totals   map[string]float64
+	// hosts is the number of other hosts.
+	hosts int
 }
 
 // fillReport adds the use of allotments and the crashes to a report: everything if all is set, else what has changed since the
@@ -80,6 +83,7 @@
 		Crashes: coordinator.DecodeCrashes(time.Now(), o.GetCrashes()), Cleared: o.GetCleared(),
 		Evidence: coordinator.DecodeEvidence(time.Now(), o.GetEvidence()),
 	})
+	h.mergeLimits(o.GetLimits())
 	index := h.index.Load()
 	if o.GetOthers() == nil || index == nil {
 		return
@@ -91,6 +95,7 @@
 	sums := coordinator.DecodeUses(o.GetOthers())
 	h.sharedUse.mu.Lock()
 	defer h.sharedUse.mu.Unlock()
+	h.applyHosts(int(o.GetOthers().GetHosts()))
 	sumsReset := o.GetOthersId() != h.sharedUse.sumsID
 	h.gateway.UpdatePeerUsage(othersName, othersAge, h.sharedUse.addIncrease(o.GetOthersId(), sums, names), int(o.GetOthers().GetHosts()), sumsReset)
 	if history := coordinator.DecodeHistory(o.GetOthers(), names); len(history) > 0 {
@@ -98,6 +103,27 @@
 	}
 }
 
+// mergeLimits applies the limits of endpoints as sent by a coordinator.
+func (h *Host) mergeLimits(limits []*coordinatorpb.EndpointLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	rates := make(map[string]float64, len(limits))
+	for _, l := range limits {
+		rates[l.GetEndpoint()] = l.GetPerS()
+	}
+	h.gateway.MergeLimits(rates)
+}
+
+// applyHosts sets the part of the endpoints' limits that this host uses for requests that it places without a coordinator.
+func (h *Host) applyHosts(others int) {
+	if h.sharedUse.hosts == others {
+		return
+	}
+	h.sharedUse.hosts = others
+	h.admitter.Update(func(b *balancer.Balancer) { b.SetLimitShare(time.Now(), 1/float64(others+1)) })
+}
+
 // addIncrease adds the increase of the sums since the last call and returns the totals of the other hosts by workspace. Sums with
 // a new id only set the base.
 func (s *sharedUse) addIncrease(id uint64, sums map[uint64]float64, names map[uint64]string) map[string]float64 {
@@ -117,6 +143,10 @@
 
 // forwardNotice reports an endpoint's announcement about itself to the coordinators.
 func (h *Host) forwardNotice(n gateway.EndpointStatus) {
+	if n.LimitChanged {
+		h.acquirer.ReportLimit(n.Endpoint, n.Limit)
+		return
+	}
 	if n.Speed > 0 {
 		h.acquirer.ReportSpeed(n.Endpoint, n.Speed)
 		return
--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -74,20 +75,43 @@
 
 // recordLimit records the limit that an endpoint states in a response, in requests per second; 0 means none.
 func (g *Gateway) recordLimit(id string, rate float64) {
+	if !g.setLimit(id, rate, "seen") {
+		return
+	}
+	g.OnEndpointStatus(EndpointStatus{Endpoint: id, LimitChanged: true, Limit: rate})
+}
+
+// MergeLimits applies the limits of endpoints that other hosts have seen, in requests per second by ID; 0 means none.
+func (g *Gateway) MergeLimits(limits map[string]float64) {
+	for id, rate := range limits {
+		g.setLimit(id, rate, "told")
+	}
+}
+
+// EndpointLimits returns the known limits of endpoints, in requests per second by ID.
+func (g *Gateway) EndpointLimits() map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.endpointLimits)
+}
+
+// setLimit sets the limit of an endpoint. It returns false if the limit has not changed.
+func (g *Gateway) setLimit(id string, rate float64, source string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.endpointLimits[id]
 	if rate == before {
-		return
+		return false
 	}
 	if rate > 0 {
 		g.endpointLimits[id] = rate
-		limitChanges.Add("stated", 1)
 	} else {
 		delete(g.endpointLimits, id)
-		limitChanges.Add("lifted", 1)
 	}
-	klog.InfoS("gateway: endpoint limit changed", "endpoint", id, "requests_per_s", rate, "before", before, "source", "seen")
+	g.Admitter.Update(func(b *balancer.Balancer) { b.SetLimit(time.Now(), id, rate) })
+	limitChanges.Add(source, 1)
+	klog.InfoS("gateway: endpoint limit changed", "endpoint", id, "requests_per_s", rate, "before", before, "source", source)
+	return true
 }
 
 // parseLimit returns the number of requests per second in a limit header; 0 if it is missing or invalid. A limit of 0 is returned as
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,11 +115,12 @@
 	Speed float64
 	// RetryAfter is the time for which the endpoint asked this host to send no requests.
 	RetryAfter time.Duration
+	// LimitChanged is true if the endpoint states another limit than before, and Limit is that limit in requests per second from all
+	// hosts together; 0 means none.
+	LimitChanged bool
+	Limit        float64
 }
 
-// Limits maps the IDs of endpoints to the requests per second that they take from all hosts together.
-type Limits map[string]float64
-
 // Gateway forwards requests. Set the exported fields, then call Init before any other method.
 type Gateway struct {
 	// Listener accepts the callers' connections.
@@ -148,8 +149,8 @@
 	crashWatcher *crashwatcher.Watcher
 	// confirmingCrash holds the IDs of the endpoints with a crash check in progress.
 	confirmingCrash map[string]bool
-	// endpointLimits are the current limits of endpoints.
-	endpointLimits Limits
+	// endpointLimits are the known limits of endpoints, in requests per second by ID.
+	endpointLimits map[string]float64
 	// healthCheckedAt holds the time of the last health check of draining endpoints, by endpoint ID.
 	healthCheckedAt map[string]time.Time
 	checks          sync.WaitGroup
@@ -173,7 +174,7 @@
 	g.allotments = ratelimiter.New(time.Now(), g.AllotmentWindow)
 	g.retryBudgets = map[string]*ratelimiter.RetryBudget{}
 	g.crashWatcher = crashwatcher.New(time.Now(), rand.Float64())
-	g.confirmingCrash, g.healthCheckedAt, g.endpointLimits = map[string]bool{}, map[string]time.Time{}, Limits{}
+	g.confirmingCrash, g.healthCheckedAt, g.endpointLimits = map[string]bool{}, map[string]time.Time{}, map[string]float64{}
 	g.tableReady = make(chan struct{})
 	g.tracker = &trackingListener{Listener: g.Listener, conns: map[*trackedConn]struct{}{}}
 	g.server = &http.Server{
