attributor: keep survivals that arrive before the crash

Evidence from several hosts reaches a coordinator over several others. A survival that arrived before the interrupted run was dropped as not needed and never sent again, so that a part that most runs survive could be refused at some hosts.

TestVerdicts, evidence in reversed order: a part with three crashes and thirteen survivals was found harmful before, not now.

--- a/internal/attributor/attributor_test.go
+++ b/internal/attributor/attributor_test.go
@@ -273,7 +273,8 @@
 	}
 }
 
-// Guards against blaming a part that sound requests share with the harmful one, and against counting one crash several times.
+// Guards against blaming a part that sound requests share with the harmful one, against counting one crash several times, and against
+// verdicts that depend on the order in which a host receives the evidence.
 func TestVerdicts(t *testing.T) {
 	const shared, other = 1, 2
 	start := time.Unix(1_000_000, 0)
@@ -335,7 +336,7 @@
 		},
 		"most runs answered": {
 			[]attributor.Evidence{
-				crash(1, 1, 1, true, other), survival(2, 2, 13, other), crash(3, 2, 3, true, other), crash(4, 3, 4, true, other),
+				crash(1, 1, 1, true, other), crash(3, 2, 3, true, other), crash(4, 3, 4, true, other), survival(2, 2, 13, other),
 			},
 			map[uint64]int{},
 		},
@@ -360,16 +361,21 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var l attributor.Log
-			for _, e := range append(c.evidence, c.evidence...) {
-				l.Add(at(10), e)
-			}
-			got := map[uint64]int{}
-			for part, v := range l.Verdicts() {
-				got[part] = v.Crashes
-			}
-			if diff := cmp.Diff(c.want, got); diff != "" {
-				t.Errorf("crashes of harmful parts (-want +got):\n%s", diff)
+			// Evidence arrives in any order, and repeatedly.
+			reversed := slices.Clone(c.evidence)
+			slices.Reverse(reversed)
+			for _, order := range [][]attributor.Evidence{append(slices.Clone(c.evidence), c.evidence...), reversed} {
+				var l attributor.Log
+				for _, e := range order {
+					l.Add(at(10), e)
+				}
+				got := map[uint64]int{}
+				for part, v := range l.Verdicts() {
+					got[part] = v.Crashes
+				}
+				if diff := cmp.Diff(c.want, got); diff != "" {
+					t.Errorf("crashes of harmful parts (-want +got):\n%s", diff)
+				}
 			}
 		})
 	}
--- a/internal/attributor/evidence.go
+++ b/internal/attributor/evidence.go
@@ -45,7 +45,7 @@
 }
 
 // Add adds evidence and drops expired entries. It returns false if the evidence was in the log already, or if it reports the
-// survival of parts that needs no further evidence.
+// survival of parts for which enough survivals are known.
 func (l *Log) Add(now time.Time, e Evidence) bool {
 	kept := len(l.entries)
 	l.entries = slices.DeleteFunc(l.entries, func(known logEntry) bool { return now.Sub(known.At) > evidenceRetention })
@@ -55,7 +55,7 @@
 	if slices.ContainsFunc(l.entries, func(known logEntry) bool { return known.ID == e.ID }) {
 		return false
 	}
-	if e.Survived > 0 && !slices.ContainsFunc(e.Parts, func(part uint64) bool { return l.NeedsSurvivals(part, e.At) }) {
+	if e.Survived > 0 && slices.ContainsFunc(e.Parts, l.isSuspect) && !slices.ContainsFunc(e.Parts, func(part uint64) bool { return l.NeedsSurvivals(part, e.At) }) {
 		return false
 	}
 	l.last++
@@ -67,6 +67,13 @@
 	return true
 }
 
+// isSuspect reports whether a run with a part was interrupted. The survivals of another part may arrive before the interrupted run,
+// which takes another way.
+func (l *Log) isSuspect(part uint64) bool {
+	_, suspect := l.partCounts()[part]
+	return suspect
+}
+
 // NeedsSurvivals reports whether a survival at a time could change the verdict about a part.
 func (l *Log) NeedsSurvivals(part uint64, at time.Time) bool {
 	c, suspected := l.partCounts()[part]
--- a/internal/coordinator/evidence_test.go
+++ b/internal/coordinator/evidence_test.go
@@ -51,8 +51,10 @@
 		time.Sleep(time.Second)
 		first, connected, remote := join(ctx, a, "h1", 1), join(ctx, a, "h2", 1), join(ctx, peer, "h3", 1)
 		crash := &coordinatorpb.Evidence{Id: 1, Part: []uint64{7}, Endpoint: 1, Answering: true}
-		unneeded := &coordinatorpb.Evidence{Id: 2, Part: []uint64{8}, Survived: 1}
-		first.reports <- &coordinatorpb.Report{Evidence: []*coordinatorpb.Evidence{crash, crash, unneeded}}
+		unneeded := &coordinatorpb.Evidence{Id: 3, Part: []uint64{7}, Survived: 1, AgeMs: 1000}
+		first.reports <- &coordinatorpb.Report{Evidence: []*coordinatorpb.Evidence{
+			crash, crash, {Id: 2, Part: []uint64{7}, Survived: 6, AgeMs: 1000}, unneeded,
+		}}
 		time.Sleep(time.Second)
 		got := map[string][]uint64{"connected": connected.receivedEvidence(), "of another coordinator": remote.receivedEvidence()}
 		close(first.reports)
@@ -72,7 +74,7 @@
 		time.Sleep(time.Second)
 		joined := join(ctx, restarted, "h5", 1)
 		got["of a restarted coordinator"] = joined.receivedEvidence()
-		want := map[string][]uint64{"connected": {1}, "of another coordinator": {1}, "that joins later": {1}, "of a restarted coordinator": {1}}
+		want := map[string][]uint64{"connected": {1, 2}, "of another coordinator": {1, 2}, "that joins later": {1, 2}, "of a restarted coordinator": {1, 2}}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("evidence received by a host (-want +got):\n%s", diff)
 		}
