gateway: a stream that began long before a crash is no suspect

The prompt of a stream that had sent one event counted as a suspect until its second event, however long ago the first one had come. The crash of an endpoint then had several suspects whose response had begun, most of them sound.

TestOnlyRecentStreamsAreSuspects: one suspect 300 ms after the first event before, none now; a stream that had just begun is one as before.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -93,7 +93,7 @@
 // interruptedRun returns the facts about the current send for the crash watcher.
 func (q *request) interruptedRun(idleSince time.Time) crashwatcher.InterruptedRun {
 	r := crashwatcher.InterruptedRun{Fingerprint: q.fingerprint, Began: q.sendBegan, IdleSince: idleSince, Answering: q.answering}
-	if !q.survived {
+	if !q.survived && (q.sendEvents == 0 || time.Since(q.sendFirstEventAt) < survivalTime) {
 		r.Parts = q.partDigests
 	}
 	return r
--- a/internal/gateway/prompt_part_test.go
+++ b/internal/gateway/prompt_part_test.go
@@ -150,3 +150,42 @@
 		})
 	}
 }
+
+// Guards against suspecting the prompt of a stream whose first event came long before the crash, although its second event had not
+// come yet. A stream that had just begun is a suspect.
+func TestOnlyRecentStreamsAreSuspects(t *testing.T) {
+	for name, c := range map[string]struct {
+		streamed time.Duration
+		suspects int
+	}{
+		"just begun": {0, 1},
+		"long since": {300 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, streamHead(r)+chunk("id: 1\ndata: a\n\n"))
+				time.Sleep(c.streamed)
+				_ = l.Close()
+			}()
+			h := startTestHost(t, &fakeEndpoint{id: "e1", addr: l.Addr().String()})
+			h.send(t, partRequest(1, "usual"))
+			time.Sleep(120 * time.Millisecond) // until the crash is confirmed
+			if got := len(h.gateway.TakeCrashUpdates(true).Evidence); got != c.suspects {
+				t.Errorf("%d suspect runs, want %d", got, c.suspects)
+			}
+		})
+	}
+}
