--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -137,6 +137,9 @@
 		reported++
 		t.addOwn(now, Evidence{ID: t.rng.Uint64(), Parts: r.Parts, At: r.At, Endpoint: endpoint, Began: r.Began, Answering: r.Answering})
 	}
+	if reported == 0 {
+		return
+	}
 	t.reportEarlierSurvivals(now)
 	t.update(now)
 }
--- a/internal/crashwatcher/crashwatcher.go
+++ b/internal/crashwatcher/crashwatcher.go
@@ -155,8 +155,10 @@
 			w.pending.Crashes = append(w.pending.Crashes, c)
 		}
 	}
-	w.parts.RecordCrash(now, digest, suspects)
-	w.retractExplained()
+	if len(w.interrupted[endpoint]) > len(unconfirmed) {
+		w.parts.RecordCrash(now, digest, suspects)
+		w.retractExplained()
+	}
 	delete(w.interrupted, endpoint)
 	if len(unconfirmed) > 0 {
 		w.interrupted[endpoint] = unconfirmed
