acquirer: keep limits that are stated while a host connects

The limits in the hello to a coordinator were read before the link counted as connected. A limit that an endpoint stated in between was in neither the hello nor a report, and the host does not report it again while it does not change.

TestLimitStatedWhileConnecting: the second host did not learn the limit before, it does now.

--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -55,6 +55,8 @@
 	// trackLimits makes entry hosts track the limits of endpoints in limits.
 	trackLimits bool
 	limits      []*limitTracker
+	// duringHello is called after an entry host has read its limits for a coordinator; it may be nil.
+	duringHello func(a *acquirer.Acquirer, t *limitTracker)
 	// fillReport is called with the number of the host when an entry host fills its usage report; nil reports nothing. It is set
 	// before the hosts start.
 	fillReport func(host int, all bool) bool
--- a/internal/acquirer/limit_test.go
+++ b/internal/acquirer/limit_test.go
@@ -239,6 +239,31 @@
 	}
 }
 
+// Guards against losing a limit that an endpoint states while its host connects to a coordinator: neither the hello nor a report would
+// contain it, and the host reports it only once.
+func TestLimitStatedWhileConnecting(t *testing.T) {
+	var once sync.Once
+	runWith(t, 2, 6, 40, func(f *fixture) {
+		f.trackLimits = true
+		f.duringHello = func(a *acquirer.Acquirer, t *limitTracker) {
+			once.Do(func() {
+				t.set(limitedEndpoint, 2)
+				a.ReportLimit(limitedEndpoint, 2)
+			})
+		}
+	}, func(f *fixture) {
+		// Requests make the hosts connect.
+		f.offerLoad(20, 10*time.Millisecond, 500*time.Millisecond, 2*time.Second)
+		for i, limits := range f.limits {
+			limits.mu.Lock()
+			if rate := limits.limits[limitedEndpoint]; rate != 2 {
+				t.Errorf("host %d knows a limit of %v, want 2", i, rate)
+			}
+			limits.mu.Unlock()
+		}
+	})
+}
+
 // runLimited runs a fixture whose entry hosts track the limits of endpoints.
 func runLimited(t *testing.T, hosts, engines, slots int, body func(f *fixture)) {
 	t.Helper()
@@ -248,6 +273,12 @@
 // trackLimitsOf makes an entry host track the limits of endpoints.
 func (f *fixture) trackLimitsOf(a *acquirer.Acquirer, local *admitter.Admitter) {
 	t := &limitTracker{limits: map[string]float64{}, local: local}
-	a.ApplyOrders, a.EndpointLimits = t.applyOrders, t.encode
+	a.ApplyOrders, a.EndpointLimits = t.applyOrders, func() []*coordinatorpb.EndpointLimit {
+		limits := t.encode()
+		if f.duringHello != nil {
+			f.duringHello(a, t)
+		}
+		return limits
+	}
 	f.limits = append(f.limits, t)
 }
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -234,9 +234,6 @@
 	if a.Windows != nil {
 		hello.Hello.History = a.Windows()
 	}
-	if a.EndpointLimits != nil {
-		hello.Hello.Limits = a.EndpointLimits()
-	}
 	now := time.Now()
 	a.mu.Lock()
 	l.stream, l.cancel, l.seq, l.pending = stream, cancel, 1, nil
@@ -257,6 +254,10 @@
 		}
 	}
 	a.mu.Unlock()
+	if a.EndpointLimits != nil {
+		// The link is connected, so a limit that changes from now on is reported.
+		hello.Hello.Limits = a.EndpointLimits()
+	}
 	klog.InfoS("asker: coordinator reached", "addr", l.addr, "runs", len(hello.GetRuns()))
 	if err := stream.Send(hello); err != nil {
 		l.fail("hello not sent")
