--- a/internal/acquirer/limit_test.go
+++ b/internal/acquirer/limit_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,24 +243,27 @@
 // Guards against losing a limit that an endpoint states while its host connects to a coordinator: neither the hello nor a report would
 // contain it, and the host reports it only once.
 func TestLimitStatedWhileConnecting(t *testing.T) {
-	var once sync.Once
-	runWith(t, 2, 6, 40, func(f *fixture) {
+	var rate atomic.Int64
+	runWith(t, 0, 6, 40, func(f *fixture) {
 		f.trackLimits = true
 		f.duringHello = func(a *acquirer.Acquirer, t *limitTracker) {
-			once.Do(func() {
-				t.set(limitedEndpoint, 2)
-				a.ReportLimit(limitedEndpoint, 2)
-			})
+			stated := float64(rate.Add(1))
+			t.set(limitedEndpoint, stated)
+			a.ReportLimit(limitedEndpoint, stated)
 		}
 	}, func(f *fixture) {
-		// Requests make the hosts connect.
+		// All coordinators are ready, so the host connects to one of them, at its first request.
+		f.addHost(0)
 		f.offerLoad(20, 10*time.Millisecond, 500*time.Millisecond, 2*time.Second)
-		for i, limits := range f.limits {
-			limits.mu.Lock()
-			if rate := limits.limits[limitedEndpoint]; rate != 2 {
-				t.Errorf("host %d knows a limit of %v, want 2", i, rate)
-			}
-			limits.mu.Unlock()
+		want := float64(rate.Load())
+		f.duringHello = nil
+		f.addHost(1)
+		f.offerLoad(20, 10*time.Millisecond, 500*time.Millisecond, 2*time.Second)
+		other := f.limits[1]
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		if got := other.limits[limitedEndpoint]; got != want {
+			t.Errorf("the other host knows a limit of %v, want %v", got, want)
 		}
 	})
 }
