--- a/internal/ratelimiter/window.go
+++ b/internal/ratelimiter/window.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// addShare adds, in each bucket, a share of the usage by which from exceeds w. Both have the same length and epoch.
+// addShare adds, in each bucket, a share of the usage by which other exceeds w. Both have the same length and epoch.
 func (w *window) addShare(other *window, share float64) {
 	w.sum = 0
 	for i := range w.buckets {
