coordinator: several coordinators share the limit of an endpoint

While some hosts do not reach the coordinator that the others use, two coordinators place requests at the same endpoints, each up to the whole limit: 12 requests more than allowed in 4 s at a limit of 8 a second if half of the hosts are cut off from it, 1 more if they come and go.

Coordinators now report to each other how many requests they have placed at limited endpoints, and each counts those of the others against its own permits. A debt ends after 4 s without further placements.

--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,11 +44,13 @@
 	unreachable  map[string]bool
 	// peerIsolated are control hosts that other control hosts cannot reach, while entry hosts can.
 	peerIsolated map[string]bool
-	streams      map[string][]*pipe
-	clients      []*acquirer.Acquirer
-	locals       []*admitter.Admitter
-	running      map[string]int
-	peak         map[string]int
+	// halfCut are control hosts that the entry hosts with an odd number cannot reach.
+	halfCut map[string]bool
+	streams map[string][]*pipe
+	clients []*acquirer.Acquirer
+	locals  []*admitter.Admitter
+	running map[string]int
+	peak    map[string]int
 	// overloadedAt is when a request was last placed at an engine without a free place.
 	overloadedAt time.Time
 	slots        int
@@ -67,7 +71,7 @@
 
 func newFixture(t *testing.T, ctx context.Context, hosts, engines, slots int, configure func(f *fixture)) *fixture {
 	f := &fixture{
-		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{},
+		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{}, halfCut: map[string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, peak: map[string]int{}, slots: slots,
 	}
 	configure(f)
@@ -161,11 +165,18 @@
 	from string
 }
 
+// cut reports whether this host does not reach a control host that others reach. The caller holds f.mu.
+func (n network) cut(addr string) bool {
+	number, isEntryHost := strings.CutPrefix(n.from, "h")
+	i, _ := strconv.Atoi(number)
+	return isEntryHost && i%2 == 1 && n.f.halfCut[addr]
+}
+
 var errNoHost = errors.New("host unreachable")
 
 func (n network) lookup(addr string) (*coordinator.Coordinator, error) {
 	n.f.mu.Lock()
-	c, alive, silent := n.f.coordinators[addr], n.f.alive[addr], n.f.unreachable[addr] || n.f.unreachable[n.from]
+	c, alive, silent := n.f.coordinators[addr], n.f.alive[addr], n.f.unreachable[addr] || n.f.unreachable[n.from] || n.cut(addr)
 	n.f.mu.Unlock()
 	if silent {
 		return nil, nil
@@ -237,7 +248,7 @@
 
 func (p *pipe) Send(m proto.Message) error {
 	p.n.f.mu.Lock()
-	silent := p.n.f.unreachable[p.addr]
+	silent := p.n.f.unreachable[p.addr] || p.n.cut(p.addr)
 	p.n.f.mu.Unlock()
 	if silent {
 		return nil
--- a/internal/acquirer/limit_test.go
+++ b/internal/acquirer/limit_test.go
@@ -124,6 +124,10 @@
 		f.mu.Lock()
 		f.peerIsolated[owner] = e.action == "isolate"
 		f.mu.Unlock()
+	case "halve", "unite":
+		f.mu.Lock()
+		f.halfCut[owner] = e.action == "halve"
+		f.mu.Unlock()
 	case "restart":
 		f.addHost(int(e.value))
 		last := len(f.clients) - 1
--- a/internal/balancer/permit.go
+++ b/internal/balancer/permit.go
@@ -10,6 +10,8 @@
 	// permitBurst is the number of permits that an unused limit accumulates at most, plus permitBurstTime of its rate.
 	permitBurst     = 1
 	permitBurstTime = 500 * time.Millisecond
+	// maxPermitDebt is the largest time by which placements of other balancers delay the next permit.
+	maxPermitDebt = 4 * time.Second
 	// maxLimits is the number of limits above which those of endpoints that are not in the list are dropped.
 	maxLimits = 4096
 )
@@ -20,6 +22,8 @@
 	rate      float64
 	available float64
 	updatedAt time.Time
+	// placed is the number of requests that this balancer has placed.
+	placed uint64
 }
 
 // at returns the state at a later time. Share is the part of the rate that this balancer may use.
@@ -78,6 +82,26 @@
 	if e.permits != nil {
 		*e.permits = e.permits.at(now, b.limitShare())
 		e.permits.available--
+		e.permits.placed++
+	}
+}
+
+// LimitedPlacements returns the number of requests that this balancer has placed at the endpoints with a limit, by ID.
+func (b *Balancer) LimitedPlacements() map[string]uint64 {
+	out := make(map[string]uint64, len(b.limits))
+	for id, p := range b.limits {
+		if p.placed > 0 {
+			out[id] = p.placed
+		}
+	}
+	return out
+}
+
+// ChargeLimit counts requests that another balancer has placed at an endpoint with a limit.
+func (b *Balancer) ChargeLimit(now time.Time, id string, placed uint64) {
+	if p := b.limits[id]; p != nil {
+		*p = p.at(now, b.limitShare())
+		p.available = max(p.available-float64(placed), -p.rate*maxPermitDebt.Seconds())
 	}
 }
 
--- a/internal/coordinator/limit.go
+++ b/internal/coordinator/limit.go
@@ -43,6 +43,36 @@
 	}
 }
 
+// limitedPlacements returns the numbers of requests that this coordinator has placed at endpoints with a limit, where they differ
+// from those sent before. The caller holds c.mu.
+func (c *Coordinator) limitedPlacements(sent map[string]uint64) map[string]uint64 {
+	out := map[string]uint64{}
+	if len(c.endpointLimits) == 0 {
+		return out
+	}
+	for _, s := range c.shards {
+		s.admitter.View(func(b *balancer.Balancer) { maps.Copy(out, b.LimitedPlacements()) })
+	}
+	maps.DeleteFunc(out, func(id string, placed uint64) bool { return sent[id] == placed })
+	return out
+}
+
+// chargePlacements counts the requests that another coordinator has placed at endpoints with a limit since its last report: while
+// not all hosts reach the same coordinator, several place at one endpoint. The caller holds c.mu.
+func (c *Coordinator) chargePlacements(now time.Time, known map[string]uint64, reported []*coordinatorpb.LimitedPlacements) {
+	for _, p := range reported {
+		before, seen := known[p.GetEndpoint()]
+		known[p.GetEndpoint()] = p.GetPlaced()
+		if !seen || p.GetPlaced() <= before {
+			// The first number includes requests of the past, and a lower one belongs to a limit that was stated anew.
+			continue
+		}
+		for _, s := range c.shards {
+			s.admitter.Update(func(b *balancer.Balancer) { b.ChargeLimit(now, p.GetEndpoint(), p.GetPlaced()-before) })
+		}
+	}
+}
+
 // EncodeLimits returns the message form of limits in requests per second, by endpoint.
 func EncodeLimits(limits map[string]float64) []*coordinatorpb.EndpointLimit {
 	var out []*coordinatorpb.EndpointLimit
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -20,10 +20,12 @@
 // coordinators.
 const shardIdleTimeout = time.Second
 
-// peerUse is the allotment usage reported by another coordinator, by workspace name.
+// peerUse is the usage reported by another coordinator: of allotments by workspace name, and of limited endpoints.
 type peerUse struct {
 	processID uint64
 	used      map[string]float64
+	// placements are the requests that it has placed at endpoints with a limit, by ID.
+	placements map[string]uint64
 }
 
 // peer is the state of the reports to another coordinator.
@@ -34,6 +36,8 @@
 	// last crash and piece of evidence.
 	sentTotals                    map[uint64]float64
 	sentCrashSeq, sentEvidenceSeq uint64
+	// sentPlacements are the numbers of placements at limited endpoints in the last report that was answered.
+	sentPlacements map[string]uint64
 	// pendingCleared are the fingerprints of cleared requests that have not been reported to it.
 	pendingCleared []uint64
 }
@@ -65,6 +69,9 @@
 	r.Crashes, r.Cleared = EncodeCrashes(now, crashes), slices.Clone(p.pendingCleared)
 	evidence, lastEvidence := c.evidence.Since(p.sentEvidenceSeq)
 	r.Evidence = EncodeEvidence(now, evidence)
+	for id, placed := range c.limitedPlacements(p.sentPlacements) {
+		r.Placements = append(r.Placements, &coordinatorpb.LimitedPlacements{Endpoint: id, Placed: placed})
+	}
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.lastAskAt) > shardIdleTimeout {
 			continue
@@ -74,7 +81,7 @@
 			Shard: &coordinatorpb.Shard{Pool: key.Pool, Zone: key.Zone}, Free: uint32(max(free, 0)), Queue: uint32(waiting),
 		})
 	}
-	news := len(r.GetUses().GetUnits()) + len(r.GetCrashes()) + len(r.GetCleared()) + len(r.GetEvidence()) + len(r.GetSummaries())
+	news := len(r.GetUses().GetUnits()) + len(r.GetCrashes()) + len(r.GetCleared()) + len(r.GetEvidence()) + len(r.GetPlacements()) + len(r.GetSummaries())
 	if news == 0 && now.Sub(p.reachedAt) < idleReportInterval {
 		return nil
 	}
@@ -93,7 +100,7 @@
 	p.inFlight = false
 	if err != nil {
 		// It may have restarted and then needs the full state.
-		p.sentTotals, p.sentCrashSeq, p.sentEvidenceSeq = nil, 0, 0
+		p.sentTotals, p.sentCrashSeq, p.sentEvidenceSeq, p.sentPlacements = nil, 0, 0, nil
 		klog.V(1).Infof("coordinator: peer report failed peer=%s reason=%q", h.ID, err)
 		return
 	}
@@ -105,6 +112,12 @@
 		p.sentTotals = map[uint64]float64{}
 	}
 	maps.Copy(p.sentTotals, DecodeUses(call.report.GetUses()))
+	if p.sentPlacements == nil {
+		p.sentPlacements = map[string]uint64{}
+	}
+	for _, l := range call.report.GetPlacements() {
+		p.sentPlacements[l.GetEndpoint()] = l.GetPlaced()
+	}
 }
 
 // HandlePeer answers MethodPeer: it applies the report of another coordinator.
@@ -122,7 +135,7 @@
 	})
 	known := c.peerUses[r.GetHost()]
 	if known == nil || known.processID != r.GetProcess() {
-		known = &peerUse{processID: r.GetProcess(), used: map[string]float64{}}
+		known = &peerUse{processID: r.GetProcess(), used: map[string]float64{}, placements: map[string]uint64{}}
 		c.peerUses[r.GetHost()] = known
 		if p := c.peers[r.GetHost()]; p != nil {
 			// A restarted process needs the full state.
@@ -142,6 +155,7 @@
 	c.recordCrashes(now, r.GetCrashes())
 	c.recordEvidence(now, r.GetEvidence())
 	c.recordCleared(r.GetCleared())
+	c.chargePlacements(now, known.placements, r.GetPlacements())
 	reply := &coordinatorpb.PeerReply{}
 	if r.GetYoung() && now.Sub(c.allotmentsKnownSince) > historyMaxAge {
 		reply.History = &coordinatorpb.Uses{}
