gateway: prompt parts beyond the sixteenth are suspects too

Of a prompt with many parts, such as a long conversation, only the first sixteen were read, because the estimate of engines' caches needs no more. A harmful part after them was never a suspect. All IDs up to the 256th are read now; the estimate is unchanged.

TestLatePromptPartIsSuspect: no suspect before, one now.

--- a/internal/gateway/prompt_part_test.go
+++ b/internal/gateway/prompt_part_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/attributor"
 )
 
 const (
@@ -189,3 +192,22 @@
 		})
 	}
 }
+
+// Guards against a harmful part that is not seen because many parts come before it, for example in a long conversation.
+func TestLatePromptPartIsSuspect(t *testing.T) {
+	p := startPartCrashPool(t, 1, func(int64) bool { return false })
+	h := startTestHost(t, p.endpoints...)
+	parts := "X-Parts: "
+	for i := range 30 {
+		parts += fmt.Sprintf("turn%d:10,", i)
+	}
+	h.send(t, postRequest("/chat/x", "k", parts+crashingPart+":10,own:10\r\n"))
+	time.Sleep(120 * time.Millisecond) // until the crash is confirmed
+	suspect := false
+	for _, e := range h.gateway.TakeCrashUpdates(true).Evidence {
+		suspect = suspect || slices.Contains(e.Parts, attributor.Digest(crashingPart))
+	}
+	if !suspect {
+		t.Error("the part is no suspect after a crash")
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,8 +24,10 @@
 	// firstTableWait is the longest wait for the first table of a host: an election after a start of all hosts takes 400 to 800
 	// ms.
 	firstTableWait = time.Second
-	// maxPromptParts is the number of prompt segments that are used; further ones are ignored.
+	// maxPromptParts is the number of prompt segments that are used to estimate what engines have in their caches; further ones are
+	// ignored. maxPartIDs is the number of segments of which the IDs are used.
 	maxPromptParts = 16
+	maxPartIDs     = 256
 	// maxCallerTimeout is the longest timeout that a caller may request.
 	maxCallerTimeout = 10 * time.Minute
 )
@@ -280,11 +282,15 @@
 	for part := range strings.SplitSeq(header, ",") {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
 		n, err := strconv.Atoi(tokens)
-		if id == "" || err != nil || n < 0 || len(out) == maxPromptParts {
+		if id == "" || err != nil || n < 0 || len(ids) == maxPartIDs {
 			break
 		}
+		ids = append(ids, id)
+		if len(out) == maxPromptParts {
+			continue
+		}
 		_, _ = digest.WriteString(id + ",") // a digest never fails
-		out, ids = append(out, cacheestimator.Part{Key: digest.Sum64(), Tokens: n}), append(ids, id)
+		out = append(out, cacheestimator.Part{Key: digest.Sum64(), Tokens: n})
 	}
 	return out, ids
 }
