--- a/internal/coordinator/limit.go
+++ b/internal/coordinator/limit.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// applyLimits applies the limits that endpoints have stated in answers to the host.
+func (s *session) applyLimits(now time.Time, limits []*coordinatorpb.EndpointLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.recordLimits(now, limits, false)
+}
+
 // limitedPlacements returns the numbers of requests that this coordinator has placed at endpoints with a limit, where they differ
 // from those sent before. The caller holds c.mu.
 func (c *Coordinator) limitedPlacements(sent map[string]uint64) map[string]uint64 {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -332,16 +332,6 @@
 	}
 }
 
-// applyLimits applies the limits that endpoints have stated in answers to the host.
-func (s *session) applyLimits(now time.Time, limits []*coordinatorpb.EndpointLimit) {
-	if len(limits) == 0 {
-		return
-	}
-	s.c.mu.Lock()
-	defer s.c.mu.Unlock()
-	s.c.recordLimits(now, limits, false)
-}
-
 // applyStated applies the speeds that endpoints report.
 func (s *session) applyStated(now time.Time, stated []*coordinatorpb.Stated) {
 	if len(stated) == 0 {
