gateway: only successful responses end the limit of an endpoint

A refusal, a failure or a response that the endpoint did not generate has no limit header, and was taken for the end of the limit; the endpoint then got requests without limit until its next successful answer. Any response may state a limit, but only a successful one that the endpoint generated ends it. An invalid value changes nothing.

TestLimitEndsWithSuccessfulResponse: the limit of 2.5 was lifted by the three responses that do not tell before; it is kept now.

--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -39,8 +39,8 @@
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = parseRetryAfter(response.Header)
 	}
-	if response.Status != http.StatusMisdirectedRequest {
-		g.recordLimit(id, parseLimit(response.Header.Get(g.Headers.Limit)))
+	if rate, stated := g.statedLimit(response); stated {
+		g.recordLimit(id, rate)
 	}
 	now := time.Now()
 	if percent := parseSlowdown(response.Header.Get(g.Headers.Load)); percent > 0 {
@@ -114,14 +114,21 @@
 	return true
 }
 
-// parseLimit returns the number of requests per second in a limit header; 0 if it is missing or invalid. A limit of 0 is returned as
-// minLimit.
-func parseLimit(header string) float64 {
-	rate, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+// statedLimit returns the limit that a response states, in requests per second; 0 means that the endpoint has none. It returns false
+// if the response does not tell: it has no valid limit and is a failure or not from the endpoint.
+func (g *Gateway) statedLimit(response *exchanger.Response) (rate float64, stated bool) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return 0, false
+	}
+	header := strings.TrimSpace(response.Header.Get(g.Headers.Limit))
+	if header == "" {
+		return 0, response.Status < http.StatusMultipleChoices && response.Header.Get(g.Headers.Signature) != ""
+	}
+	rate, err := strconv.ParseFloat(header, 64)
 	if err != nil || !(rate >= 0) || math.IsInf(rate, 1) {
-		return 0
+		return 0, false
 	}
-	return max(rate, minLimit)
+	return max(rate, minLimit), true
 }
 
 // parseSlowdown returns the fourth value of a load header, the current duration of work in percent of the usual duration; 0 if it
--- a/internal/gateway/endpoint_status_test.go
+++ b/internal/gateway/endpoint_status_test.go
@@ -292,3 +292,31 @@
 		t.Errorf("the healthy endpoint has a cost of %v ms, an unused one %v ms; want equal costs", got, fresh)
 	}
 }
+
+// Guards against a limit that is taken for lifted because of a response that does not tell: a refusal, a failure, or one that the
+// endpoint did not generate. Any response may state a limit, but for one from another endpoint at the address.
+func TestLimitEndsWithSuccessfulResponse(t *testing.T) {
+	const limit = "X-Limit: 2.5\r\n"
+	script := []struct {
+		status int
+		header string
+		want   float64
+	}{
+		{200, signed, 0}, {503, limit + "X-Not-Run: 1\r\n", 2.5}, {500, signed, 2.5}, {503, "X-Not-Run: 1\r\n", 2.5}, {200, "", 2.5},
+		{200, signed + "X-Limit: 0\r\n", 0.1}, {200, signed + "X-Limit: many\r\n", 0.1}, {200, signed + limit, 2.5}, {200, signed, 0}, {421, limit, 0},
+	}
+	e := startFakeEndpoint(t, "e1", func(n int, r *http.Request) ([]string, bool) {
+		return []string{response(r, script[n].status, script[n].header, "x")}, false
+	})
+	h := startTestHost(t, e)
+	var got, want []float64
+	for i, step := range script {
+		// A limit must not delay the next request of this test.
+		h.gateway.Admitter.Update(func(b *balancer.Balancer) { b.SetLimit(time.Now(), "e1", 0) })
+		h.send(t, postRequest(fmt.Sprintf("/order/%d", i), "k"))
+		got, want = append(got, h.gateway.EndpointLimits()["e1"]), append(want, step.want)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("limits after each response (-want +got):\n%s", diff)
+	}
+}
