--- a/internal/gateway/endpoint_status_test.go
+++ b/internal/gateway/endpoint_status_test.go
@@ -302,8 +302,16 @@
 		header string
 		want   float64
 	}{
-		{200, signed, 0}, {503, limit + "X-Not-Run: 1\r\n", 2.5}, {500, signed, 2.5}, {503, "X-Not-Run: 1\r\n", 2.5}, {200, "", 2.5},
-		{200, signed + "X-Limit: 0\r\n", 0.1}, {200, signed + "X-Limit: many\r\n", 0.1}, {200, signed + limit, 2.5}, {200, signed, 0}, {421, limit, 0},
+		{200, signed, 0},
+		{503, limit + "X-Not-Run: 1\r\n", 2.5},
+		{500, signed, 2.5},
+		{503, "X-Not-Run: 1\r\n", 2.5},
+		{200, "", 2.5},
+		{200, signed + "X-Limit: 0\r\n", 0.1},
+		{200, signed + "X-Limit: many\r\n", 0.1},
+		{200, signed + limit, 2.5},
+		{200, signed, 0},
+		{421, limit, 0},
 	}
 	e := startFakeEndpoint(t, "e1", func(n int, r *http.Request) ([]string, bool) {
 		return []string{response(r, script[n].status, script[n].header, "x")}, false
