gateway: keep a silent endpoint until another one is granted

What callers saw: a stream that was cut in the middle, or a 502 to an idempotent request, while its endpoint was only silent for a moment and would have gone on.

Cause: a send was canceled after a time without progress (1.2 s for a stream, 2.5 times the latency objective for an idempotent request), and only then another endpoint was sought. If none was free, or if the retry budget was used up, which is the rule when many endpoints are silent at once, there was nothing left but to cut the stream. The class: giving up what one has before the replacement is there.

Change: the search runs beside the send. The send is canceled once another endpoint is granted and the budget allows it; otherwise it goes on and the search is repeated. An endpoint that keeps sending bytes which are no progress is given up as before (TestUnboundedResponse, unchanged).

Ruled out: waiting longer before the cancel, which only moves the moment and makes the move from a dead endpoint slower.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	sendCounts      = expvar.NewMap("gateway_sends")
 	limitChanges    = expvar.NewMap("gateway_endpoint_limits")
 	interruptedRuns = expvar.NewMap("gateway_interrupted_runs")
+	silences        = expvar.NewMap("gateway_endpoint_silences")
 	dialCount       = expvar.NewInt("gateway_endpoint_connects")
 	waitTimes       = observer.NewHistogram("gateway_wait_ms")
 	firstEventTimes = observer.NewHistogram("gateway_first_event_ms")
@@ -357,6 +358,13 @@
 	return g.retryBudget(pool).Take(time.Now(), g.allotments.PeerHosts()+1)
 }
 
+// returnRetry returns a retry that was not used.
+func (g *Gateway) returnRetry(pool string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryBudget(pool).Return(g.allotments.PeerHosts() + 1)
+}
+
 func (g *Gateway) retryBudget(pool string) *ratelimiter.RetryBudget {
 	b := g.retryBudgets[pool]
 	if b == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// streamIdleTimeout is the time without progress after which a stream is resumed at another endpoint. It is below the two
+	// streamIdleTimeout is the time without progress after which another endpoint is sought for a stream. It is below the two
 	// seconds after which callers disconnect, so that the next endpoint has time to process the prompt.
 	streamIdleTimeout = 1200 * time.Millisecond
 	// maxEventBytes is the largest size of an event.
@@ -35,7 +35,7 @@
 )
 
 // relay forwards complete events as they arrive and records the ID of the last one.
-func (q *request) relay(grant *admitter.Grant, response *exchanger.Response, idleTimer *time.Timer, limit time.Duration) (sendOutcome, bufferedResponse, error) {
+func (q *request) relay(grant *admitter.Grant, response *exchanger.Response, f *failover) (sendOutcome, bufferedResponse, error) {
 	control := http.NewResponseController(q.w)
 	buffer := make([]byte, 0, streamReadBytes)
 	for {
@@ -46,12 +46,15 @@
 		searched := max(0, len(buffer)-maxSeparatorBytes+1)
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		if n > 0 {
+			f.recordBytes()
+		}
 		if complete := lastEventEnd(buffer[searched:]); complete > 0 {
 			complete += searched
 			events, progress := q.newEvents(buffer[:complete])
 			if progress {
 				// Only events are progress: a faulty endpoint may go on sending single bytes or comments without end.
-				idleTimer.Reset(limit)
+				f.recordProgress()
 			}
 			if err := q.writeEvents(control, response, events); err != nil {
 				grant.EndAbandoned(time.Now())
--- a/internal/ratelimiter/retrybudget.go
+++ b/internal/ratelimiter/retrybudget.go
@@ -50,6 +50,9 @@
 	return true
 }
 
+// Return gives back a retry that was taken and not used.
+func (r *RetryBudget) Return(hosts int) { r.credit = min(r.credit+1, r.maxCredit(hosts)) }
+
 // maxCredit returns the most retries that this host can accumulate.
 func (r *RetryBudget) maxCredit(hosts int) float64 {
 	return max(1, slackShare*r.limit.Slack/float64(max(hosts, 1)))
