balancer, coordinator: work that is bound to a software version

Endpoints of one pool may run several software versions whose events do not fit into one stream, and endpoints do not check it. The list states the version, but it was not read, so that a stream could be continued at any endpoint.

The version of list entries reaches the balancer. Work may be bound to a version: only endpoints of this version take it, and endpoints of other versions count neither as better ones that it waits for nor as usable. Placement requests carry the bound, and grants state the version that the coordinator's list gives the endpoint.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -385,7 +385,7 @@
 func encodeWork(w balancer.Work) *coordinatorpb.Work {
 	p := &coordinatorpb.Work{
 		Prompt: uint32(max(w.Prompt, 0)), Output: uint32(max(w.Output, 0)), TokensPerEvent: uint32(max(w.TokensPerEvent, 0)),
-		EventGapMs: uint32(w.EventGap.Milliseconds()),
+		EventGapMs: uint32(w.EventGap.Milliseconds()), Bound: w.Bound, Version: w.Version,
 	}
 	if !w.Deadline.IsZero() {
 		p.LeftMs = uint32(max(1, time.Until(w.Deadline).Milliseconds()))
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -333,7 +333,7 @@
 	l.receivedAt, l.unansweredSince = time.Now(), time.Time{}
 	for _, g := range o.GetGrants() {
 		got := &answer{ticket: g.GetTicket(), granted: true, queued: int(g.GetQueued()), choice: balancer.Choice{
-			Endpoint: balancer.Endpoint{ID: names[g.GetEndpoint()]}, Cost: float64(g.GetCostMs()), Running: int(g.GetRunning()),
+			Endpoint: balancer.Endpoint{ID: names[g.GetEndpoint()], Version: g.GetVersion()}, Cost: float64(g.GetCostMs()), Running: int(g.GetRunning()),
 			PromptBacklog: int(g.GetUnread()), CachedTokens: int(g.GetKept()), PlacedBy: l.addr,
 		}}
 		if !l.deliver(g.GetTicket(), got) {
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -260,7 +260,7 @@
 func (a *Admitter) enqueue(now time.Time, req Request) (*waiter, *Grant, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.balancer.Usable(req.Pool, req.excluded) {
+	if !a.balancer.Usable(req.Pool, req.Work, req.excluded) {
 		return nil, nil, a.refusalLocked(req, NoEndpoint, 0)
 	}
 	a.seq++
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -90,6 +90,8 @@
 	Engine bool
 	// MemoryTokens is the size of an engine's memory in tokens; 0 if unknown.
 	MemoryTokens int
+	// Version is the version of the endpoint's software; empty if the list states none.
+	Version string
 }
 
 // Work is the demand of a request. The token counts are 0 for plain services.
@@ -107,8 +109,14 @@
 	Deadline time.Time
 	// EventGap is the longest allowed pause between two events of streams of this kind of work; 0 means no bound.
 	EventGap time.Duration
+	// Bound is true if the work continues a stream, which only endpoints of the software version Version may do.
+	Bound   bool
+	Version string
 }
 
+// fits reports whether an endpoint may take the work: the events of two software versions do not fit into one stream.
+func (w Work) fits(e *endpoint) bool { return !w.Bound || e.Version == w.Version }
+
 // SizeClass returns the class of the expected time that the work holds a place; each class is about twice as long as the
 // previous one.
 func (w Work) SizeClass() int {
@@ -236,12 +244,12 @@
 // Pick returns the endpoint with the lowest cost for a piece of work, or false if the work should wait. Endpoints for which
 // except returns true are excluded.
 //
-// If any endpoint of the pool, busy or not, is predicted to finish the work before its deadline, or could process its prompt
+// If any endpoint of the pool that may take the work, busy or not, is predicted to finish the work before its deadline, or could process its prompt
 // without a long pause of its streams, the work waits for such an endpoint rather than miss its deadline or delay the streams
 // of a slow one.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
 	members := b.pools[pool]
-	if !slices.ContainsFunc(members, func(e *endpoint) bool { return b.available(now, e) && b.hasRoom(e, w) }) {
+	if !slices.ContainsFunc(members, func(e *endpoint) bool { return b.available(now, e, w) && b.hasRoom(e, w) }) {
 		// Fast path: under overload, usually no endpoint has room.
 		return Choice{}, false
 	}
@@ -249,7 +257,7 @@
 	anyInTime, anyWithoutLongGap := false, false
 	candidates := b.candidates[:0]
 	for _, e := range members {
-		if !b.available(now, e) {
+		if !b.available(now, e, w) {
 			continue
 		}
 		c := b.evaluate(now, e, w)
@@ -274,14 +282,14 @@
 
 // HasRoom reports whether any endpoint of a pool could take a small piece of work now.
 func (b *Balancer) HasRoom(now time.Time, pool string) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e) && b.hasRoom(e, Work{}) })
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, Work{}) && b.hasRoom(e, Work{}) })
 }
 
 // FreePlaces returns the number of free places of the available endpoints of a pool.
 func (b *Balancer) FreePlaces(now time.Time, pool string) int {
 	free := 0
 	for _, e := range b.pools[pool] {
-		if b.available(now, e) && b.hasRoom(e, Work{}) {
+		if b.available(now, e, Work{}) && b.hasRoom(e, Work{}) {
 			free += min(max(e.Slots, 1)-e.load.Running, b.freePermits(now, e))
 		}
 	}
@@ -299,9 +307,11 @@
 	return gap > maxGapShare*float64(w.EventGap.Milliseconds())
 }
 
-// Usable reports whether a pool has any endpoint that is neither leaving nor excluded.
-func (b *Balancer) Usable(pool string, except func(id string) bool) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return !e.isLeaving() && (except == nil || !except(e.ID)) })
+// Usable reports whether a pool has any endpoint that may take a piece of work and is neither leaving nor excluded.
+func (b *Balancer) Usable(pool string, w Work, except func(id string) bool) bool {
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool {
+		return w.fits(e) && !e.isLeaving() && (except == nil || !except(e.ID))
+	})
 }
 
 // Places returns the number of taken places and of all places of a pool, without leaving endpoints.
@@ -315,9 +325,9 @@
 	return taken, all
 }
 
-// available reports whether an endpoint may take work now.
-func (b *Balancer) available(now time.Time, e *endpoint) bool {
-	return e.accepts(now) && b.freePermits(now, e) > 0 && !b.avoids(e)
+// available reports whether an endpoint may take a piece of work now.
+func (b *Balancer) available(now time.Time, e *endpoint, w Work) bool {
+	return w.fits(e) && e.accepts(now) && b.freePermits(now, e) > 0 && !b.avoids(e, w)
 }
 
 // accepts reports whether an endpoint may take work within its limit. After a failed connect, it is tried by one request at a time.
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -170,7 +170,7 @@
 	list := engines("a")
 	list[0].Leaving = true
 	b.SetEndpoints(list)
-	if got := pick(b, balancer.Work{}); got != "wait" || b.Usable("p", nil) {
-		t.Errorf("placed at %q, usable %t; want wait, false", got, b.Usable("p", nil))
+	if got := pick(b, balancer.Work{}); got != "wait" || b.Usable("p", balancer.Work{}, nil) {
+		t.Errorf("placed at %q, usable %t; want wait, false", got, b.Usable("p", balancer.Work{}, nil))
 	}
 }
--- a/internal/balancer/permit.go
+++ b/internal/balancer/permit.go
@@ -121,13 +121,13 @@
 	return wait, limited
 }
 
-// avoids reports whether an endpoint is left out because it has a limit while another one of the pool has none.
-func (b *Balancer) avoids(e *endpoint) bool {
+// avoids reports whether an endpoint is left out because it has a limit while another one that may take the work has none.
+func (b *Balancer) avoids(e *endpoint, w Work) bool {
 	if !b.AvoidLimited || e.permits == nil {
 		return false
 	}
 	for _, other := range b.pools[e.Pool] {
-		if other.permits == nil && !other.isLeaving() {
+		if other.permits == nil && !other.isLeaving() && w.fits(other) {
 			return true
 		}
 	}
--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -36,6 +36,8 @@
 	Zone    string
 	Slots   int
 	Leaving bool
+	// Version is the version of the endpoint's software; empty if the list states none.
+	Version string
 }
 
 // Source reads the complete list of endpoints.
@@ -123,7 +125,7 @@
 		e := next[id]
 		if previous, known := c.list[id]; !known || previous != e {
 			klog.InfoS("cataloguer: endpoint listed", "endpoint", id, "pool", e.Pool, "addr", e.Addr, "zone", e.Zone, "slots", e.Slots,
-				"leaving", e.Leaving, "known", known)
+				"leaving", e.Leaving, "version", e.Version, "known", known)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.list)) {
--- a/internal/cataloguer/relay.go
+++ b/internal/cataloguer/relay.go
@@ -129,6 +129,7 @@
 	for _, e := range reply.GetEndpoints() {
 		list = append(list, Entry{
 			ID: e.GetId(), Pool: e.GetPool(), Addr: e.GetAddr(), Zone: e.GetZone(), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
+			Version: e.GetVersion(),
 		})
 	}
 	r.store(list, requestedAt.Add(-age))
@@ -152,7 +153,9 @@
 }
 
 func encodeEntry(e Entry) *cataloguerpb.Endpoint {
-	return &cataloguerpb.Endpoint{Id: e.ID, Pool: e.Pool, Addr: e.Addr, Zone: e.Zone, Slots: int32(e.Slots), Leaving: e.Leaving}
+	return &cataloguerpb.Endpoint{
+		Id: e.ID, Pool: e.Pool, Addr: e.Addr, Zone: e.Zone, Slots: int32(e.Slots), Leaving: e.Leaving, Version: e.Version,
+	}
 }
 
 // handleList answers with this host's list and its age, without the endpoints if the request has the same digest.
--- a/internal/cataloguer/relay_test.go
+++ b/internal/cataloguer/relay_test.go
@@ -104,3 +104,33 @@
 		t.Errorf("lists and reads of the platform (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against relayed entries that lack a field, and against a change of only the software version that is not relayed.
+func TestRelayedEntries(t *testing.T) {
+	w := &fakeNetwork{handlers: map[string]transporter.Handler{}}
+	p := &fakePlatform{list: []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v1"}}}
+	reader := &cataloguer.Relay{Platform: p, Network: fakePort{w, "reader"}, ReaderAddr: func() string { return "" }}
+	other := &cataloguer.Relay{Platform: p, Network: fakePort{w, "other"}, ReaderAddr: func() string { return "reader" }}
+	reader.Register()
+	var got [][]cataloguer.Entry
+	for _, version := range []string{"v1", "v2", ""} {
+		p.list = []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: version}}
+		for _, r := range []*cataloguer.Relay{reader, other} {
+			list, err := r.Read(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r == other {
+				got = append(got, list)
+			}
+		}
+	}
+	want := [][]cataloguer.Entry{
+		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v1"}},
+		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v2"}},
+		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("relayed lists (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -295,7 +295,7 @@
 func (s *session) decodeWork(now time.Time, p *coordinatorpb.Work) balancer.Work {
 	w := balancer.Work{
 		Prompt: int(p.GetPrompt()), Output: int(p.GetOutput()), TokensPerEvent: int(p.GetTokensPerEvent()), Zone: s.zone,
-		EventGap: time.Duration(p.GetEventGapMs()) * time.Millisecond,
+		EventGap: time.Duration(p.GetEventGapMs()) * time.Millisecond, Bound: p.GetBound(), Version: p.GetVersion(),
 	}
 	if left := p.GetLeftMs(); left > 0 {
 		w.Deadline = now.Add(time.Duration(left) * time.Millisecond)
@@ -433,6 +433,7 @@
 			o.Grants = append(o.Grants, &coordinatorpb.Grant{
 				Ticket: ticket, Endpoint: Digest(choice.Endpoint.ID), CostMs: uint32(max(choice.Cost, 0)), Running: uint32(choice.Running),
 				Unread: uint32(max(choice.PromptBacklog, 0)), Kept: uint32(choice.CachedTokens), Queued: uint32(grant.QueueLength),
+				Version: choice.Endpoint.Version,
 			})
 		})
 	case errors.As(err, &refused):
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -346,3 +346,39 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a grant at an endpoint of another software version than the stream has, and against one that does not state the
+// version, without which the host cannot detect that its list differs.
+func TestGrantStatesVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCoordinator(1)
+		list := []balancer.Endpoint{endpointList[0], endpointList[0]}
+		list[1].ID, list[0].Version, list[1].Version = "e2", "v1", "v2"
+		c.SetEndpoints(list)
+		h := join(ctx, c, "h", 1)
+		for ticket, work := range []*coordinatorpb.Work{{Bound: true, Version: "v2"}, {Bound: true, Version: "v2"}, {}, {Bound: true, Version: "v3"}} {
+			h.reports <- &coordinatorpb.Report{Asks: []*coordinatorpb.Ask{{
+				Ticket: uint64(ticket), Shard: &coordinatorpb.Shard{Pool: "p"}, PatienceMs: 100, Work: work,
+			}}}
+			time.Sleep(time.Second)
+		}
+		var got []string
+		for len(h.orders) > 0 {
+			o := <-h.orders
+			for _, g := range o.GetGrants() {
+				got = append(got, g.GetVersion())
+			}
+			for _, r := range o.GetRefusals() {
+				got = append(got, r.GetReason())
+			}
+		}
+		if diff := cmp.Diff([]string{"v2", "waited", "v1", "no_endpoint"}, got); diff != "" {
+			t.Errorf("versions of the grants, reasons of the refusals (-want +got):\n%s", diff)
+		}
+		cancel()
+		close(h.reports)
+		<-h.ended
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -214,7 +214,9 @@
 func joinEndpoints(list []cataloguer.Entry, index *router.Index) []balancer.Endpoint {
 	endpoints := make([]balancer.Endpoint, 0, len(list))
 	for _, e := range list {
-		endpoint := balancer.Endpoint{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Pool: e.Pool, Slots: e.Slots, Leaving: e.Leaving}
+		endpoint := balancer.Endpoint{
+			ID: e.ID, Addr: e.Addr, Zone: e.Zone, Pool: e.Pool, Slots: e.Slots, Leaving: e.Leaving, Version: e.Version,
+		}
 		if index != nil {
 			if p := index.Pool(e.Pool); p != nil && p.Engine != nil {
 				endpoint.Engine, endpoint.MemoryTokens = true, p.Engine.MemoryTokens
