--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	Limit string
 	// LastEventID holds the ID of the last event that the caller of a resumed stream has received.
 	LastEventID string
+	// Resumes holds the ID of the request that brought the first event of a stream which the caller takes up again.
+	Resumes string
 	// KeyScheme is the scheme before the API key in the Authorization header.
 	KeyScheme string
 	// Internal lists further headers that only the system may set; they are removed from callers' requests.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,13 +30,13 @@
 
 var testHeaders = gateway.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", ExpectedOutput: "X-Expected", PromptParts: "X-Parts", Workspace: "X-Workspace",
-	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "Last-Event-Id", KeyScheme: "Token", Leaving: "X-Leaving", Limit: "X-Limit", InstanceID: "X-Instance-Id",
+	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "Last-Event-Id", Resumes: "Resumes", KeyScheme: "Token", Leaving: "X-Leaving", Limit: "X-Limit", InstanceID: "X-Instance-Id",
 	Internal: []string{"X-Hold"},
 }
 
 // fakeEndpoint responds to the requests of each connection with scripted bytes.
 type fakeEndpoint struct {
-	id, addr string
+	id, addr, version string
 
 	mu       sync.Mutex
 	requests []string
@@ -117,7 +117,9 @@
 type testHost struct {
 	addr    string
 	gateway *gateway.Gateway
-	current bool
+	// admitter holds the endpoints.
+	admitter *admitter.Admitter
+	current  bool
 	// index is nil before the first table.
 	index atomic.Pointer[router.Index]
 }
@@ -151,16 +153,11 @@
 		t.Fatal(err)
 	}
 	index := router.NewIndex(table)
-	b := balancer.New("z")
-	var list []balancer.Endpoint
-	for _, e := range endpoints {
-		list = append(list, balancer.Endpoint{ID: e.id, Addr: e.addr, Zone: "z", Pool: "p", Slots: 4})
-	}
-	b.SetEndpoints(list)
-	h := &testHost{addr: l.Addr().String(), current: true}
+	h := &testHost{addr: l.Addr().String(), current: true, admitter: admitter.New(balancer.New("z"))}
+	h.setEndpoints(endpoints)
 	h.index.Store(index)
 	h.gateway = &gateway.Gateway{
-		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return h.index.Load(), h.current }, Admitter: admitter.New(b),
+		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return h.index.Load(), h.current }, Admitter: h.admitter,
 		Client: &exchanger.Client{DialTimeout: time.Second}, RetryLimit: ratelimiter.RetryLimit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 	h.gateway.Init()
@@ -180,6 +177,15 @@
 	return h
 }
 
+// setEndpoints replaces the endpoints of the host.
+func (h *testHost) setEndpoints(endpoints []*fakeEndpoint) {
+	var list []balancer.Endpoint
+	for _, e := range endpoints {
+		list = append(list, balancer.Endpoint{ID: e.id, Addr: e.addr, Zone: "z", Pool: "p", Slots: 4, Version: e.version})
+	}
+	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(list) })
+}
+
 // send writes a raw request and returns the response. Complete is false if the response is truncated or missing.
 func (h *testHost) send(t *testing.T, raw string) (status int, header http.Header, body string, complete bool) {
 	t.Helper()
