--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/registrar"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
 )
 
@@ -101,8 +102,12 @@
 	runs           map[uint64]*run
 	// zoneUsedAt are the times of the last use of each zone's coordinator.
 	zoneUsedAt map[string]time.Time
-	wake       chan struct{}
-	wg         sync.WaitGroup
+	origins    registrar.Registry
+	// listedVersions are the versions in the endpoint list by endpoint, and poolVersions by pool.
+	listedVersions map[string]string
+	poolVersions   map[string]map[string]bool
+	wake           chan struct{}
+	wg             sync.WaitGroup
 }
 
 // Init initializes the state. Call it before Run and Acquire.
@@ -120,6 +125,7 @@
 		shards = append(shards, sharder.Endpoint{Pool: e.Pool, Zone: e.Zone})
 		names[coordinator.Digest(e.ID)] = e.ID
 	}
+	a.applyVersions(list)
 	a.endpointNames.Store(&names)
 	a.shards.Store(sharder.New(shards))
 	a.wakeRun()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -90,6 +90,8 @@
 	Engine bool
 	// MemoryTokens is the size of an engine's memory in tokens; 0 if unknown.
 	MemoryTokens int
+	// Version is the software version that the list states; empty if it states none.
+	Version string
 }
 
 // Work is the demand of a request. The token counts are 0 for plain services.
