gateway: a stream goes on only at the version that began it

What callers saw: streams joined from two software versions of an endpoint, within one answer and over their tries.

Cause: the version in the endpoint list was not read, so that a stream went on at the cheapest endpoint. The class: a property that work and endpoint must share was no input of the placement.

Change: the first event binds a request to the version of its endpoint; the system's own resumption asks for an endpoint of this version, and a grant or replacement of another one is given back. A request that takes a stream up again is bound to the version that began the stream, by the request that it names; if that is not known, or its pool has left the rule, it is refused with 503 before anything is sent. Take-ups wait longer for an endpoint than new streams.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -112,6 +112,8 @@
 	Choice balancer.Choice
 	// QueueLength is the number of requests that were waiting for the pool at the time of the grant.
 	QueueLength int
+	// VersionDisputed is true if this host and the coordinator that placed the request list other versions of the endpoint.
+	VersionDisputed bool
 
 	admitter *Admitter
 	run      *balancer.Run
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -157,7 +157,7 @@
 	}
 	h.acquirer.Init()
 	h.gateway = &gateway.Gateway{
-		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter, Placer: h.acquirer, OnEndpointStatus: h.forwardNotice,
+		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter, Placer: h.acquirer, Origins: h.acquirer, OnEndpointStatus: h.forwardNotice,
 		Client: &exchanger.Client{DialTimeout: dialTimeout}, RetryLimit: h.RetryLimit,
 		AllotmentWindow: h.AllotmentWindow,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,12 @@
 			q.respondNoGrant(err, last)
 			return
 		}
+		if !q.fits(grant.Choice.Endpoint) {
+			// The lists of this host and the coordinator differ.
+			grant.EndRefused(time.Now(), false)
+			q.tried[grant.Choice.Endpoint.ID], next = true, nil
+			continue
+		}
 		began := time.Now()
 		if left := q.beginRun(began); left > 0 {
 			grant.EndRefused(began, false)
@@ -84,10 +90,11 @@
 			return
 		}
 		outcome, response, replacement, err := q.send(grant)
-		if next = replacement; next != nil && outcome == answered {
-			// The response was complete just before the send was canceled.
+		if next = replacement; next != nil && (outcome == answered || !q.fits(next.Choice.Endpoint)) {
+			// The response was complete, or the stream was bound to a version, just before the send was canceled.
 			next.EndRefused(time.Now(), false)
 			q.g.returnRetry(q.pool)
+			next = nil
 		}
 		q.logSend(grant, outcome, err)
 		var unreachable *exchanger.NotSentError
@@ -126,8 +133,11 @@
 // acquire waits for an endpoint. The wait is limited so that the request can still meet its target, or resume its stream in time.
 func (q *request) acquire() (*admitter.Grant, error) {
 	maxWait := min(time.Duration(maxWaitFraction*float64(q.rule.LatencyTarget)), time.Until(q.deadline))
-	if q.streaming {
+	switch {
+	case q.streaming:
 		maxWait = min(q.rule.EventGap*2, time.Until(q.deadline))
+	case q.work.Bound:
+		maxWait = max(maxWait, min(takeUpMaxWait, time.Duration(maxTakeUpWaitFraction*float64(time.Until(q.deadline)))))
 	}
 	began := time.Now()
 	grant, err := q.g.Placer.Acquire(q.r.Context(), admitter.Request{
@@ -157,7 +167,7 @@
 	switch {
 	case q.sends >= max(q.rule.Attempts, 1), time.Now().After(q.deadline), q.r.Context().Err() != nil:
 		return false
-	case o != notRun && !q.rule.Repeatable():
+	case o != notRun && !q.rule.Repeatable(), q.unjoinable:
 		return false
 	}
 	return q.g.takeRetry(q.pool)
@@ -385,7 +395,7 @@
 	sendCounts.Add(outcome, 1)
 	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
 		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.PromptBacklog, "kept", c.CachedTokens,
-		"queued", grant.QueueLength, "placed_by", c.PlacedBy, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
+		"version", c.Endpoint.Version, "bound", q.work.Bound, "queued", grant.QueueLength, "placed_by", c.PlacedBy, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
 		"units", q.units, "prompt", q.work.Prompt, "output", q.work.Output, "events", q.events, "first_event", q.firstEvent,
 		"left", q.deadline.Sub(q.started), "longest_gap", q.longestGap, "waited", q.waited, "reason", err, "after", time.Since(q.started))
 }
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 )
 
@@ -27,7 +28,10 @@
 	endpoint string
 	limit    time.Duration
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// work is the demand of the request, and unjoinable is true once no other endpoint may go on with its stream.
+	work       balancer.Work
+	unjoinable bool
 	timer      *time.Timer
 	progressAt time.Time
 	// firstByteAt and lastByteAt are the times of the first and the last bytes since progressAt that were no progress.
@@ -40,7 +44,7 @@
 
 // startFailover watches a send that ctx bounds. It does nothing if the request may not be sent to another endpoint.
 func (q *request) startFailover(ctx context.Context, cancel context.CancelFunc, endpoint string) *failover {
-	f := &failover{q: q, ctx: ctx, cancel: cancel, endpoint: endpoint, limit: q.idleTimeout(), progressAt: time.Now()}
+	f := &failover{q: q, ctx: ctx, cancel: cancel, endpoint: endpoint, limit: q.idleTimeout(), work: q.work, progressAt: time.Now()}
 	if f.limit < time.Until(q.deadline) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -49,6 +53,13 @@
 	return f
 }
 
+// bind sets the demand of the request once its stream has begun.
+func (f *failover) bind(work balancer.Work, unjoinable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.work, f.unjoinable = work, unjoinable
+}
+
 // recordProgress postpones the search.
 func (f *failover) recordProgress() {
 	f.mu.Lock()
@@ -116,8 +127,13 @@
 	}
 	searching, began := make(chan struct{}), f.progressAt
 	f.searching = searching
+	work, unjoinable := f.work, f.unjoinable
 	f.mu.Unlock()
-	grant, reason := f.acquire()
+	var grant *admitter.Grant
+	reason := "the version that began the stream is disputed"
+	if !unjoinable {
+		grant, reason = f.acquire(work)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer close(searching)
@@ -148,7 +164,7 @@
 
 // acquire takes a retry from the budget and waits for an endpoint other than those that the request was sent to. It returns a nil
 // grant and the reason if there is none.
-func (f *failover) acquire() (grant *admitter.Grant, reason string) {
+func (f *failover) acquire(work balancer.Work) (grant *admitter.Grant, reason string) {
 	q := f.q
 	if !q.g.takeRetry(q.pool) {
 		return nil, "retry budget used up"
@@ -160,7 +176,7 @@
 		patience = q.rule.EventGap * 2
 	}
 	grant, err := q.g.Placer.Acquire(f.ctx, admitter.Request{
-		Pool: q.pool, Work: q.work, Tier: q.tier, Patience: min(patience, time.Until(q.deadline)), Except: except, Workspace: q.workspaceName(),
+		Pool: q.pool, Work: work, Tier: q.tier, Patience: min(patience, time.Until(q.deadline)), Except: except, Workspace: q.workspaceName(),
 	})
 	if err == nil {
 		return grant, ""
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,8 @@
 	Admitter *admitter.Admitter
 	// Placer chooses endpoints; the default is the Admitter.
 	Placer Placer
+	// Origins remembers the versions of streams for all hosts; the default remembers those of this host.
+	Origins Origins
 	// OnEndpointStatus is called with each status that an endpoint reports; it may be nil.
 	OnEndpointStatus func(EndpointStatus)
 	// Client sends requests to endpoints.
@@ -170,6 +172,9 @@
 	if g.Placer == nil {
 		g.Placer = localPlacer{g.Admitter}
 	}
+	if g.Origins == nil {
+		g.Origins = &localOrigins{}
+	}
 	if g.OnEndpointStatus == nil {
 		g.OnEndpointStatus = func(EndpointStatus) {}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,8 @@
 	// written.
 	lastEvent string
 	streaming bool
+	// began is true once an event was written, and unjoinable if the version that began the stream is not known for certain.
+	began, unjoinable bool
 	// answering is true once the endpoint of the current send has sent the head of its response.
 	answering bool
 	waited    time.Duration
@@ -162,7 +164,7 @@
 		return false
 	}
 	q.parseWork(index)
-	return q.checkQuarantine() && q.takeAllotment()
+	return q.checkQuarantine() && q.resolveOrigin() && q.takeAllotment()
 }
 
 // awaitTable delays a request that arrived before the first table. After a start of all hosts the table is agreed on within a
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,6 +56,9 @@
 				// Only events are progress: a faulty endpoint may go on sending single bytes or comments without end.
 				f.recordProgress()
 			}
+			if len(events) > 0 {
+				q.bindStream(grant, f)
+			}
 			if err := q.writeEvents(control, response, events); err != nil {
 				grant.EndAbandoned(time.Now())
 				return interrupted, bufferedResponse{}, err
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -61,6 +62,11 @@
 // Repeatable reports whether a request that may have run may be sent again.
 func (r *Rule) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
 
+// HasTarget reports whether the rule sends requests to a pool.
+func (r *Rule) HasTarget(pool string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Pool == pool && t.Weight > 0 })
+}
+
 // Target is a pool of a rule with its weight.
 type Target struct {
 	Pool   string
