gateway: log and count each request that ends without a complete response

Callers saw requests that had been read whole end with a closed connection and neither an answer nor a refusal. There was no record: net/http logs a panic at a level that is off, and the gateway logged such ends at V(1) or not at all.

Each such request now leaves one line, "gateway: request not answered", with request ID, reason, stage (reading, read, placed, sent, streaming), sends, events and waiting time, and counts in gateway_unanswered by reason. A panic is logged as an error with its stack, and if nothing was written yet, the caller gets 500 instead of a closed connection. Requests that the caller has abandoned count in gateway_abandoned by stage. The error of the last Read of the connection tells them from requests whose context this host canceled itself. A complete request head that reaches no handler counts as not_handled.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -84,6 +84,9 @@
 	head      []byte
 	draining  bool
 	idleSince time.Time
+	// readErr is the last error of a Read of the network connection, and isClosed is true once Close was called.
+	readErr  error
+	isClosed bool
 }
 
 // Read implements net.Conn. It returns io.EOF on a draining connection only if no byte of a further request has been read, so
@@ -95,6 +98,9 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.readErr = err
+	}
 	if n > 0 && c.recording && len(c.head)+n <= maxRecordedHead {
 		c.head = append(c.head, b[:n]...)
 	}
@@ -134,6 +140,13 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.mu.Lock()
+	c.isClosed = true
+	unhandled := c.recording && bytes.Contains(c.head, []byte("\r\n\r\n"))
+	c.mu.Unlock()
+	if unhandled {
+		c.logUnhandled()
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -124,6 +124,11 @@
 
 // startTestHost runs a gateway that forwards the paths /order/, /read/, /chat/ and /resume/ to the endpoints.
 func startTestHost(t *testing.T, endpoints ...*fakeEndpoint) *testHost {
+	t.Helper()
+	return startTestHostWithPlacer(t, nil, endpoints...)
+}
+
+func startTestHostWithPlacer(t *testing.T, placer gateway.Placer, endpoints ...*fakeEndpoint) *testHost {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -160,7 +165,7 @@
 	h := &testHost{addr: l.Addr().String(), current: true}
 	h.index.Store(index)
 	h.gateway = &gateway.Gateway{
-		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return h.index.Load(), h.current }, Admitter: admitter.New(b),
+		Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return h.index.Load(), h.current }, Admitter: admitter.New(b), Placer: placer,
 		Client: &exchanger.Client{DialTimeout: time.Second}, RetryLimit: ratelimiter.RetryLimit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 	h.gateway.Init()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,8 +41,9 @@
 // request is the state of a caller's request from its arrival to its response.
 type request struct {
 	g       *Gateway
-	w       http.ResponseWriter
+	w       *trackedResponse
 	r       *http.Request
+	conn    *trackedConn
 	started time.Time
 
 	id        string
@@ -58,6 +59,8 @@
 	body                  []byte
 	// bodyRead is true once the whole body was read, and refused once the gateway itself has responded to the request.
 	bodyRead, refused bool
+	// refusal is the reason of the last error of the gateway itself.
+	refusal string
 	// fingerprint is a digest that is equal for repetitions of the same request.
 	fingerprint uint64
 	// sharedParts are the IDs of the prompt parts that other requests may also contain, which is all but the last part, and
@@ -96,19 +99,24 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	q := &request{g: g, w: w, r: r, started: time.Now(), id: r.Header.Get(g.Headers.RequestID), tried: map[string]bool{}}
+	q := &request{g: g, w: &trackedResponse{ResponseWriter: w}, r: r, started: time.Now(), id: r.Header.Get(g.Headers.RequestID), tried: map[string]bool{}}
 	// Otherwise net/http would add a detected Content-Type to the endpoint's response.
 	w.Header()["Content-Type"] = nil
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if c, ok := r.Context().Value(connKey{}).(*trackedConn); ok {
+	c, tracked := r.Context().Value(connKey{}).(*trackedConn)
+	if tracked {
+		q.conn = c
 		defer func() {
 			if q.refused && !q.bodyRead {
 				q.flushRefusal()
 			}
 			c.recordNextHead()
 		}()
+	}
+	defer func() { q.finish(recover()) }()
+	if tracked {
 		f, head := c.inspectHead()
 		switch {
 		case f == framingAmbiguous:
@@ -225,7 +233,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		klog.V(1).Infof("gateway: read deadline for the body not set request=%s reason=%q", q.id, err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.w.ResponseWriter, q.r.Body, limit))
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -329,6 +337,7 @@
 // refuse responds with an error of the gateway itself, or aborts the response if a stream has already begun.
 func (q *request) refuse(status int, reason string, retryAfter time.Duration) {
 	requestCounts.Add(reason, 1)
+	q.refusal = reason
 	rule := ""
 	if q.rule != nil {
 		rule = q.rule.Name
