acquirer: grants of endpoints whose version is disputed

While lists differ, a coordinator may take an endpoint for one of another version than the host does, so that a stream would go on at an endpoint of another version, or begin at one whose version is not known.

A host declines a grant for bound work if its own list gives the endpoint another version, and asks again without the endpoint. Other grants state that the version is disputed. A coordinator counts runs that it has not placed whatever the version.

TestListsDifferInVersion: placed at e0 for v2, and the grant was not disputed, before.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -267,7 +267,7 @@
 			countPlaced.Add("granted", 1)
 			return g, nil
 		}
-		// The endpoint is not in this host's list yet, or has rejected this host.
+		// The endpoint is not in this host's list yet, has rejected this host, or is listed here with another version.
 		countPlaced.Add("declined", 1)
 		id := answer.choice.Endpoint.ID
 		extended := map[string]bool{id: true}
--- a/internal/acquirer/version_test.go
+++ b/internal/acquirer/version_test.go
@@ -1,6 +1,8 @@
 package acquirer_test
 
 import (
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,3 +73,40 @@
 		}
 	})
 }
+
+// Guards against a stream of two versions, or one whose version is taken for known, while the lists of a host and the coordinator
+// differ: bound work must be placed where both lists agree, and other grants must state that they differ.
+func TestListsDifferInVersion(t *testing.T) {
+	run(t, 1, 2, 4, func(f *fixture) {
+		f.setVersions(alternating)
+		changed := slices.Clone(f.endpoints)
+		changed[0].Version = "v2" // v1 for the coordinators
+		f.setHostList(0, changed)
+		type placement struct {
+			Endpoint string
+			Disputed bool
+		}
+		var got []placement
+		for _, req := range []admitter.Request{
+			boundRequest("v1"), boundRequest("v2"), // no endpoint is v1 in both lists
+			{Pool: "p", Patience: time.Second, Except: map[string]bool{"e1": true}},
+			{Pool: "p", Patience: time.Second, Except: map[string]bool{"e0": true}},
+		} {
+			g, err := f.clients[0].Acquire(f.ctx, req)
+			var refused *admitter.RefusedError
+			if errors.As(err, &refused) {
+				got = append(got, placement{Endpoint: string(refused.Reason)})
+				continue
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, placement{g.Choice.Endpoint.ID, g.VersionDisputed})
+			g.End(time.Now(), false)
+		}
+		want := []placement{{"no_endpoint", false}, {"e1", false}, {"e0", true}, {"e1", false}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("placements (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -112,6 +112,9 @@
 	Choice balancer.Choice
 	// QueueLength is the number of requests that were waiting for the pool at the time of the grant.
 	QueueLength int
+	// VersionDisputed is true if this host and the coordinator that placed the request list different software versions of the
+	// endpoint, so that it is not known which version begins the stream.
+	VersionDisputed bool
 
 	admitter *Admitter
 	run      *balancer.Run
@@ -202,16 +205,21 @@
 	a.dispatch(now, g.Choice.Endpoint.Pool)
 }
 
-// AddRemoteRun records a run that another host has placed. It returns false if the endpoint is unknown or does not accept
-// requests from this host at the moment.
+// AddRemoteRun records a run that another host has placed at an endpoint with the version that it lists. It returns false if the
+// endpoint is unknown, does not accept requests from this host at the moment, or may not take the work by its version here.
 func (a *Admitter) AddRemoteRun(now time.Time, c balancer.Choice, w balancer.Work, observer RunObserver) (*Grant, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.balancer.Admits(now, c.Endpoint.ID) {
 		return nil, false
 	}
+	listed := c.Endpoint.Version
 	c.Endpoint, _ = a.balancer.Endpoint(c.Endpoint.ID)
-	return &Grant{Choice: c, admitter: a, run: a.balancer.Start(c, w), observer: observer}, true
+	if w.Bound && c.Endpoint.Version != w.Version {
+		return nil, false
+	}
+	disputed := c.Endpoint.Version != listed
+	return &Grant{Choice: c, VersionDisputed: disputed, admitter: a, run: a.balancer.Start(c, w), observer: observer}, true
 }
 
 // SetObserver sets the receiver of the run's events from now on.
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -274,7 +274,10 @@
 	s.c.mu.Lock()
 	sh, name := s.c.shard(shardOf(p.GetShard())), s.c.endpointNames[p.GetEndpoint()]
 	s.c.mu.Unlock()
-	g, ok := sh.admitter.AddRemoteRun(now, balancer.Choice{Endpoint: balancer.Endpoint{ID: name}}, s.decodeWork(now, p.GetWork()), nil)
+	w := s.decodeWork(now, p.GetWork())
+	// The run takes a place whatever version this list states.
+	w.Bound = false
+	g, ok := sh.admitter.AddRemoteRun(now, balancer.Choice{Endpoint: balancer.Endpoint{ID: name}}, w, nil)
 	if !ok {
 		return
 	}
