coordinator: keep the origins of streams and the versions of pools

Entry hosts may all lose their memory at once, and coordinators too. A coordinator now records the origins of streams that hosts report, passes them on to the other coordinators, and answers coordinator.origin. The history of versions in the endpoint list is kept in a file and exchanged with the others, so that a pool with one version is known to have had only that one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -25,6 +25,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/quarantiner"
 	"github.com/dragonflycroft/dragonflycroft/internal/ratelimiter"
+	"github.com/dragonflycroft/dragonflycroft/internal/registrar"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
 )
 
@@ -36,6 +37,8 @@
 	MethodReady = "coordinator.ready"
 	// MethodPeer reports the state of this coordinator to another one.
 	MethodPeer = "coordinator.peer"
+	// MethodOrigin queries which software version began a stream.
+	MethodOrigin = "coordinator.origin"
 )
 
 const (
@@ -93,6 +96,10 @@
 	Peers func() []sharder.Host
 	// AllotmentWindow is the length of the sliding window of allotments; 0 means the default.
 	AllotmentWindow time.Duration
+	// HistoryPath is the path of the file that keeps the history of versions over restarts; empty means none. Bootstrap is true if
+	// the whole system starts for the first time.
+	HistoryPath string
+	Bootstrap   bool
 
 	mu        sync.Mutex
 	processID uint64
@@ -118,6 +125,9 @@
 	evidence       attributor.Log
 	// endpointLimits are the limits that endpoints state, in requests per second by ID; 0 if the endpoint has lifted it.
 	endpointLimits map[string]float64
+	origins        registrar.Registry
+	versions       *registrar.History
+	historyFile    historyFile
 	wg             sync.WaitGroup
 }
 
@@ -146,11 +156,16 @@
 	c.peerSummaries = map[sharder.Shard]shardSummary{}
 	c.tally = ratelimiter.NewTally(now, c.AllotmentWindow)
 	c.allotments, c.workspaceNames = c.newAllotments(now), map[uint64]string{}
+	c.versions = c.readHistory(now)
+	c.historyFile.pending = make(chan []byte, 1)
 }
 
 // Run exchanges reports with the other coordinators until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	defer c.wg.Wait()
+	if c.HistoryPath != "" {
+		c.wg.Go(func() { c.writeHistory(ctx) })
+	}
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
 	for last := clocker.Now(); ; {
@@ -173,6 +188,7 @@
 			}
 		}
 		c.sendOthersUsage(now)
+		c.sweepOrigins(now)
 	}
 }
 
@@ -210,6 +226,7 @@
 	for _, s := range c.shards {
 		s.setEndpoints(list)
 	}
+	c.versions.Observe(time.Now(), versionsOf(list))
 }
 
 // newAllotments returns allotments without known past usage. Hosts join no coordinator in its first half second. If all hosts
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -40,6 +40,10 @@
 	sentPlacements map[string]uint64
 	// pendingCleared are the fingerprints of cleared requests that have not been reported to it.
 	pendingCleared []uint64
+	// sentStreamSeq is the number of the last origin in the last report that was answered. versionsSentAt is when the history of
+	// versions was last sent, and versionChanges its number of changes then.
+	sentStreamSeq, versionChanges uint64
+	versionsSentAt                time.Time
 }
 
 // peerCall is one report to another coordinator. Coordinator.peers holds a new peer value once a new process of that host has
@@ -49,6 +53,8 @@
 	report *coordinatorpb.PeerReport
 	// crashSeq and evidenceSeq are the numbers of the last known crash and piece of evidence.
 	crashSeq, evidenceSeq uint64
+	// streamSeq is the number of the last origin in the report.
+	streamSeq uint64
 }
 
 // nextPeerReport returns the report that is due to another coordinator, or nil if none is.
@@ -72,6 +78,11 @@
 	for id, placed := range c.limitedPlacements(p.sentPlacements) {
 		r.Placements = append(r.Placements, &coordinatorpb.LimitedPlacements{Endpoint: id, Placed: placed})
 	}
+	origins, lastStream := c.origins.SinceUpTo(p.sentStreamSeq, maxStreamsPerReport)
+	r.Streams = EncodeStreams(origins)
+	if p.versionsSentAt.IsZero() || now.Sub(p.versionsSentAt) >= versionsInterval || p.versionChanges != c.versions.Changes() {
+		r.Versions = c.encodeVersions(now)
+	}
 	for key, s := range c.shards {
 		if key.Zone == "" || now.Sub(s.lastAskAt) > shardIdleTimeout {
 			continue
@@ -81,12 +92,16 @@
 			Shard: &coordinatorpb.Shard{Pool: key.Pool, Zone: key.Zone}, Free: uint32(max(free, 0)), Queue: uint32(waiting),
 		})
 	}
-	news := len(r.GetUses().GetUnits()) + len(r.GetCrashes()) + len(r.GetCleared()) + len(r.GetEvidence()) + len(r.GetPlacements()) + len(r.GetSummaries())
+	news := len(r.GetUses().GetUnits()) + len(r.GetCrashes()) + len(r.GetCleared()) + len(r.GetEvidence()) + len(r.GetPlacements()) + len(r.GetSummaries()) + len(r.GetStreams()) + len(r.GetVersions().GetPools())
 	if news == 0 && now.Sub(p.reachedAt) < idleReportInterval {
+		p.sentStreamSeq = lastStream
 		return nil
 	}
 	p.inFlight = true
-	return &peerCall{peer: p, report: r, crashSeq: last, evidenceSeq: lastEvidence}
+	if r.GetVersions() != nil {
+		p.versionsSentAt, p.versionChanges = now, c.versions.Changes()
+	}
+	return &peerCall{peer: p, report: r, crashSeq: last, evidenceSeq: lastEvidence, streamSeq: lastStream}
 }
 
 func (c *Coordinator) sendPeerReport(ctx context.Context, h sharder.Host, call *peerCall) {
@@ -101,10 +116,13 @@
 	if err != nil {
 		// It may have restarted and then needs the full state.
 		p.sentTotals, p.sentCrashSeq, p.sentEvidenceSeq, p.sentPlacements = nil, 0, 0, nil
+		p.sentStreamSeq, p.versionsSentAt = 0, time.Time{}
 		klog.V(1).Infof("coordinator: peer report failed peer=%s reason=%q", h.ID, err)
 		return
 	}
 	p.reachedAt, p.sentCrashSeq, p.sentEvidenceSeq, p.pendingCleared = time.Now(), call.crashSeq, call.evidenceSeq, p.pendingCleared[len(call.report.GetCleared()):]
+	p.sentStreamSeq = call.streamSeq
+	c.mergeVersions(time.Now(), reply.GetVersions())
 	if history := DecodeHistory(reply.GetHistory(), c.workspaceNames); len(history) > 0 {
 		c.allotments.MergeWindows(time.Now(), history)
 	}
@@ -155,12 +173,17 @@
 	c.recordCrashes(now, r.GetCrashes())
 	c.recordEvidence(now, r.GetEvidence())
 	c.recordCleared(r.GetCleared())
+	c.recordStreams(now, r.GetStreams(), true)
+	c.mergeVersions(now, r.GetVersions())
 	c.chargePlacements(now, known.placements, r.GetPlacements())
 	reply := &coordinatorpb.PeerReply{}
 	if r.GetYoung() && now.Sub(c.allotmentsKnownSince) > historyMaxAge {
 		reply.History = &coordinatorpb.Uses{}
 		c.addHistory(now, reply.History)
 	}
+	if r.GetYoung() {
+		reply.Versions = c.encodeVersions(now)
+	}
 	return proto.Marshal(reply)
 }
 
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -118,6 +118,7 @@
 	if len(c.endpointLimits) > 0 {
 		s.enqueue(func(o *coordinatorpb.Orders) { o.Limits = EncodeLimits(c.endpointLimits) })
 	}
+	c.recordStreams(s.startedAt, hello.GetStreams(), false)
 	if evidence, _ := c.evidence.Since(0); len(evidence) > 0 {
 		s.enqueue(func(o *coordinatorpb.Orders) { o.Evidence = EncodeEvidence(s.startedAt, evidence) })
 	}
@@ -228,6 +229,7 @@
 	}
 	s.applyStated(now, r.GetStated())
 	s.applyLimits(now, r.GetLimits())
+	s.applyStreams(now, r.GetStreams())
 	s.applyUsage(now, r)
 	for _, p := range r.GetAsks() {
 		s.startAsk(now, p)
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -35,6 +35,10 @@
 	Endpoints cataloguer.Source
 	// AllotmentWindow is the sliding window over which the use of allotments is summed; 0 means the default.
 	AllotmentWindow time.Duration
+	// HistoryPath is the path of the file that keeps the history of software versions; empty means none. Bootstrap is true if the
+	// whole system starts for the first time.
+	HistoryPath string
+	Bootstrap   bool
 
 	coordinator *coordinator.Coordinator
 	cataloguer  *cataloguer.Cataloguer
@@ -49,6 +53,7 @@
 func (c *Control) Register() {
 	c.coordinator = &coordinator.Coordinator{
 		HostID: c.HostID, Network: c.Transport, Peers: c.peers, AllotmentWindow: c.AllotmentWindow,
+		HistoryPath: c.HistoryPath, Bootstrap: c.Bootstrap,
 	}
 	c.coordinator.Init()
 	c.Participant.Agent().OnMembers(func(members []marshaller.Member) {
@@ -74,6 +79,9 @@
 	c.Transport.Handle(coordinator.MethodPeer, func(_ context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
 		return c.coordinator.HandlePeer(payload)
 	})
+	c.Transport.Handle(coordinator.MethodOrigin, func(_ context.Context, _ transporter.Peer, payload []byte) ([]byte, error) {
+		return c.coordinator.HandleOrigin(payload)
+	})
 }
 
 // Run places requests until ctx ends.
