admitter: bound work goes first in its tier, and versions do not block each other

A request that continues a stream waited behind new requests of its tier although its caller holds the first part of the answer. A scan of the queue stopped after 24 requests without a place, so that requests bound to a version without room would keep others from free places, and many waiting requests would keep bound ones from places of their version.

Bound requests wait in a list of their own, before unbound ones of the same tier; the predicted wait uses this position. A scan merges both lists in order, skips versions without room, and counts failures by version. The free places of a pool are compared with unbound requests only.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -20,7 +20,7 @@
 	// maxRetryAfter is the upper limit of the retry delay, before jitter.
 	maxRetryAfter = 5 * time.Second
 	// scanInterval is the minimum time between a queue scan without a grant and the next scan, and maxScanFailures the number of
-	// unplaceable requests after which a scan stops. They limit the cost of a long queue whose free endpoint fits few requests.
+	// unplaceable requests of one kind after which a scan skips the others of it. They limit the cost of a long queue whose free endpoint fits few requests.
 	scanInterval    = 3 * time.Millisecond
 	maxScanFailures = 24
 	// overloadGap is the time without a refusal after which an overload counts as over.
@@ -87,7 +87,7 @@
 type Admitter struct {
 	mu         sync.Mutex
 	balancer   *balancer.Balancer
-	queues     map[string][]*waiter
+	queues     map[string]*queue
 	seq        uint64
 	grantTimes map[string][]time.Time
 	// lastScan is the time of the last scan of a pool's queue without a grant, and scanDue the time of the next scheduled one.
@@ -102,7 +102,7 @@
 // New returns an Admitter that owns b, which must not be used directly afterwards.
 func New(b *balancer.Balancer) *Admitter {
 	return &Admitter{
-		balancer: b, queues: map[string][]*waiter{}, grantTimes: map[string][]time.Time{}, overloads: map[string]overload{},
+		balancer: b, queues: map[string]*queue{}, grantTimes: map[string][]time.Time{}, overloads: map[string]overload{},
 		lastScan: map[string]time.Time{}, scanDue: map[string]time.Time{},
 	}
 }
@@ -229,11 +229,15 @@
 	g.observer = w
 }
 
-// Room returns the number of requests that a pool could start at once, and the number of requests that wait for it.
+// Room returns the number of requests that a pool could start at once, and the number of requests that wait for it, without those
+// that are bound to a version: they wait beside free places of others.
 func (a *Admitter) Room(now time.Time, pool string) (free, waiting int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.balancer.FreePlaces(now, pool), len(a.queues[pool])
+	if q := a.queues[pool]; q != nil {
+		waiting = len(q.unbound)
+	}
+	return a.balancer.FreePlaces(now, pool), waiting
 }
 
 // Acquire waits until an endpoint is granted. Otherwise it returns a *RefusedError, or the error of ctx.
@@ -273,24 +277,10 @@
 	}
 	a.seq++
 	w := &waiter{req: req, seq: a.seq, granted: make(chan *Grant, 1)}
-	queue := a.queues[req.Pool]
-	at, _ := slices.BinarySearchFunc(queue, w, func(x, y *waiter) int {
-		if x.req.Tier != y.req.Tier {
-			return x.req.Tier - y.req.Tier
-		}
-		if c := x.req.Work.SizeClass() - y.req.Work.SizeClass(); c != 0 {
-			return c
-		}
-		// A retry after a refusal has less time left than a new request and is granted first.
-		if c := x.req.Work.Deadline.Compare(y.req.Work.Deadline); c != 0 {
-			return c
-		}
-		if x.seq < y.seq {
-			return -1
-		}
-		return 1
-	})
-	a.queues[req.Pool] = slices.Insert(queue, at, w)
+	if a.queues[req.Pool] == nil {
+		a.queues[req.Pool] = &queue{}
+	}
+	position := a.queues[req.Pool].insert(w)
 	if now.Sub(a.lastScan[req.Pool]) < scanInterval {
 		// A scan less than scanInterval ago placed none of the other waiting requests.
 		a.tryGrant(now, w)
@@ -302,7 +292,7 @@
 		return nil, g, nil
 	default:
 	}
-	if wait := a.predictWait(now, req.Pool, at+1); wait > req.Patience {
+	if wait := a.predictWait(now, req.Pool, position); wait > req.Patience {
 		a.remove(w)
 		return nil, nil, a.refusalLocked(req, WaitTooLong, 0)
 	}
@@ -336,7 +326,7 @@
 }
 
 func (a *Admitter) refusalLocked(req Request, reason Reason, waited time.Duration) *RefusedError {
-	queue := len(a.queues[req.Pool])
+	queue := a.queues[req.Pool].len()
 	wait := max(a.predictWait(time.Now(), req.Pool, queue+1), a.recordRefusal(time.Now(), req.Pool))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait += time.Duration(retryJitter * rand.Float64() * float64(wait))
@@ -357,9 +347,9 @@
 }
 
 func (a *Admitter) remove(w *waiter) {
-	queue := a.queues[w.req.Pool]
-	if at := slices.Index(queue, w); at >= 0 {
-		a.queues[w.req.Pool] = slices.Delete(queue, at, at+1)
+	list := a.queues[w.req.Pool].list(w)
+	if at := slices.Index(*list, w); at >= 0 {
+		*list = slices.Delete(*list, at, at+1)
 	}
 }
 
@@ -367,7 +357,7 @@
 func (a *Admitter) tryGrant(now time.Time, w *waiter) {
 	if choice, ok := a.balancer.Pick(now, w.req.Pool, w.req.Work, w.req.excluded); ok {
 		a.remove(w)
-		a.grant(now, w, choice, len(a.queues[w.req.Pool]))
+		a.grant(now, w, choice, a.queues[w.req.Pool].len())
 	}
 }
 
--- a/internal/admitter/dispatch.go
+++ b/internal/admitter/dispatch.go
@@ -1,47 +1,97 @@
 package admitter
 
-import "time"
+import (
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+)
 
 // dispatch grants endpoints to waiting requests in queue order. A request that no endpoint can take does not block later ones
-// that fit, such as those with a smaller prompt. The caller holds the lock.
+// that fit, such as those with a smaller prompt or of another version. The caller holds the lock.
 func (a *Admitter) dispatch(now time.Time, pool string) {
-	queue := a.queues[pool]
-	if len(queue) == 0 {
+	q := a.queues[pool]
+	if q.len() == 0 {
 		return
 	}
 	defer a.awaitPermit(now, pool)
-	if !a.balancer.HasRoom(now, pool) {
+	open, versions := a.balancer.HasRoom(now, pool, balancer.Work{}), a.openVersions(now, q)
+	if !open && len(versions) == 0 {
 		return
 	}
 	if now.Sub(a.lastScan[pool]) < scanInterval {
 		a.scheduleDispatch(pool, scanInterval)
 		return
 	}
-	remaining, failures := queue[:0], 0
-	for i, w := range queue {
-		choice, ok := a.balancer.Pick(now, pool, w.req.Work, w.req.excluded)
-		if ok {
-			a.grant(now, w, choice, len(remaining)+len(queue)-i-1)
+	kept := queue{unbound: q.unbound[:0], bound: q.bound[:0]}
+	i, j, failures, granted := 0, 0, 0, false
+	for open && i < len(q.unbound) || j < len(q.bound) {
+		if j < len(q.bound) && (!open || i == len(q.unbound) || compareWaiters(q.bound[j], q.unbound[i]) < 0) {
+			w := q.bound[j]
+			j++
+			if a.scanBound(now, w, versions, kept.len()+q.len()-i-j) {
+				granted, open = true, open && a.balancer.HasRoom(now, pool, balancer.Work{})
+			} else {
+				kept.bound = append(kept.bound, w)
+			}
+			continue
+		}
+		w := q.unbound[i]
+		i++
+		if choice, ok := a.balancer.Pick(now, pool, w.req.Work, w.req.excluded); ok {
+			a.grant(now, w, choice, kept.len()+q.len()-i-j)
+			granted, open = true, a.balancer.HasRoom(now, pool, balancer.Work{})
 		} else {
-			remaining = append(remaining, w)
+			kept.unbound = append(kept.unbound, w)
 			failures++
-		}
-		if failures == maxScanFailures || ok && !a.balancer.HasRoom(now, pool) {
-			remaining = append(remaining, queue[i+1:]...)
-			break
+			open = failures < maxScanFailures
 		}
 	}
-	if len(remaining) == len(queue) {
+	kept.unbound = append(kept.unbound, q.unbound[i:]...)
+	if !granted {
 		a.lastScan[pool] = now
 	}
-	clear(queue[len(remaining):])
-	a.queues[pool] = remaining
+	clear(q.unbound[len(kept.unbound):])
+	clear(q.bound[len(kept.bound):])
+	*q = kept
+}
+
+// openVersions returns the versions of the bound requests of a queue that have room, with the number of requests that a scan may
+// fail to place.
+func (a *Admitter) openVersions(now time.Time, q *queue) map[string]int {
+	if len(q.bound) == 0 {
+		return nil
+	}
+	out, seen := map[string]int{}, map[string]bool{}
+	for _, w := range q.bound {
+		if version := w.req.Work.Version; !seen[version] {
+			seen[version] = true
+			if a.balancer.HasRoom(now, w.req.Pool, w.req.Work) {
+				out[version] = maxScanFailures
+			}
+		}
+	}
+	return out
+}
+
+// scanBound grants an endpoint to a bound request if its version is open and an endpoint can take it.
+func (a *Admitter) scanBound(now time.Time, w *waiter, versions map[string]int, queued int) bool {
+	version := w.req.Work.Version
+	if versions[version] == 0 {
+		return false
+	}
+	choice, ok := a.balancer.Pick(now, w.req.Pool, w.req.Work, w.req.excluded)
+	if ok {
+		a.grant(now, w, choice, queued)
+		return true
+	}
+	versions[version]--
+	return false
 }
 
 // awaitPermit schedules a dispatch for the time at which the limit of an endpoint admits the next request, if requests wait. No
 // other event may come until then. The caller holds the lock.
 func (a *Admitter) awaitPermit(now time.Time, pool string) {
-	if len(a.queues[pool]) == 0 {
+	if a.queues[pool].len() == 0 {
 		return
 	}
 	if wait, limited := a.balancer.NextPermit(now, pool); limited {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -280,9 +280,10 @@
 	return best, found
 }
 
-// HasRoom reports whether any endpoint of a pool could take a small piece of work now.
-func (b *Balancer) HasRoom(now time.Time, pool string) bool {
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, Work{}) && b.hasRoom(e, Work{}) })
+// HasRoom reports whether any endpoint of a pool that the work fits by its version could take a small piece of work now.
+func (b *Balancer) HasRoom(now time.Time, pool string, w Work) bool {
+	small := Work{Bound: w.Bound, Version: w.Version}
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, small) && b.hasRoom(e, small) })
 }
 
 // FreePlaces returns the number of free places of the available endpoints of a pool.
