acquirer: bound the wait for a coordinator that has lost a placement request

What callers would see: a request that was read whole gets neither an answer nor a refusal until they give up, and then its connection is closed. Found by a test, not in a record of the incident.

Cause: link.acquire waits for the answer without a bound of its own. As long as the coordinator answers pings, every message resets the time since which it owes an answer, so that a placement request that the coordinator has lost waits without end.

The wait now ends answerTimeout after the patience of the request. The placement request is withdrawn, so that a late grant is given back, and the caller is refused as after any wait in vain; "asker: placement request not answered" is logged and counted (asker_placed missing).

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -48,10 +48,11 @@
 var countPlaced = expvar.NewMap("asker_placed")
 
 // errCoordinatorLost reports that the link closed while a placement request was pending, and errAnswerTimeout that no
-// message arrived for answerTimeout.
+// message arrived for answerTimeout. errAnswerMissing reports that messages arrived, but no answer within the patience.
 var (
 	errCoordinatorLost = errors.New("coordinator connection lost")
 	errAnswerTimeout   = errors.New("coordinator did not answer in time")
+	errAnswerMissing   = errors.New("coordinator did not answer the placement request")
 )
 
 // Stream is an ordered, bidirectional message stream.
@@ -254,6 +255,9 @@
 			continue
 		case errors.Is(err, errAnswerTimeout):
 			return a.placeLocally(ctx, shard, req, began)
+		case errors.Is(err, errAnswerMissing):
+			countPlaced.Add("missing", 1)
+			return nil, &admitter.RefusedError{Reason: admitter.Waited, Waited: time.Since(began), RetryAfter: answerTimeout}
 		case err != nil:
 			return nil, err
 		case answer.spillZone != "":
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -49,8 +49,8 @@
 	granted   bool
 }
 
-// acquire sends a placement request to the coordinator and waits for its answer. It returns errCoordinatorLost or
-// errAnswerTimeout if there is none.
+// acquire sends a placement request to the coordinator and waits for its answer. It returns errCoordinatorLost,
+// errAnswerTimeout or errAnswerMissing if there is none.
 func (l *link) acquire(ctx context.Context, shard sharder.Shard, req admitter.Request, spilled bool) (*answer, error) {
 	a := l.a
 	p := &coordinatorpb.Ask{
@@ -75,6 +75,7 @@
 	l.waiting[ticket] = result
 	l.requestAnswerLocked(func(r *coordinatorpb.Report) { r.Asks = append(r.Asks, p) })
 	a.mu.Unlock()
+	overdue := time.Now().Add(max(req.Patience, 0) + answerTimeout)
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	for {
@@ -95,6 +96,10 @@
 			case silence >= answerTimeout:
 				l.withdraw(ticket, result)
 				return nil, errAnswerTimeout
+			case !time.Now().Before(overdue):
+				l.withdraw(ticket, result)
+				klog.InfoS("asker: placement request not answered", "addr", l.addr, "ticket", ticket, "patience", req.Patience)
+				return nil, errAnswerMissing
 			}
 			timer.Reset(pingInterval)
 		}
