gateway: keep a connection on which the next request has begun

What callers would see: a request on a kept connection is closed without a response when a stop, or a configuration with a lower idle timeout, comes at the same moment.

Cause: a caller may have the whole response before the handler returns, and its next request then begins during the handler. net/http reads its first byte in the background, while the head is not recorded, so the connection counted as idle, and the read of the rest of the request returned io.EOF. The recorded head also lacked its first byte.

That byte is now the start of the next recorded head. Only the background read asks for a single byte.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -82,6 +82,8 @@
 	// time.
 	recording bool
 	head      []byte
+	// next is the byte of the next request that net/http has read in the background during the current one, if any.
+	next      []byte
 	draining  bool
 	idleSince time.Time
 	// readErr is the last error of a Read of the network connection, and isClosed is true once Close was called.
@@ -104,6 +106,10 @@
 	if n > 0 && c.recording && len(c.head)+n <= maxRecordedHead {
 		c.head = append(c.head, b[:n]...)
 	}
+	if n == 1 && len(b) == 1 && !c.recording {
+		// Only the background read of net/http, which begins at the end of the body, asks for a single byte.
+		c.next = []byte{b[0]}
+	}
 	return n, err
 }
 
@@ -183,5 +189,5 @@
 func (c *trackedConn) recordNextHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recording, c.head, c.idleSince = true, nil, time.Now()
+	c.recording, c.head, c.next, c.idleSince = true, c.next, nil, time.Now()
 }
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -88,3 +88,26 @@
 		t.Error("a connection with a request in progress is closed")
 	}
 }
+
+// Guards against closing a connection on which the first byte of the next request has been read: net/http reads it in the background
+// when the caller has the whole response before the handler returns. The connection was closed without a response.
+func TestDrainAfterBackgroundRead(t *testing.T) {
+	c, peer := newTrackedConn(t)
+	c.inspectHead()
+	go func() { _, _ = io.WriteString(peer, "POST /x") }()
+	b := make([]byte, 16)
+	if n, err := c.Read(b[:1]); n != 1 || err != nil {
+		t.Fatalf("background read: %d bytes, %v", n, err)
+	}
+	c.recordNextHead()
+	c.listener.closeIdle(0)
+	c.listener.drain()
+	if n, err := c.Read(b); n != 6 || err != nil {
+		t.Errorf("read of the rest of the request: %d bytes, %v", n, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if got := string(c.head); got != "POST /x" {
+		t.Errorf("recorded head %q", got)
+	}
+}
