gateway: read on after a drain that meets the first bytes of a request

What callers would see: a request whose head arrives in several parts is closed without a response when a stop, or a configuration with a lower idle timeout, comes at the moment of its first bytes.

Cause: drain unblocks the Read of an idle connection by a read deadline in the past. A Read that has bytes already, but has not recorded them yet, returns them, and the deadline made the next Read of the same head fail.

Read now restores the deadline for a head if it returns bytes after a drain.

Before the change TestDrainWhileFirstBytesAreRead failed with "i/o timeout". Ruled out by reading: the deadline does not reach a handler, since net/http sets it anew once the head was read.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -83,9 +83,11 @@
 	recording bool
 	head      []byte
 	// next is the byte of the next request that net/http has read in the background during the current one, if any.
-	next      []byte
-	draining  bool
-	idleSince time.Time
+	next     []byte
+	draining bool
+	// interrupted is true if drain has set a read deadline in the past.
+	interrupted bool
+	idleSince   time.Time
 	// readErr is the last error of a Read of the network connection, and isClosed is true once Close was called.
 	readErr  error
 	isClosed bool
@@ -103,6 +105,13 @@
 	if err != nil {
 		c.readErr = err
 	}
+	if n > 0 && c.interrupted {
+		// The bytes arrived at the moment of the drain; the rest of the request must be readable.
+		c.interrupted = false
+		if err := c.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+			klog.V(1).InfoS("gateway: read deadline not restored", "reason", err)
+		}
+	}
 	if n > 0 && c.recording && len(c.head)+n <= maxRecordedHead {
 		c.head = append(c.head, b[:n]...)
 	}
@@ -135,6 +144,7 @@
 	defer c.mu.Unlock()
 	c.draining = true
 	if c.recording && len(c.head) == 0 {
+		c.interrupted = true
 		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			klog.V(1).InfoS("gateway: closing an idle connection failed", "reason", err)
 		}
@@ -174,7 +184,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	head := c.head
-	c.recording, c.head = false, nil
+	c.recording, c.head, c.interrupted = false, nil, false
 	end := bytes.Index(head, []byte("\r\n\r\n"))
 	if end < 0 {
 		return framingUnknown, 0
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -111,3 +111,34 @@
 		t.Errorf("recorded head %q", got)
 	}
 }
+
+// Guards against a request whose first bytes arrive at the moment of a drain: the read deadline of the drain stayed in force after
+// the bytes had been read, and the rest of the head was not read.
+func TestDrainWhileFirstBytesAreRead(t *testing.T) {
+	c, peer := newTrackedConn(t)
+	c.Conn = &hookedConn{Conn: c.Conn, afterRead: func() { c.listener.drain() }}
+	go func() { _, _ = io.WriteString(peer, "POST ") }()
+	b := make([]byte, 16)
+	if n, err := c.Read(b); n != 5 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	go func() { _, _ = io.WriteString(peer, "/x") }()
+	if n, err := c.Read(b); n != 2 || err != nil {
+		t.Errorf("read of the rest of a request: %d bytes, %v", n, err)
+	}
+}
+
+// hookedConn calls afterRead once, after the first Read.
+type hookedConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *hookedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.afterRead != nil {
+		c.afterRead()
+		c.afterRead = nil
+	}
+	return n, err
+}
