gateway: announce the close of a connection that a drain met during a request

What callers would see: a response without "Connection: close", and then a connection that is closed under the next request.

Cause: only the draining state of the gateway as it was when the request began, or when the header was copied, set the header. A connection may also be draining by itself: closeIdle or a stop marks it as draining at the moment at which a request arrives.

The header is now set when the response head is written, by the state of the connection at that moment.

TestResponseAnnouncesClose failed without the check (200, no close announced, for /order/ and /chat/). It, TestDrain*, TestCloseIdle, TestRefusalBeforeBody, TestRefusals, TestGracefulShutdown and the tests of unanswered_test.go pass with -race.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -107,7 +107,7 @@
 	}
 	c, tracked := r.Context().Value(connKey{}).(*trackedConn)
 	if tracked {
-		q.conn = c
+		q.conn, q.w.conn = c, c
 		defer func() {
 			if q.refused && !q.bodyRead {
 				q.flushRefusal()
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -24,6 +24,8 @@
 // trackedResponse records how much of a response was written.
 type trackedResponse struct {
 	http.ResponseWriter
+	// conn is the caller's connection; it may be nil.
+	conn        *trackedConn
 	headWritten bool
 	err         error
 }
@@ -31,6 +33,9 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *trackedResponse) WriteHeader(status int) {
 	w.headWritten = w.headWritten || status >= http.StatusOK
+	if w.conn != nil && w.conn.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
@@ -144,6 +149,13 @@
 		!errors.Is(c.readErr, io.ErrClosedPipe)
 }
 
+// isDraining reports whether the connection is closed after the current request.
+func (c *trackedConn) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining
+}
+
 // closed reports whether this host has closed the connection.
 func (c *trackedConn) closed() bool {
 	c.mu.Lock()
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"expvar"
@@ -126,6 +127,41 @@
 	})
 }
 
+// Guards against a response without "Connection: close" on a connection that is closed after it, because the idle timeout or a stop
+// met the request: the caller sent its next request on that connection and lost it. This is so for requests that began before.
+func TestResponseAnnouncesClose(t *testing.T) {
+	for _, path := range []string{"/order/", "/chat/"} {
+		running, proceed := make(chan struct{}), make(chan struct{})
+		e := startFakeEndpoint(t, "e1", func(_ int, r *http.Request) ([]string, bool) {
+			close(running)
+			<-proceed
+			return []string{response(r, http.StatusOK, signed, "id: 1\ndata: a\n\n")}, false
+		})
+		h := startTestHost(t, e)
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, postRequest(path, "k")); err != nil {
+			t.Fatal(err)
+		}
+		<-running
+		h.gateway.DrainConnections()
+		close(proceed)
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(r.Body); err != nil || string(body) != "id: 1\ndata: a\n\n" {
+			t.Errorf("%s: body %q, %v", path, body, err)
+		}
+		if r.StatusCode != 200 || !r.Close {
+			t.Errorf("%s: status %d, close announced %v, want 200 and true", path, r.StatusCode, r.Close)
+		}
+		_ = c.Close()
+	}
+}
+
 // Guards against counting a request that its caller has abandoned as one that this host has not answered.
 func TestAbandonedRequestIsCountedApart(t *testing.T) {
 	log := captureLog(t)
