gateway: refuse a request whose body does not come in time

What callers saw: the head of a request was read, its body came late, and after 10 s the connection was closed without a response.

Cause: readBody aborted the request on every error of a read, also on its own time limit, at which the caller still waits.

The caller now gets 408 with "Connection: close"; the request was not sent to an endpoint. Other read errors mean that the caller or the network has broken off.

--- /dev/null
+++ b/internal/gateway/body_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
+	"github.com/dragonflycroft/dragonflycroft/internal/router"
+)
+
+// pipeListener accepts connections in memory, for tests in virtual time.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against closing the connection without a response if the body of a request does not come in time, also while the host
+// stops.
+func TestLateBodyIsRefused(t *testing.T) {
+	for _, drain := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &router.Table{Revision: 1, Pools: []router.Pool{{Name: "p"}}, Rules: []router.Rule{{
+				Name: "r", Host: "h", PathPrefix: "/", Kind: router.NonIdempotent, Timeout: time.Minute, LatencyTarget: time.Minute, Attempts: 1,
+				Targets: []router.Target{{Pool: "p", Weight: 1}},
+			}}}
+			index := router.NewIndex(table)
+			l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+			g := &gateway.Gateway{
+				Listener: l, Headers: testHeaders, Table: func() (*router.Index, bool) { return index, true },
+				Admitter: admitter.New(balancer.New("z")), Client: &exchanger.Client{DialTimeout: time.Second},
+			}
+			g.Init()
+			ran := make(chan error, 1)
+			go func() { ran <- g.Run(t.Context()) }()
+			caller, host := net.Pipe()
+			l.conns <- host
+			if _, err := io.WriteString(caller, strings.TrimSuffix(postRequest("/", ""), "i")); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if drain {
+				g.DrainConnections()
+			}
+			r, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil {
+				t.Fatalf("no response: %v", err)
+			}
+			if r.StatusCode != http.StatusRequestTimeout || !r.Close {
+				t.Errorf("status %d, close announced %v, want 408 and true", r.StatusCode, r.Close)
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+			}
+			_ = caller.Close()
+			if err := g.Close(t.Context()); err != nil {
+				t.Error(err)
+			}
+			if err := <-ran; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -241,6 +242,11 @@
 			q.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 			return false
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			q.w.Header().Set("Connection", "close")
+			q.refuse(http.StatusRequestTimeout, "body_timeout", 0)
+			return false
+		}
 		requestCounts.Add("body_broken", 1)
 		klog.V(1).Infof("gateway: reading the body failed request=%s reason=%q", q.id, err)
 		panic(http.ErrAbortHandler)
