--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -109,7 +110,7 @@
 	}
 	c, tracked := r.Context().Value(connKey{}).(*trackedConn)
 	if tracked {
-		q.conn = c
+		q.conn, q.w.conn = c, c
 		defer func() {
 			if q.refused && !q.bodyRead {
 				q.flushRefusal()
@@ -243,6 +244,11 @@
 			q.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 			return false
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			q.w.Header().Set("Connection", "close")
+			q.refuse(http.StatusRequestTimeout, "body_timeout", 0)
+			return false
+		}
 		requestCounts.Add("body_broken", 1)
 		klog.V(1).Infof("gateway: reading the body failed request=%s reason=%q", q.id, err)
 		panic(http.ErrAbortHandler)
