acquirer: report and look up which version began a stream

A host that had lost its memory could not tell which version began the stream that a caller goes on with.

Test: TestOriginDays restarts hosts and coordinators in virtual time.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -153,6 +153,7 @@
 			return nil
 		case <-tick.C:
 			a.sendUsage()
+			a.sendOrigins()
 		case <-a.wake:
 		}
 		a.maintainLinks(ctx, time.Now())
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,7 +65,14 @@
 	// fillReport is called with the number of the host when an entry host fills its usage report; nil reports nothing. It is set
 	// before the hosts start.
 	fillReport func(host int, all bool) bool
-	wg         sync.WaitGroup
+	// historyDir is the folder of the coordinators' histories of versions. If it is set, the processes of killed hosts end; otherwise
+	// killed coordinators are only not reached any more.
+	historyDir string
+	bootstrap  bool
+	// version is the version of all endpoints at first.
+	version string
+	cancels map[string]context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 var zones = []string{"z0", "z1", "z2"}
@@ -73,11 +81,12 @@
 	f := &fixture{
 		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{}, halfCut: map[string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, peak: map[string]int{}, slots: slots,
+		cancels: map[string]context.CancelFunc{},
 	}
 	configure(f)
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
-		f.endpoints = append(f.endpoints, balancer.Endpoint{ID: id, Addr: id, Zone: zones[i%3], Pool: "p", Slots: slots, Engine: true})
+		f.endpoints = append(f.endpoints, balancer.Endpoint{ID: id, Addr: id, Zone: zones[i%3], Pool: "p", Slots: slots, Engine: true, Version: f.version})
 	}
 	for i := range 5 {
 		f.start(fmt.Sprintf("c%d", i))
@@ -109,12 +118,28 @@
 		}
 		return out
 	}}
+	if f.historyDir != "" {
+		c.HistoryPath, c.Bootstrap = filepath.Join(f.historyDir, id), f.bootstrap
+	}
 	c.Init()
 	c.SetEndpoints(f.endpoints)
 	f.mu.Lock()
 	f.coordinators[id], f.alive[id] = c, true
 	f.mu.Unlock()
-	f.wg.Go(func() { _ = c.Run(f.ctx) })
+	ctx := f.processContext(id)
+	f.wg.Go(func() { _ = c.Run(ctx) })
+}
+
+// processContext returns the context of a new process of a host.
+func (f *fixture) processContext(id string) context.Context {
+	if f.historyDir == "" {
+		return f.ctx
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.cancels[id] = cancel
+	return ctx
 }
 
 // kill ends the process of a control host; setUnreachable drops its messages without closing streams.
@@ -122,6 +147,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.alive[id] = false
+	if cancel := f.cancels[id]; cancel != nil {
+		cancel()
+	}
 	for _, p := range f.streams[id] {
 		p.end()
 	}
@@ -153,7 +181,8 @@
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
 	a.SetEndpoints(f.endpoints)
 	f.clients, f.locals = append(f.clients, a), append(f.locals, local)
-	f.wg.Go(func() { _ = a.Run(f.ctx) })
+	ctx := f.processContext(fmt.Sprintf("h%d", i))
+	f.wg.Go(func() { _ = a.Run(ctx) })
 }
 
 // owner returns the n-th control host in the order of precedence.
@@ -203,9 +232,12 @@
 	}
 	payload, _ := proto.Marshal(req)
 	var answer []byte
-	if method == coordinator.MethodReady {
+	switch method {
+	case coordinator.MethodReady:
 		answer, err = c.HandleReady(payload)
-	} else {
+	case coordinator.MethodOrigin:
+		answer, err = c.HandleOrigin(payload)
+	default:
 		answer, err = c.HandlePeer(payload)
 	}
 	time.Sleep(oneWayDelay)
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -34,6 +34,8 @@
 	waiting  map[uint64]chan *answer
 	// fullReportSent is true once the full usage of this host was reported on this stream.
 	fullReportSent bool
+	// sentOriginSeq is the number of the last origin of a stream that was sent on this stream.
+	sentOriginSeq uint64
 	// receivedAt is the time of the last message, and unansweredSince the time of the first report that awaits an answer.
 	receivedAt, unansweredSince time.Time
 }
@@ -241,6 +243,9 @@
 	l.waiting, l.wake = map[uint64]chan *answer{}, wake
 	l.fullReportSent = false
 	l.connected, l.receivedAt, l.unansweredSince = true, now, now
+	a.origins.Sweep(now)
+	origins, last := a.origins.Since(0)
+	hello.Hello.Streams, l.sentOriginSeq = coordinator.EncodeStreams(origins), last
 	owner := map[string]*link{}
 	hosts := a.ControlHosts()
 	for _, ticket := range slices.Sorted(maps.Keys(a.runs)) {
