--- a/internal/acquirer/version_test.go
+++ b/internal/acquirer/version_test.go
@@ -12,8 +12,8 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 )
 
-// setVersions sets the software version of each endpoint by its number, for all coordinators and hosts.
-func (f *fixture) setVersions(version func(i int) string) {
+// setVersionsByNumber sets the software version of each endpoint by its number, for all coordinators and hosts.
+func (f *fixture) setVersionsByNumber(version func(i int) string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.endpoints {
@@ -47,7 +47,7 @@
 // grant that does not state the version.
 func TestBoundWorkIsPlacedAtItsVersion(t *testing.T) {
 	run(t, 1, 6, 4, func(f *fixture) {
-		f.setVersions(alternating)
+		f.setVersionsByNumber(alternating)
 		var got []string
 		acquire := func() {
 			for range 6 {
@@ -78,7 +78,7 @@
 // differ: bound work must be placed where both lists agree, and other grants must state that they differ.
 func TestListsDifferInVersion(t *testing.T) {
 	run(t, 1, 2, 4, func(f *fixture) {
-		f.setVersions(alternating)
+		f.setVersionsByNumber(alternating)
 		changed := slices.Clone(f.endpoints)
 		changed[0].Version = "v2" // v1 for the coordinators
 		f.setHostList(0, changed)
