gateway: refuse the requests that wait for an endpoint when a stop ends

What callers would see: a request that was read whole and waits for an endpoint when the grace period of a SIGTERM ends is closed without a response.

Cause: Close waited for all requests in progress until its context ended and then closed the connections. A wait for an endpoint does not end with the stop.

The waits now end 250 ms before that, with 503 and a retry delay; such a request was not sent, and the withdrawn wait gives a place that was granted meanwhile back. Requests that have been sent keep their time.

Before the change TestQueuedRequestIsRefusedAtTheEndOfAStop got no response (status 0). go test -race ./internal/gateway passes.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -88,3 +89,28 @@
 		})
 	}
 }
+
+// Guards against a request that still waits for an endpoint when the grace period of a stop ends: its connection was closed without a
+// response.
+func TestQueuedRequestIsRefusedAtTheEndOfAStop(t *testing.T) {
+	waiting := make(chan struct{})
+	h := startTestHostWithPlacer(t, placerFunc(func(ctx context.Context, _ admitter.Request) (*admitter.Grant, error) {
+		close(waiting)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}))
+	status := make(chan int, 1)
+	go func() {
+		got, _, _, _ := h.send(t, postRequest("/order/", "k"))
+		status <- got
+	}()
+	<-waiting
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := h.gateway.Close(ctx); err != nil {
+		t.Error(err)
+	}
+	if got := <-status; got != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,8 @@
 	sweepInterval = time.Second
 	// closePollInterval is the time between two checks for open connections while the gateway closes.
 	closePollInterval = 10 * time.Millisecond
+	// refuseReserve is the time before the end of a stop at which the requests that wait for an endpoint are refused.
+	refuseReserve = 250 * time.Millisecond
 	// noTableRetryAfter is the retry delay sent by a host that has no confirmed table.
 	noTableRetryAfter = 500 * time.Millisecond
 )
@@ -106,6 +108,31 @@
 // Checks implements Placer.
 func (localPlacer) Checks(string) bool { return false }
 
+// errStopping is the cause of the end of a wait for an endpoint when the host stops, and stopping the reason of the refusal.
+var errStopping = eris.New("host stops")
+
+const stopping admitter.Reason = "stopping"
+
+// stoppingPlacer is a Placer that refuses the requests that wait when stopped ends.
+type stoppingPlacer struct {
+	Placer
+	stopped context.Context
+}
+
+// Acquire implements Placer.
+func (p stoppingPlacer) Acquire(ctx context.Context, req admitter.Request) (*admitter.Grant, error) {
+	began := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(p.stopped, func() { cancel(errStopping) })
+	defer stop()
+	grant, err := p.Placer.Acquire(ctx, req)
+	if err != nil && errors.Is(err, context.Canceled) && errors.Is(context.Cause(ctx), errStopping) {
+		return nil, &admitter.RefusedError{Reason: stopping, Waited: time.Since(began), RetryAfter: noTableRetryAfter}
+	}
+	return grant, err
+}
+
 // EndpointStatus is the status of an endpoint, as the endpoint reported it to this host.
 type EndpointStatus struct {
 	Endpoint string
@@ -157,6 +184,7 @@
 	tableReady      chan struct{}
 	tableReadyOnce  sync.Once
 	tracker         *trackingListener
+	stopWaiting     context.CancelFunc
 	draining        atomic.Bool
 	closed          atomic.Bool
 	active          atomic.Int64
@@ -167,6 +195,8 @@
 	if g.Placer == nil {
 		g.Placer = localPlacer{g.Admitter}
 	}
+	stopped, stopWaiting := context.WithCancel(context.Background())
+	g.Placer, g.stopWaiting = stoppingPlacer{Placer: g.Placer, stopped: stopped}, stopWaiting
 	if g.OnEndpointStatus == nil {
 		g.OnEndpointStatus = func(EndpointStatus) {}
 	}
@@ -258,12 +288,17 @@
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // Close stops accepting connections, closes idle ones, waits for the requests in progress until ctx ends and then closes the
-// remaining connections.
+// remaining connections. The requests that still wait for an endpoint shortly before that are refused.
 func (g *Gateway) Close(ctx context.Context) error {
 	g.draining.Store(true)
 	g.closed.Store(true)
 	err := g.Listener.Close()
 	g.tracker.drain()
+	defer g.stopWaiting()
+	if end, limited := ctx.Deadline(); limited {
+		refuse := time.AfterFunc(max(0, time.Until(end)-refuseReserve), g.stopWaiting)
+		defer refuse.Stop()
+	}
 	tick := time.NewTicker(closePollInterval)
 	defer tick.Stop()
 	for g.tracker.openConns() > 0 && ctx.Err() == nil {
