balancer: leaving endpoints continue streams that no other endpoint can

While all endpoints of a version leave, which is how a version is replaced, the streams that they began were refused, although a leaving endpoint serves for some seconds more.

Bound work may be placed at a leaving endpoint of its version for a second after the list or the endpoint told so first, unless the endpoint has rejected this host, and only while all endpoints of the version leave. The same rule decides whether a host adopts a grant. SetEndpoints takes the time; coordinators pass the time since which an endpoint leaves to shards that are created later. An endpoint that was leaving when it was first listed takes no work, because its time is not known.

The change in internal/gateway is the parameter of SetEndpoints in a test.

--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -150,7 +150,7 @@
 		f.trackLimitsOf(a, local)
 	}
 	a.Init()
-	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
+	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), f.endpoints) })
 	a.SetEndpoints(f.endpoints)
 	f.clients, f.locals = append(f.clients, a), append(f.locals, local)
 	f.wg.Go(func() { _ = a.Run(f.ctx) })
--- a/internal/acquirer/version_test.go
+++ b/internal/acquirer/version_test.go
@@ -29,7 +29,7 @@
 
 // setHostList replaces the list of endpoints of an entry host.
 func (f *fixture) setHostList(host int, list []balancer.Endpoint) {
-	f.locals[host].Update(func(b *balancer.Balancer) { b.SetEndpoints(list) })
+	f.locals[host].Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), list) })
 	f.clients[host].SetEndpoints(list)
 }
 
@@ -110,3 +110,33 @@
 		}
 	})
 }
+
+// Guards against a coordinator and a host that disagree on how long a leaving endpoint continues streams: the grant would be declined.
+func TestBoundWorkAtLeavingEndpointAcrossHosts(t *testing.T) {
+	run(t, 1, 2, 4, func(f *fixture) {
+		f.setVersions(alternating)
+		f.endpoints = slices.Clone(f.endpoints)
+		f.endpoints[0].Leaving = true
+		f.setVersions(alternating)
+		var got []string
+		for range 3 {
+			g, err := f.clients[0].Acquire(f.ctx, boundRequest("v1"))
+			var refused *admitter.RefusedError
+			switch {
+			case errors.As(err, &refused):
+				got = append(got, string(refused.Reason))
+			case err != nil:
+				t.Fatal(err)
+			case g.Choice.PlacedBy == "":
+				t.Error("placed without a coordinator")
+			default:
+				got = append(got, g.Choice.Endpoint.ID)
+				g.End(time.Now(), false)
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+		if diff := cmp.Diff([]string{"e0", "e0", "no_endpoint"}, got); diff != "" {
+			t.Errorf("placements (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -210,14 +210,11 @@
 func (a *Admitter) AddRemoteRun(now time.Time, c balancer.Choice, w balancer.Work, observer RunObserver) (*Grant, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.balancer.Admits(now, c.Endpoint.ID) {
+	if !a.balancer.Admits(now, c.Endpoint.ID, w) {
 		return nil, false
 	}
 	listed := c.Endpoint.Version
 	c.Endpoint, _ = a.balancer.Endpoint(c.Endpoint.ID)
-	if w.Bound && c.Endpoint.Version != w.Version {
-		return nil, false
-	}
 	disputed := c.Endpoint.Version != listed
 	return &Grant{Choice: c, VersionDisputed: disputed, admitter: a, run: a.balancer.Start(c, w), observer: observer}, true
 }
@@ -272,7 +269,7 @@
 func (a *Admitter) enqueue(now time.Time, req Request) (*waiter, *Grant, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.balancer.Usable(req.Pool, req.Work, req.excluded) {
+	if !a.balancer.Usable(now, req.Pool, req.Work, req.excluded) {
 		return nil, nil, a.refusalLocked(req, NoEndpoint, 0)
 	}
 	a.seq++
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -16,7 +16,7 @@
 
 func newSingleSlotAdmitter() *admitter.Admitter {
 	b := balancer.New("z")
-	b.SetEndpoints([]balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 1, Engine: true}})
+	b.SetEndpoints(time.Now(), []balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 1, Engine: true}})
 	return admitter.New(b)
 }
 
@@ -123,7 +123,7 @@
 func TestWaitingRequestsAreGrantedWithinLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := balancer.New("z")
-		b.SetEndpoints([]balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 8, Engine: true}})
+		b.SetEndpoints(time.Now(), []balancer.Endpoint{{ID: "a", Addr: "a", Pool: "p", Slots: 8, Engine: true}})
 		a := admitter.New(b)
 		began := time.Now()
 		a.Update(func(b *balancer.Balancer) { b.SetLimit(began, "a", 2) })
--- a/internal/admitter/version_test.go
+++ b/internal/admitter/version_test.go
@@ -20,7 +20,7 @@
 	for _, v := range versions {
 		list = append(list, balancer.Endpoint{ID: v, Addr: v, Pool: "p", Slots: 1, Engine: true, MemoryTokens: 1000, Version: v})
 	}
-	b.SetEndpoints(list)
+	b.SetEndpoints(time.Now(), list)
 	return admitter.New(b)
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -86,6 +86,9 @@
 	Pool    string
 	Slots   int
 	Leaving bool
+	// LeavingSince is the time at which the list began to show the endpoint as leaving; zero if it is not known or not leaving. It
+	// counts where the endpoint is new to a balancer.
+	LeavingSince time.Time
 	// Engine is true for model engines and false for plain services.
 	Engine bool
 	// MemoryTokens is the size of an engine's memory in tokens; 0 if unknown.
@@ -156,6 +159,9 @@
 	// accepts nothing from this host.
 	announcedLeaving bool
 	heldUntil        time.Time
+	// leavingSince is the time from which the endpoint is known to leave; zero if it was already leaving when it first appeared in the
+	// list.
+	leavingSince time.Time
 	// permits is the limit that the endpoint states, or nil.
 	permits *permits
 }
@@ -193,7 +199,7 @@
 }
 
 // SetEndpoints replaces the set of endpoints. The state of endpoints that keep their id and address is retained.
-func (b *Balancer) SetEndpoints(list []Endpoint) {
+func (b *Balancer) SetEndpoints(now time.Time, list []Endpoint) {
 	next := make(map[string]*endpoint, len(list))
 	pools := map[string][]*endpoint{}
 	for _, e := range list {
@@ -202,8 +208,14 @@
 			known = &endpoint{prefixCache: cacheestimator.New()}
 			n := b.notices[instanceKey{id: e.ID, addr: e.Addr}]
 			known.announcedLeaving, known.heldUntil, known.permits = !n.leavingSince.IsZero(), n.heldUntil, b.limits[e.ID]
+			known.Leaving, known.leavingSince = e.Leaving, n.leavingSince
+			if known.leavingSince.IsZero() {
+				known.leavingSince = e.LeavingSince
+			}
 		}
+		was := known.isLeaving()
 		known.Endpoint = e
+		known.recordLeaving(now, was)
 		next[e.ID] = known
 		pools[e.Pool] = append(pools[e.Pool], known)
 	}
@@ -308,10 +320,10 @@
 	return gap > maxGapShare*float64(w.EventGap.Milliseconds())
 }
 
-// Usable reports whether a pool has any endpoint that may take a piece of work and is neither leaving nor excluded.
-func (b *Balancer) Usable(pool string, w Work, except func(id string) bool) bool {
+// Usable reports whether a pool has any endpoint that may take a piece of work, busy or not, and is not excluded.
+func (b *Balancer) Usable(now time.Time, pool string, w Work, except func(id string) bool) bool {
 	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool {
-		return w.fits(e) && !e.isLeaving() && (except == nil || !except(e.ID))
+		return b.open(now, e, w) && (except == nil || !except(e.ID))
 	})
 }
 
@@ -328,12 +340,13 @@
 
 // available reports whether an endpoint may take a piece of work now.
 func (b *Balancer) available(now time.Time, e *endpoint, w Work) bool {
-	return w.fits(e) && e.accepts(now) && b.freePermits(now, e) > 0 && !b.avoids(e, w)
+	return b.open(now, e, w) && e.accepts(now) && b.freePermits(now, e) > 0 && !b.avoids(e, w)
 }
 
-// accepts reports whether an endpoint may take work within its limit. After a failed connect, it is tried by one request at a time.
+// accepts reports whether an endpoint that is not leaving may take work within its limit. After a failed connect, it is tried by one
+// request at a time.
 func (e *endpoint) accepts(now time.Time) bool {
-	return !e.isLeaving() && !now.Before(e.heldUntil) && !now.Before(e.unavailableUntil) && (e.failedConnects == 0 || e.load.Running == 0)
+	return !now.Before(e.heldUntil) && !now.Before(e.unavailableUntil) && (e.failedConnects == 0 || e.load.Running == 0)
 }
 
 func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -47,7 +47,7 @@
 // it must be placed at a fast engine, or wait for one.
 func TestLongAnswersGoToFastEngines(t *testing.T) {
 	b := balancer.New("z")
-	b.SetEndpoints(engines("fast", "slow"))
+	b.SetEndpoints(now, engines("fast", "slow"))
 	learn(b, "fast", 10)
 	learn(b, "slow", 100)
 	long := balancer.Work{Prompt: 100, Output: 300, TokensPerEvent: 1, Deadline: now.Add(10 * time.Second)}
@@ -70,7 +70,7 @@
 	for i := range list {
 		list[i].Slots = 8
 	}
-	b.SetEndpoints(list)
+	b.SetEndpoints(now, list)
 	learn(b, "fast", 20)
 	learn(b, "slow", 60)
 	chat := balancer.Work{Prompt: 100, Output: 60, TokensPerEvent: 6, EventGap: 200 * time.Millisecond}
@@ -89,7 +89,7 @@
 // endpoints are full, every request would be sent there and rejected.
 func TestReplacedEndpointTakesNoWork(t *testing.T) {
 	b := balancer.New("z")
-	b.SetEndpoints(engines("a"))
+	b.SetEndpoints(now, engines("a"))
 	w := balancer.Work{Prompt: 10, Output: 1}
 	c, _ := b.Pick(now, "p", w, nil)
 	b.EndRefused(now, b.Start(c, w), true)
@@ -101,7 +101,7 @@
 // An endpoint that refuses connections is tried by one request at a time, and gets work again after the first success.
 func TestUnreachableEndpointIsProbed(t *testing.T) {
 	b := balancer.New("z")
-	b.SetEndpoints(engines("a"))
+	b.SetEndpoints(now, engines("a"))
 	w := balancer.Work{Prompt: 10, Output: 1}
 	c, _ := b.Pick(now, "p", w, nil)
 	b.EndUnreachable(now, b.Start(c, w))
@@ -129,7 +129,7 @@
 		return balancer.Work{Prompt: prompt, Output: 60, TokensPerEvent: 6, EventGap: 250 * time.Millisecond}
 	}
 	b := balancer.New("z")
-	b.SetEndpoints(engines("fast", "normal", "slow"))
+	b.SetEndpoints(now, engines("fast", "normal", "slow"))
 	learn(b, "fast", 20)
 	learn(b, "normal", 30)
 	learn(b, "slow", 90)
@@ -154,7 +154,7 @@
 	for i := range list {
 		list[i].Engine = false
 	}
-	b.SetEndpoints(list)
+	b.SetEndpoints(now, list)
 	for range 4 {
 		c, _ := b.Pick(now, "p", balancer.Work{}, func(id string) bool { return id != "a" })
 		b.End(now, b.Start(c, balancer.Work{}), true)
@@ -169,8 +169,8 @@
 	b := balancer.New("z")
 	list := engines("a")
 	list[0].Leaving = true
-	b.SetEndpoints(list)
-	if got := pick(b, balancer.Work{}); got != "wait" || b.Usable("p", balancer.Work{}, nil) {
-		t.Errorf("placed at %q, usable %t; want wait, false", got, b.Usable("p", balancer.Work{}, nil))
+	b.SetEndpoints(now, list)
+	if got := pick(b, balancer.Work{}); got != "wait" || b.Usable(now, "p", balancer.Work{}, nil) {
+		t.Errorf("placed at %q, usable %t; want wait, false", got, b.Usable(now, "p", balancer.Work{}, nil))
 	}
 }
--- a/internal/balancer/permit.go
+++ b/internal/balancer/permit.go
@@ -109,7 +109,7 @@
 // there is none.
 func (b *Balancer) NextPermit(now time.Time, pool string) (wait time.Duration, limited bool) {
 	for _, e := range b.pools[pool] {
-		if e.permits == nil || !e.accepts(now) || b.freePermits(now, e) > 0 {
+		if e.permits == nil || e.isLeaving() || !e.accepts(now) || b.freePermits(now, e) > 0 {
 			continue
 		}
 		p := e.permits.at(now, b.limitShare())
--- a/internal/balancer/permit_test.go
+++ b/internal/balancer/permit_test.go
@@ -15,7 +15,7 @@
 	now := time.Unix(1_000_000, 0)
 	listed := []balancer.Endpoint{{ID: "a", Addr: "a", Zone: "z", Pool: "p", Slots: 100, Engine: true}}
 	b := balancer.New("z")
-	b.SetEndpoints(listed)
+	b.SetEndpoints(now, listed)
 	placed := func(during time.Duration) int {
 		n := 0
 		for end := now.Add(during); now.Before(end); now = now.Add(10 * time.Millisecond) {
@@ -40,8 +40,8 @@
 	b.SetLimitShare(now, 0.25)
 	got = append(got, placed(8*time.Second))
 	b.SetLimitShare(now, 1)
-	b.SetEndpoints(nil)
-	b.SetEndpoints(listed)
+	b.SetEndpoints(now, nil)
+	b.SetEndpoints(now, listed)
 	got = append(got, placed(4*time.Second))
 	b.SetLimit(now, "a", 0)
 	got = append(got, placed(10*time.Millisecond))
@@ -55,7 +55,7 @@
 	now := time.Unix(1_000_000, 0)
 	b := balancer.New("z")
 	b.AvoidLimited = true
-	b.SetEndpoints([]balancer.Endpoint{{ID: "a", Addr: "a", Zone: "z", Pool: "p", Slots: 1}, {ID: "b", Addr: "b", Zone: "z", Pool: "p", Slots: 1}})
+	b.SetEndpoints(now, []balancer.Endpoint{{ID: "a", Addr: "a", Zone: "z", Pool: "p", Slots: 1}, {ID: "b", Addr: "b", Zone: "z", Pool: "p", Slots: 1}})
 	b.SetLimit(now, "a", 5)
 	now = now.Add(time.Minute)
 	pick := func() string {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -202,14 +202,35 @@
 func (c *Coordinator) SetEndpoints(list []balancer.Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endpoints = slices.Clone(list)
+	c.endpoints = withLeavingTimes(time.Now(), c.endpoints, list)
 	c.endpointNames = make(map[uint64]string, len(list))
 	for _, e := range list {
 		c.endpointNames[Digest(e.ID)] = e.ID
 	}
 	for _, s := range c.shards {
-		s.setEndpoints(list)
+		s.setEndpoints(c.endpoints)
+	}
+}
+
+// withLeavingTimes returns a list with the times since which its endpoints leave, as far as the previous list tells. Shards are
+// created when they are first used and would not know.
+func withLeavingTimes(now time.Time, previous, list []balancer.Endpoint) []balancer.Endpoint {
+	known := make(map[string]balancer.Endpoint, len(previous))
+	for _, e := range previous {
+		known[e.ID] = e
+	}
+	out := slices.Clone(list)
+	for i, e := range out {
+		before, listed := known[e.ID]
+		switch {
+		case !e.Leaving || !listed || before.Addr != e.Addr:
+		case before.Leaving:
+			out[i].LeavingSince = before.LeavingSince
+		default:
+			out[i].LeavingSince = now
+		}
 	}
+	return out
 }
 
 // newAllotments returns allotments without known past usage. Hosts join no coordinator in its first half second. If all hosts
@@ -241,7 +262,7 @@
 			own = append(own, e)
 		}
 	}
-	s.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(own) })
+	s.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), own) })
 }
 
 // shard returns the shard for a key and creates it without work if it is missing. The caller holds c.mu.
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -203,7 +203,7 @@
 		return
 	}
 	endpoints := joinEndpoints(*list, index)
-	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(endpoints) })
+	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), endpoints) })
 	h.acquirer.SetEndpoints(endpoints)
 	if index != nil {
 		h.gateway.ReleaseWaiting()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,7 +156,7 @@
 	for _, e := range endpoints {
 		list = append(list, balancer.Endpoint{ID: e.id, Addr: e.addr, Zone: "z", Pool: "p", Slots: 4})
 	}
-	b.SetEndpoints(list)
+	b.SetEndpoints(time.Now(), list)
 	h := &testHost{addr: l.Addr().String(), current: true}
 	h.index.Store(index)
 	h.gateway = &gateway.Gateway{
