--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -382,3 +382,28 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a run in progress that is not counted, and whose place is granted again, because the host that placed it lists
+// another software version of the endpoint.
+func TestBoundRunOfAnotherListTakesPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCoordinator(1)
+		h := join(ctx, c, "h", 1)
+		h.reports <- &coordinatorpb.Report{Runs: []*coordinatorpb.Run{{
+			Ticket: 1, Shard: &coordinatorpb.Shard{Pool: "p"}, Endpoint: coordinator.Digest("e"), Work: &coordinatorpb.Work{Bound: true, Version: "v1"},
+		}}}
+		h.ask(2)
+		got := []int{h.grantCount()}
+		h.reports <- &coordinatorpb.Report{Ends: []*coordinatorpb.End{{Ticket: 1}}}
+		synctest.Wait()
+		got = append(got, h.grantCount())
+		if diff := cmp.Diff([]int{0, 1}, got); diff != "" {
+			t.Errorf("grants during and after the run (-want +got):\n%s", diff)
+		}
+		cancel()
+		close(h.reports)
+		<-h.ended
+		time.Sleep(time.Second)
+	})
+}
