acquirer: zones that are asked for bound work in a divided pool

The coordinator of a host's own zone refuses bound work if its zone has no endpoint of the version, or none with room, and redirects it to other zones by their free places of all versions.

The host asks the zones that have an endpoint of the version in turn, its own one first, within the patience of the request, which is divided among the zones. Coordinators do not redirect bound work. The host first waits up to 100 ms for the link to the first coordinator of a zone: another one does not know the runs there and filled an engine of one place twice in the test. A run that is placed without a coordinator is reported for the zone of its endpoint.

TestBoundWorkInDividedPool failed without each of: the choice of zones, the next zone after a refusal, the rule against redirects and the wait for the link.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -234,10 +234,18 @@
 		return a.Local.Acquire(ctx, req)
 	}
 	shard, spilled := shards.HomeShard(req.Pool, a.Zone), false
+	var zones []string
+	if req.Work.Bound && shard.Zone != "" {
+		shard.Zone, zones = a.boundZones(began, shard.Zone, req)
+		a.awaitOwner(ctx, shard.Zone)
+	}
 	except := req.Except
+	var refused *admitter.RefusedError
 	for range maxAsks {
 		attempt := req
 		attempt.Patience, attempt.Except = req.Patience-time.Since(began), except
+		// Leave time for the other zones.
+		attempt.Patience /= time.Duration(1 + len(zones))
 		l := a.linkFor(shard.Zone)
 		if l == nil && spilled {
 			// The coordinator of the other zone is not connected yet.
@@ -260,8 +268,14 @@
 			shard.Zone, spilled = answer.spillZone, true
 			continue
 		case answer.refused != nil:
-			answer.refused.Waited = time.Since(began)
-			return nil, answer.refused
+			refused = answer.refused
+			refused.Waited = time.Since(began)
+			if refused.Reason == admitter.AllotmentExhausted || len(zones) == 0 {
+				return nil, refused
+			}
+			shard.Zone, zones = zones[0], zones[1:]
+			a.awaitOwner(ctx, shard.Zone)
+			continue
 		}
 		if g, ok := a.adoptGrant(l, shard, answer, attempt); ok {
 			countPlaced.Add("granted", 1)
@@ -276,6 +290,9 @@
 		}
 		except = extended
 	}
+	if refused != nil {
+		return nil, refused
+	}
 	return a.placeLocally(ctx, shard, req, began)
 }
 
@@ -295,6 +312,9 @@
 	}
 	a.mu.Lock()
 	a.lastTicket++
+	if shard.Zone != "" {
+		shard.Zone = g.Choice.Endpoint.Zone
+	}
 	r := &run{a: a, ticket: a.lastTicket, shard: shard, endpoint: g.Choice.Endpoint.ID, work: req.Work}
 	a.track(r)
 	a.mu.Unlock()
--- a/internal/acquirer/version_test.go
+++ b/internal/acquirer/version_test.go
@@ -111,6 +111,74 @@
 	})
 }
 
+// Guards against a stream that is refused by the coordinator of the host's own zone, or redirected to a zone without its version,
+// while endpoints of its version in another zone have room.
+func TestBoundWorkInDividedPool(t *testing.T) {
+	run(t, 3, 120, 1, func(f *fixture) {
+		f.setVersions(func(i int) string {
+			switch i {
+			case 1, 2, 5: // in other zones than the host
+				return "away"
+			case 0, 4: // one in its zone
+				return "near"
+			case 3: // only in its zone
+				return "home"
+			}
+			return "common"
+		})
+		var held []*admitter.Grant
+		var got []string
+		place := func(host int, req admitter.Request) *admitter.Grant {
+			g, err := f.clients[host].Acquire(f.ctx, req)
+			var refused *admitter.RefusedError
+			if errors.As(err, &refused) {
+				got = append(got, "refused")
+				return nil
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			held = append(held, g)
+			name := g.Choice.Endpoint.Version + " in " + g.Choice.Endpoint.Zone
+			if g.Choice.PlacedBy == "" {
+				name += " without coordinator"
+			}
+			got = append(got, name)
+			return g
+		}
+		for range 4 {
+			place(0, boundRequest("away"))
+		}
+		slices.Sort(got) // the zones are asked in random order
+		for range 3 {
+			place(0, boundRequest("near"))
+		}
+		home := place(0, boundRequest("home"))
+		// Another zone states its free places.
+		if g, err := f.clients[1].Acquire(f.ctx, admitter.Request{Pool: "p", Patience: time.Second}); err == nil {
+			held = append(held, g)
+		}
+		for range 38 {
+			place(0, admitter.Request{Pool: "p", Patience: time.Second})
+		}
+		time.Sleep(time.Second)
+		got = slices.Compact(got)
+		time.AfterFunc(100*time.Millisecond, func() { home.End(time.Now(), false) })
+		place(0, boundRequest("home"))
+		want := []string{
+			"away in z1", "away in z2", "refused", "near in z0", "near in z1", "refused", "home in z0", "common in z0", "home in z0",
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("placements, repeated ones once (-want +got):\n%s", diff)
+		}
+		for _, g := range held {
+			if g != home {
+				g.End(time.Now(), false)
+			}
+		}
+	})
+}
+
 // Guards against a coordinator and a host that disagree on how long a leaving endpoint continues streams: the grant would be declined.
 func TestBoundWorkAtLeavingEndpointAcrossHosts(t *testing.T) {
 	run(t, 1, 2, 4, func(f *fixture) {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -327,6 +327,17 @@
 	})
 }
 
+// UsableZones returns the availability zone of each endpoint for which Usable holds, without those that have rejected this host.
+func (b *Balancer) UsableZones(now time.Time, pool string, w Work, except func(id string) bool) []string {
+	var out []string
+	for _, e := range b.pools[pool] {
+		if b.open(now, e, w) && !now.Before(e.heldUntil) && !except(e.ID) {
+			out = append(out, e.Zone)
+		}
+	}
+	return out
+}
+
 // Places returns the number of taken places and of all places of a pool, without leaving endpoints.
 func (b *Balancer) Places(pool string) (taken, all int) {
 	for _, e := range b.pools[pool] {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -377,7 +377,8 @@
 	}
 	s.waiting[p.GetTicket()] = cancel
 	s.mu.Unlock()
-	if !p.GetSpilled() {
+	// Summaries of other zones do not state versions; the host chooses the zone of bound work itself.
+	if !p.GetSpilled() && !p.GetWork().GetBound() {
 		if zone, found := c.spillZone(now, sh); found {
 			c.recordAsk("elsewhere")
 			s.cancelWaiting(p.GetTicket())
