--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -178,7 +178,7 @@
 		f.trackLimitsOf(a, local)
 	}
 	a.Init()
-	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(f.endpoints) })
+	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), f.endpoints) })
 	a.SetEndpoints(f.endpoints)
 	f.clients, f.locals = append(f.clients, a), append(f.locals, local)
 	ctx := f.processContext(fmt.Sprintf("h%d", i))
--- a/internal/acquirer/unanswered_test.go
+++ b/internal/acquirer/unanswered_test.go
@@ -64,7 +64,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		endpoints := []balancer.Endpoint{{ID: "e", Addr: "e", Zone: "z0", Pool: "p", Slots: 1}}
 		b := balancer.New("z0")
-		b.SetEndpoints(endpoints)
+		b.SetEndpoints(time.Now(), endpoints)
 		a := &acquirer.Acquirer{
 			Zone: "z0", Network: forgetfulNetwork{}, Incarnation: func() uint64 { return 1 }, Local: admitter.New(b),
 			ControlHosts: func() []sharder.Host { return []sharder.Host{{ID: "c", Zone: "z0", Addr: "c"}} },
--- a/internal/admitter/vanish_test.go
+++ b/internal/admitter/vanish_test.go
@@ -14,7 +14,7 @@
 func TestWaitForVanishedPoolEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := balancer.New("z")
-		b.SetEndpoints([]balancer.Endpoint{{ID: "e", Addr: "e", Zone: "z", Pool: "p", Slots: 1}})
+		b.SetEndpoints(time.Now(), []balancer.Endpoint{{ID: "e", Addr: "e", Zone: "z", Pool: "p", Slots: 1}})
 		a := admitter.New(b)
 		for {
 			if _, err := a.Acquire(t.Context(), admitter.Request{Pool: "p"}); err != nil {
@@ -30,7 +30,7 @@
 		if _, waiting := a.Room(time.Now(), "p"); waiting != 1 {
 			t.Fatalf("%d requests wait, want 1", waiting)
 		}
-		a.Update(func(b *balancer.Balancer) { b.SetEndpoints(nil) })
+		a.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), nil) })
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
 		select {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -188,7 +188,7 @@
 	for _, e := range endpoints {
 		list = append(list, balancer.Endpoint{ID: e.id, Addr: e.addr, Zone: "z", Pool: "p", Slots: 4, Version: e.version})
 	}
-	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(list) })
+	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), list) })
 }
 
 // send writes a raw request and returns the response. Complete is false if the response is truncated or missing.
