registrar: test restarts after a long time and a peer that restarted

The tests of the history passed without the rule for pools in the file, since a host that was down for seconds still remembers the other version.

--- a/internal/registrar/history_test.go
+++ b/internal/registrar/history_test.go
@@ -71,15 +71,19 @@
 func TestHistoryAfterRestart(t *testing.T) {
 	for _, test := range []struct {
 		name          string
+		down          time.Duration
 		before, after []string
 		want          []string // at once and after a minute
 	}{
-		{"same", []string{"v1"}, []string{"v1"}, []string{"v1", "v1"}},
-		{"other", []string{"v1"}, []string{"v2"}, []string{"mixed", "v2"}},
-		{"one more", []string{"v1"}, []string{"v1", "v2"}, []string{"mixed", "mixed"}},
-		{"one less", []string{"v1", "v2"}, []string{"v2"}, []string{"mixed", "v2"}},
-		{"two", []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"mixed", "mixed"}},
-		{"no pool before", nil, []string{"v1"}, []string{"unknown", "v1"}},
+		{"same", 20 * time.Second, []string{"v1"}, []string{"v1"}, []string{"v1", "v1"}},
+		{"other", 20 * time.Second, []string{"v1"}, []string{"v2"}, []string{"mixed", "v2"}},
+		{"one more", 20 * time.Second, []string{"v1"}, []string{"v1", "v2"}, []string{"mixed", "mixed"}},
+		{"one less", 20 * time.Second, []string{"v1", "v2"}, []string{"v2"}, []string{"mixed", "v2"}},
+		{"two", 20 * time.Second, []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"mixed", "mixed"}},
+		{"no pool before", 20 * time.Second, nil, []string{"v1"}, []string{"unknown", "v1"}},
+		{"same after long", time.Hour, []string{"v1"}, []string{"v1"}, []string{"v1", "v1"}},
+		{"other after long", time.Hour, []string{"v1"}, []string{"v2"}, []string{"unknown", "v2"}},
+		{"one less after long", time.Hour, []string{"v1", "v2"}, []string{"v2"}, []string{"unknown", "v2"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := NewBootstrapHistory()
@@ -88,12 +92,13 @@
 			} else {
 				h.Observe(start, listed(test.before...))
 			}
-			h = restart(t, h, at(time.Hour), at(time.Hour+20*time.Second))
-			if got := sole(h, at(time.Hour+20*time.Second)); got != "unknown" && got != "mixed" {
+			begin := at(time.Hour + test.down)
+			h = restart(t, h, at(time.Hour), begin)
+			if got := sole(h, begin); got != "unknown" && got != "mixed" {
 				t.Errorf("sole version %q before the first list", got)
 			}
-			h.Observe(at(time.Hour+21*time.Second), listed(test.after...))
-			got := []string{sole(h, at(time.Hour+22*time.Second)), sole(h, at(time.Hour+83*time.Second))}
+			h.Observe(begin.Add(time.Second), listed(test.after...))
+			got := []string{sole(h, begin.Add(2*time.Second)), sole(h, begin.Add(63*time.Second))}
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("sole version (-want +got):\n%s", diff)
 			}
@@ -143,11 +148,18 @@
 	after.Observe(at(time.Second), listed("v1"))
 	merge(after, at(2*time.Second))
 	got := []string{sole(before, at(3*time.Second)), sole(after, at(3*time.Second))}
+	// This peer has restarted and knows the past of the pool, but not of other pools.
+	restarted, third := restart(t, peer, at(2*time.Second), at(3*time.Second)), NewHistory(at(3*time.Second))
+	restarted.Observe(at(3*time.Second), listed("v1"))
+	pools, others, _ := restarted.Export(at(4 * time.Second))
+	third.Merge(at(4*time.Second), pools, others)
+	third.Observe(at(5*time.Second), listed("v1"))
+	got = append(got, sole(third, at(5*time.Second)))
 	peer.Observe(at(4*time.Second), listed("v1", "v2"))
 	peer.Observe(at(5*time.Second), listed("v1"))
 	merge(after, at(6*time.Second))
 	got = append(got, sole(after, at(65*time.Second)), sole(after, at(66*time.Second)))
-	if diff := cmp.Diff([]string{"v1", "v1", "mixed", "v1"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"v1", "v1", "v1", "mixed", "v1"}, got); diff != "" {
 		t.Errorf("sole version (-want +got):\n%s", diff)
 	}
 }
