registrar: keep origins in less memory

Each record repeated the strings of its message, in the map and in the log. The log now holds digests and times, and records share their origins.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -32,21 +32,35 @@
 	Endpoint string
 	// Learnt is true if the record need not be passed on. Since leaves it out.
 	Learnt bool
-
-	at  time.Time
-	seq uint64
 }
 
 // Registry holds the origins of streams by the digest of their request. The zero value is empty and ready to use.
 type Registry struct {
-	records map[uint64]Record
-	// log holds the records in the order of their sequence numbers and times. An entry whose record has changed since is skipped.
-	log  []Record
-	last uint64
-	// limit is the largest number of records; 0 means maxRecords.
+	records map[uint64]entry
+	// log holds the requests in the order in which they were recorded; the first one has the sequence number dropped+1. An item is
+	// void if the record of its request has another sequence number.
+	log     []logItem
+	dropped uint64
+	// origins are the different origins, and originIndex their places.
+	origins     []Origin
+	originIndex map[Origin]uint32
+	endpoints   map[uint64]string
+	// limit is the largest number of items in the log; 0 means maxRecords.
 	limit int
 }
 
+// entry is a record. It is small since there are many.
+type entry struct {
+	seq    uint64
+	origin uint32
+	learnt bool
+}
+
+type logItem struct {
+	request uint64
+	at      time.Time
+}
+
 // Record records the origin of a stream. It returns false if it is known already.
 func (r *Registry) Record(now time.Time, request uint64, o Origin) bool {
 	return r.Add(now, Record{Request: request, Origin: o})
@@ -55,7 +69,8 @@
 // Add adds a record. It returns false if it is known already. Records of one stream that differ make it not joinable.
 func (r *Registry) Add(now time.Time, v Record) bool {
 	r.Sweep(now)
-	if known, ok := r.records[v.Request]; ok {
+	if e, ok := r.records[v.Request]; ok {
+		known := r.record(v.Request, e)
 		if known.Origin == v.Origin || !known.Joinable {
 			return false
 		}
@@ -66,30 +81,52 @@
 	return true
 }
 
+// record returns the record that an entry holds.
+func (r *Registry) record(request uint64, e entry) Record {
+	return Record{Request: request, Origin: r.origins[e.origin], Endpoint: r.endpoints[request], Learnt: e.learnt}
+}
+
 func (r *Registry) put(now time.Time, v Record) {
 	if r.records == nil {
-		r.records = map[uint64]Record{}
+		r.records, r.originIndex, r.endpoints = map[uint64]entry{}, map[Origin]uint32{}, map[uint64]string{}
+	}
+	index, known := r.originIndex[v.Origin]
+	if !known {
+		index = uint32(len(r.origins))
+		r.originIndex[v.Origin] = index
+		r.origins = append(r.origins, v.Origin)
 	}
-	r.last++
-	v.at, v.seq = now, r.last
-	r.records[v.Request] = v
-	r.log = append(r.log, v)
+	if v.Endpoint != "" {
+		r.endpoints[v.Request] = v.Endpoint
+	}
+	r.log = append(r.log, logItem{v.Request, now})
+	r.records[v.Request] = entry{seq: r.last(), origin: index, learnt: v.Learnt}
 	limit := r.limit
 	if limit == 0 {
 		limit = maxRecords
 	}
-	for len(r.records) > limit {
+	for len(r.log) > limit {
 		r.dropOldest()
 	}
 }
 
-// dropOldest removes the first entry of the log, and its record unless that has changed since.
+// last returns the last sequence number in use.
+func (r *Registry) last() uint64 { return r.dropped + uint64(len(r.log)) }
+
+// at returns the entry of the i-th item of the log. It returns false if the item is void.
+func (r *Registry) at(i int) (entry, bool) {
+	e, ok := r.records[r.log[i].request]
+	return e, ok && e.seq == r.dropped+uint64(i)+1
+}
+
+// dropOldest removes the first item of the log, and its record unless that has changed since.
 func (r *Registry) dropOldest() {
-	first := r.log[0]
-	r.log = r.log[1:]
-	if r.records[first.Request].seq == first.seq {
-		delete(r.records, first.Request)
+	if _, ok := r.at(0); ok {
+		delete(r.records, r.log[0].request)
+		delete(r.endpoints, r.log[0].request)
 	}
+	r.log = r.log[1:]
+	r.dropped++
 }
 
 // Sweep removes the records that have expired.
@@ -101,11 +138,11 @@
 
 // Lookup returns the origin of the stream that a request began.
 func (r *Registry) Lookup(now time.Time, request uint64) (Origin, bool) {
-	v, ok := r.records[request]
-	if !ok || now.Sub(v.at) > Retention {
+	e, ok := r.records[request]
+	if !ok || now.Sub(r.log[e.seq-r.dropped-1].at) > Retention {
 		return Origin{}, false
 	}
-	return v.Origin, true
+	return r.origins[e.origin], true
 }
 
 // Since returns the records with a sequence number above seq that are to be passed on, and the last sequence number in use. A seq
@@ -114,33 +151,35 @@
 
 // SinceUpTo is like Since, but looks at no more than limit records and returns the sequence number of the last one of them.
 func (r *Registry) SinceUpTo(seq uint64, limit int) ([]Record, uint64) {
-	first := sort.Search(len(r.log), func(i int) bool { return r.log[i].seq > seq })
-	entries := r.log[first:]
-	if len(entries) > limit {
-		entries = entries[:limit]
+	first := int(min(max(seq, r.dropped), r.last()) - r.dropped)
+	end := min(first+limit, len(r.log))
+	if first == end {
+		return nil, r.last()
 	}
-	if len(entries) == 0 {
-		return nil, r.last
-	}
-	out := make([]Record, 0, len(entries))
-	for _, v := range entries {
-		if !v.Learnt && r.records[v.Request].seq == v.seq {
-			out = append(out, v)
+	out := make([]Record, 0, end-first)
+	for i := first; i < end; i++ {
+		if e, ok := r.at(i); ok && !e.learnt {
+			out = append(out, r.record(r.log[i].request, e))
 		}
 	}
-	return out, entries[len(entries)-1].seq
+	return out, r.dropped + uint64(end)
 }
 
 // EndpointChanged makes the streams that an endpoint has begun lately not joinable: its version in the list has changed, so it is
 // not certain which one began them.
 func (r *Registry) EndpointChanged(now time.Time, endpoint string) {
 	first := sort.Search(len(r.log), func(i int) bool { return now.Sub(r.log[i].at) <= changeNotice })
-	for _, v := range r.log[first:] {
-		if v.Endpoint == endpoint && v.Joinable && r.records[v.Request].seq == v.seq {
-			v.Joinable = false
-			r.put(now, v)
+	var changed []Record
+	for i := first; i < len(r.log); i++ {
+		request := r.log[i].request
+		if e, ok := r.at(i); ok && r.endpoints[request] == endpoint && r.origins[e.origin].Joinable {
+			changed = append(changed, r.record(request, e))
 		}
 	}
+	for _, v := range changed {
+		v.Joinable = false
+		r.put(now, v)
+	}
 }
 
 // Len returns the number of records.
