--- a/internal/forwarder/host_test.go
+++ b/internal/forwarder/host_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -84,6 +85,8 @@
 
 type control struct {
 	participant *participant.Participant
+	// historyPath is the path of the file with the history of versions.
+	historyPath string
 	stop        func()
 }
 
@@ -94,11 +97,12 @@
 	if err := tr.Listen(); err != nil {
 		t.Fatal(err)
 	}
+	dir := t.TempDir()
 	p := participant.New(tr, participant.Options{
-		HostID: "c", Zone: "z", Controllers: map[string]string{"c": addr}, DataDir: t.TempDir(), Bootstrap: true, Voters: 1,
+		HostID: "c", Zone: "z", Controllers: map[string]string{"c": addr}, DataDir: dir, Bootstrap: true, Voters: 1,
 	})
 	p.Register()
-	controlPart := &forwarder.Control{HostID: "c", Transport: tr, Participant: p, Decode: decode, Endpoints: endpoints}
+	controlPart := &forwarder.Control{HostID: "c", Transport: tr, Participant: p, Decode: decode, Endpoints: endpoints, HistoryPath: filepath.Join(dir, "versions.json"), Bootstrap: true}
 	controlPart.Register()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -118,7 +122,7 @@
 		})
 	}
 	t.Cleanup(stop)
-	return &control{participant: p, stop: stop}
+	return &control{participant: p, historyPath: controlPart.HistoryPath, stop: stop}
 }
 
 // waitForStatus repeats a request with an API key until the response has the status.
