--- a/internal/acquirer/version_test.go
+++ b/internal/acquirer/version_test.go
@@ -182,10 +182,10 @@
 // Guards against a coordinator and a host that disagree on how long a leaving endpoint continues streams: the grant would be declined.
 func TestBoundWorkAtLeavingEndpointAcrossHosts(t *testing.T) {
 	run(t, 1, 2, 4, func(f *fixture) {
-		f.setVersions(alternating)
+		f.setVersionsByNumber(alternating)
 		f.endpoints = slices.Clone(f.endpoints)
 		f.endpoints[0].Leaving = true
-		f.setVersions(alternating)
+		f.setVersionsByNumber(alternating)
 		var got []string
 		for range 3 {
 			g, err := f.clients[0].Acquire(f.ctx, boundRequest("v1"))
