registrar, gateway: the origin of a stream is kept while the stream goes on

Origins were kept for a minute after the first event, so that a longer stream could not be taken up, or, once the list showed another version only, was taken for one of that version. The gateway now reports the origin again while the stream goes on, and the registry renews a record that is reported again. TestReportedAgain failed before.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -20,6 +20,9 @@
 	// unknownOriginRetryAfter is the retry delay of a take-up whose version is not known. A coordinator that has just started learns
 	// the streams of all hosts within that time.
 	unknownOriginRetryAfter = time.Second
+	// originReportInterval is the time after which the origin of a stream that goes on is reported again. It is shorter than the time for
+	// which it is remembered.
+	originReportInterval = registrar.Retention / 4
 	// takeUpMaxWait is the longest time that a take-up waits for an endpoint. It is longer than that of a new stream, because its caller
 	// has the first part of the answer. maxTakeUpWaitFraction bounds it as a fraction of the time left.
 	takeUpMaxWait         = time.Second
@@ -95,12 +98,12 @@
 }
 
 // bindStream binds the stream to the version of the endpoint whose first event is about to be written. Other endpoints of the
-// request must then have this version.
+// request must then have this version. It is called again with later events, since a long stream must stay known.
 func (q *request) bindStream(grant *admitter.Grant, f *failover) {
-	if q.began || !q.rule.Repeatable() {
+	if !q.rule.Repeatable() || time.Since(q.originReportedAt) < originReportInterval {
 		return
 	}
-	q.began = true
+	q.originReportedAt = time.Now()
 	e := grant.Choice.Endpoint
 	if !q.work.Bound {
 		q.work.Bound, q.work.Version, q.unjoinable = true, e.Version, grant.VersionDisputed
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -79,8 +79,10 @@
 	// written.
 	lastEvent string
 	streaming bool
-	// began is true once an event was written, and unjoinable if the version that began the stream is not known for certain.
-	began, unjoinable bool
+	// unjoinable is true if the version that began the stream is not known for certain, and originReportedAt the time of the last
+	// report of its origin.
+	unjoinable       bool
+	originReportedAt time.Time
 	// answering is true once the endpoint of the current send has sent the head of its response.
 	answering bool
 	waited    time.Duration
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -10,6 +10,8 @@
 const (
 	// Retention is how long an origin is kept, and the longest time in which a caller may go on with a stream that broke off.
 	Retention = 60 * time.Second
+	// renewAfter is the age from which a record that is reported again is kept for another Retention.
+	renewAfter = Retention / 8
 	// maxRecords is the largest number of origins kept.
 	maxRecords = 1 << 18
 	// changeNotice is the time in which a list may still show the previous version of an endpoint that has been replaced.
@@ -66,21 +68,28 @@
 	return r.Add(now, Record{Request: request, Origin: o})
 }
 
-// Add adds a record. It returns false if it is known already. Records of one stream that differ make it not joinable.
+// Add adds a record. It returns false if it is known already. A known record is renewed if it is older than renewAfter. Records of one
+// stream that differ make it not joinable.
 func (r *Registry) Add(now time.Time, v Record) bool {
 	r.Sweep(now)
 	if e, ok := r.records[v.Request]; ok {
 		known := r.record(v.Request, e)
-		if known.Origin == v.Origin || !known.Joinable {
+		switch {
+		case known.Origin != v.Origin && known.Joinable:
+			known.Joinable = false
+		case now.Sub(r.recordedAt(e)) < renewAfter:
 			return false
 		}
-		known.Joinable, known.Learnt = false, v.Learnt
+		known.Learnt = v.Learnt
 		v = known
 	}
 	r.put(now, v)
 	return true
 }
 
+// recordedAt returns the time of an entry.
+func (r *Registry) recordedAt(e entry) time.Time { return r.log[e.seq-r.dropped-1].at }
+
 // record returns the record that an entry holds.
 func (r *Registry) record(request uint64, e entry) Record {
 	return Record{Request: request, Origin: r.origins[e.origin], Endpoint: r.endpoints[request], Learnt: e.learnt}
@@ -139,7 +148,7 @@
 // Lookup returns the origin of the stream that a request began.
 func (r *Registry) Lookup(now time.Time, request uint64) (Origin, bool) {
 	e, ok := r.records[request]
-	if !ok || now.Sub(r.log[e.seq-r.dropped-1].at) > Retention {
+	if !ok || now.Sub(r.recordedAt(e)) > Retention {
 		return Origin{}, false
 	}
 	return r.origins[e.origin], true
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("joinable (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against the origin of a long stream that is forgotten while the stream goes on, although it is reported again.
+func TestReportedAgain(t *testing.T) {
+	var r Registry
+	now := time.Unix(1000, 0)
+	origin := Origin{Pool: "p", Version: "v1", Joinable: true}
+	var news []bool
+	for _, after := range []time.Duration{0, time.Second, Retention / 4, Retention} {
+		news = append(news, r.Record(now.Add(after), 1, origin))
+	}
+	got, known := r.Lookup(now.Add(2*Retention-time.Second), 1)
+	if diff := cmp.Diff([]any{[]bool{true, false, true, true}, origin, true}, []any{news, got, known}); diff != "" {
+		t.Errorf("news, origin, known (-want +got):\n%s", diff)
+	}
+}
