gateway: end the run of an exchange that has panicked

A panic within an exchange is answered since, but its place at the endpoint stayed taken. Found by reading; it has no test, as nothing is known that panics there.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -225,8 +225,19 @@
 	ctx, cancel := q.sendContext()
 	defer cancel()
 	f := q.startFailover(ctx, cancel, grant.Choice.Endpoint.ID)
-	defer func() { next = f.close() }()
+	ended := false
+	defer func() {
+		if next = f.close(); ended {
+			return
+		}
+		// The exchange has panicked. Ending a run twice has no effect.
+		grant.EndAbandoned(time.Now())
+		if next != nil {
+			next.EndRefused(time.Now(), false)
+		}
+	}()
 	outcome, response, err = q.exchange(ctx, cancel, f, grant)
+	ended = true
 	return outcome, response, nil, err
 }
 
