registrar: a history file covers only a short gap

A file of any age showed that a pool had no other version since it was written, if the list then showed the same one. A version that came and went meanwhile was denied. The row "same after long" of TestHistoryOverRestart expected the old behavior (the version at once after an hour); it now expects that the version is unknown until the retention has passed, which claims less.

--- a/internal/registrar/history.go
+++ b/internal/registrar/history.go
@@ -8,8 +8,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// clockSlack is the largest step of a clock, between the writing and the reading of a history, that is allowed for.
-const clockSlack = 5 * time.Second
+const (
+	// clockSlack is the largest step of a clock, between the writing and the reading of a history, that is allowed for.
+	clockSlack = 5 * time.Second
+	// maxBridgedGap is the longest time since a file was written for which it shows that a pool had no other version. A restart of all
+	// hosts takes seconds.
+	maxBridgedGap = Retention / 2
+)
 
 // History is which software versions the endpoint list has shown in each pool. Create one with NewHistory, NewBootstrapHistory or
 // DecodeHistory.
@@ -78,8 +83,8 @@
 	h.Sweep(now)
 }
 
-// bridge decides for which pools the history covers the time before the first list: for those that a file contained only if the list
-// shows the same single version as the file.
+// bridge decides for which pools the history covers the time before the first list: for those that a recent file contained only if the
+// list shows the same single version as the file.
 func (h *History) bridge(now time.Time, listed map[string]map[string]bool) {
 	if !h.coveredSince.IsZero() {
 		h.coveredSince = earlier(now, h.peerSince)
@@ -265,7 +270,7 @@
 			p.coveredSince = later(in.CoveredSince)
 		}
 		for version, at := range in.LastListed {
-			if len(in.LastListed) == 1 {
+			if len(in.LastListed) == 1 && now.Sub(f.SavedAt) <= maxBridgedGap {
 				p.sole = &version
 			}
 			p.lastListed[version] = later(at)
--- a/internal/registrar/history_test.go
+++ b/internal/registrar/history_test.go
@@ -81,7 +81,7 @@
 		{"one less", 20 * time.Second, []string{"v1", "v2"}, []string{"v2"}, []string{"mixed", "v2"}},
 		{"two", 20 * time.Second, []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"mixed", "mixed"}},
 		{"no pool before", 20 * time.Second, nil, []string{"v1"}, []string{"unknown", "v1"}},
-		{"same after long", time.Hour, []string{"v1"}, []string{"v1"}, []string{"v1", "v1"}},
+		{"same after long", time.Hour, []string{"v1"}, []string{"v1"}, []string{"unknown", "v1"}},
 		{"other after long", time.Hour, []string{"v1"}, []string{"v2"}, []string{"unknown", "v2"}},
 		{"one less after long", time.Hour, []string{"v1", "v2"}, []string{"v2"}, []string{"unknown", "v2"}},
 	} {
