acquirer: a stream whose endpoint changed its version before the first event cannot be joined

The version recorded is that at the grant. If the list changes between the grant and the first event, the stale version was recorded as joinable. Found in review.

--- a/internal/acquirer/origin.go
+++ b/internal/acquirer/origin.go
@@ -28,6 +28,10 @@
 // endpoint soon afterwards, the stream is reported as not joinable.
 func (a *Acquirer) ReportStreamAt(request uint64, o registrar.Origin, endpoint string) {
 	a.mu.Lock()
+	if listed, known := a.listedVersions[endpoint]; known && listed != o.Version {
+		// The list has changed since the request was placed.
+		o.Joinable = false
+	}
 	isNew := a.origins.Add(time.Now(), registrar.Record{Request: request, Origin: o, Endpoint: endpoint})
 	a.mu.Unlock()
 	if isNew {
