gateway: streams of uncertain origin are not joined

Faults of the second matter found in review, each with a test that failed before; they are in one commit because they share lines: - the list shows another version of the endpoint that began a stream, and the stream goes on in the same answer (TestListChangesDuringStream); - a stream without a request ID lent its version to every take-up that names no request (TestTakeUpOfStreamWithoutID); - a take-up of unknown origin on a rule with several pools went on in the pool that its own ID draws (TestUnknownOriginOfSeveralPools); - a comment bound a stream while another endpoint was sought, and the stream was cut for a grant that did not fit (TestBoundDuringSearch). A replacement is also given back if the deadline has passed, and searches that end with their send are no longer counted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,6 +90,7 @@
 			return
 		}
 		outcome, response, replacement, err := q.send(grant)
+		q.unjoinable = q.unjoinable || q.g.versionChanged(q.boundBy, q.work.Version)
 		if next = replacement; next != nil && (outcome == answered || !q.fits(next.Choice.Endpoint)) {
 			// The response was complete, or the stream was bound to a version, just before the send was canceled.
 			next.EndRefused(time.Now(), false)
@@ -114,6 +115,11 @@
 			last = response
 		}
 		q.tried[grant.Choice.Endpoint.ID] = true
+		if next != nil && (q.r.Context().Err() != nil || !time.Now().Before(q.deadline)) {
+			next.EndRefused(time.Now(), false)
+			q.g.returnRetry(q.pool)
+			next = nil
+		}
 		if next != nil {
 			continue
 		}
@@ -234,6 +240,7 @@
 		grant.EndAbandoned(time.Now())
 		if next != nil {
 			next.EndRefused(time.Now(), false)
+			q.g.returnRetry(q.pool)
 		}
 	}()
 	outcome, response, err = q.exchange(ctx, cancel, f, grant)
--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -66,12 +66,17 @@
 
 // resolveOrigin binds a take-up to the pool and the software version that began its stream. It returns false if it has refused the
 // request, because the version is not known or may not be used.
-func (q *request) resolveOrigin() bool {
+func (q *request) resolveOrigin(index *router.Index) bool {
 	if !q.isTakeUp() {
 		return true
 	}
 	resumes := q.r.Header.Get(q.g.Headers.Resumes)
-	origin, known := q.g.Origins.StreamOrigin(q.r.Context(), xxhash.Sum64String(resumes), q.pool)
+	pool := q.pool
+	if q.rule.TargetCount() > 1 {
+		// The pool that began a stream of unknown origin is not known either.
+		pool = ""
+	}
+	origin, known := q.g.Origins.StreamOrigin(q.r.Context(), xxhash.Sum64String(resumes), pool)
 	outcome := "bound"
 	switch {
 	case !known:
@@ -86,7 +91,10 @@
 		"pool", origin.Pool, "version", origin.Version, "after", time.Since(q.started))
 	switch outcome {
 	case "bound":
-		q.pool = origin.Pool
+		if origin.Pool != q.pool {
+			q.pool = origin.Pool
+			q.parseWork(index)
+		}
 		q.work.Bound, q.work.Version = true, origin.Version
 		return true
 	case "unknown":
@@ -106,13 +114,30 @@
 	q.originReportedAt = time.Now()
 	e := grant.Choice.Endpoint
 	if !q.work.Bound {
-		q.work.Bound, q.work.Version, q.unjoinable = true, e.Version, grant.VersionDisputed
+		q.work.Bound, q.work.Version, q.boundBy = true, e.Version, e.ID
+		q.unjoinable = grant.VersionDisputed || q.g.versionChanged(e.ID, e.Version)
 		f.bind(q.work, q.unjoinable)
 	}
+	if q.id == "" {
+		return
+	}
 	origin := registrar.Origin{Pool: q.pool, Version: q.work.Version, Joinable: !q.unjoinable}
 	q.g.Origins.ReportStreamAt(xxhash.Sum64String(q.id), origin, e.ID)
 }
 
+// versionChanged reports whether the list now shows another version of an endpoint that has begun a stream, so that it is not certain
+// which version it was. An empty ID is no endpoint.
+func (g *Gateway) versionChanged(endpoint, version string) (changed bool) {
+	if endpoint == "" {
+		return false
+	}
+	g.Admitter.View(func(b *balancer.Balancer) {
+		e, listed := b.Endpoint(endpoint)
+		changed = listed && e.Version != version
+	})
+	return changed
+}
+
 // fits reports whether the request may be sent to an endpoint: a stream that has begun goes on only at the version that began it.
 func (q *request) fits(e balancer.Endpoint) bool {
 	return !q.work.Bound || !q.unjoinable && e.Version == q.work.Version
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -32,6 +32,8 @@
 	// work is the demand of the request, and unjoinable is true once no other endpoint may go on with its stream.
 	work       balancer.Work
 	unjoinable bool
+	// boundBy is the ID of the endpoint that began the stream.
+	boundBy    string
 	timer      *time.Timer
 	progressAt time.Time
 	// firstByteAt and lastByteAt are the times of the first and the last bytes since progressAt that were no progress.
@@ -44,7 +46,7 @@
 
 // startFailover watches a send that ctx bounds. It does nothing if the request may not be sent to another endpoint.
 func (q *request) startFailover(ctx context.Context, cancel context.CancelFunc, endpoint string) *failover {
-	f := &failover{q: q, ctx: ctx, cancel: cancel, endpoint: endpoint, limit: q.idleTimeout(), work: q.work, progressAt: time.Now()}
+	f := &failover{q: q, ctx: ctx, cancel: cancel, endpoint: endpoint, limit: q.idleTimeout(), work: q.work, boundBy: q.boundBy, progressAt: time.Now()}
 	if f.limit < time.Until(q.deadline) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -57,7 +59,7 @@
 func (f *failover) bind(work balancer.Work, unjoinable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.work, f.unjoinable = work, unjoinable
+	f.work, f.unjoinable, f.boundBy = work, unjoinable, f.endpoint
 }
 
 // recordProgress postpones the search.
@@ -127,8 +129,9 @@
 	}
 	searching, began := make(chan struct{}), f.progressAt
 	f.searching = searching
-	work, unjoinable := f.work, f.unjoinable
+	work, unjoinable, boundBy := f.work, f.unjoinable, f.boundBy
 	f.mu.Unlock()
+	unjoinable = unjoinable || f.q.g.versionChanged(boundBy, work.Version)
 	var grant *admitter.Grant
 	reason := "the version that began the stream is disputed"
 	if !unjoinable {
@@ -138,11 +141,14 @@
 	defer f.mu.Unlock()
 	defer close(searching)
 	f.searching = nil
-	if grant != nil && (f.closed || f.progressAt != began) {
+	if grant != nil && (f.closed || f.progressAt != began || !f.fits(grant)) {
 		grant.EndRefused(time.Now(), false)
 		f.q.g.returnRetry(f.q.pool)
 		grant, reason = nil, "the endpoint went on"
 	}
+	if f.closed {
+		return
+	}
 	outcome := "kept"
 	switch {
 	case grant != nil:
@@ -154,14 +160,18 @@
 	klog.InfoS("gateway: endpoint silent", "request", f.q.id, "endpoint", f.endpoint, "rule", f.q.rule.Name, "silent", time.Since(began),
 		"outcome", outcome, "reason", reason)
 	f.grant = grant
-	switch {
-	case outcome != "kept":
+	if outcome != "kept" {
 		f.cancel()
-	case !f.closed:
+	} else {
 		f.timer.Reset(max(failoverInterval, f.limit-time.Since(f.progressAt)))
 	}
 }
 
+// fits reports whether the stream, which may have begun since the search, may go on at a granted endpoint. The caller holds the lock.
+func (f *failover) fits(grant *admitter.Grant) bool {
+	return !f.unjoinable && (!f.work.Bound || grant.Choice.Endpoint.Version == f.work.Version)
+}
+
 // acquire takes a retry from the budget and waits for an endpoint other than those that the request was sent to. It returns a nil
 // grant and the reason if there is none.
 func (f *failover) acquire(work balancer.Work) (grant *admitter.Grant, reason string) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -83,6 +83,8 @@
 	// report of its origin.
 	unjoinable       bool
 	originReportedAt time.Time
+	// boundBy is the ID of the endpoint whose first event has bound the request to a version; empty for a take-up.
+	boundBy string
 	// answering is true once the endpoint of the current send has sent the head of its response.
 	answering bool
 	waited    time.Duration
@@ -175,7 +177,7 @@
 		return false
 	}
 	q.parseWork(index)
-	return q.checkQuarantine() && q.resolveOrigin() && q.takeAllotment()
+	return q.checkQuarantine() && q.resolveOrigin(index) && q.takeAllotment()
 }
 
 // awaitTable delays a request that arrived before the first table. After a start of all hosts the table is agreed on within a
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -62,6 +62,17 @@
 // Repeatable reports whether a request that may have run may be sent again.
 func (r *Rule) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
 
+// TargetCount returns the number of pools that the rule sends requests to.
+func (r *Rule) TargetCount() int {
+	n := 0
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // HasTarget reports whether the rule sends requests to a pool.
 func (r *Rule) HasTarget(pool string) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Pool == pool && t.Weight > 0 })
