--- a/internal/balancer/version_test.go
+++ b/internal/balancer/version_test.go
@@ -68,7 +68,7 @@
 }
 
 // Guards against a stream that is refused although a leaving endpoint could still continue it, and against bound work at a leaving
-// endpoint for too long, while another one of its version stays, or against its own word.
+// endpoint for too long, while another one of its version stays, or while it holds this host off.
 func TestBoundWorkAtLeavingEndpoint(t *testing.T) {
 	bound := balancer.Work{Bound: true, Version: "v1"}
 	type step func(b *balancer.Balancer, at time.Time)
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -313,50 +313,6 @@
 	return w
 }
 
-// applyNotice applies a state change that an endpoint has announced to the host.
-func (s *session) applyNotice(now time.Time, n *coordinatorpb.Notice) {
-	name := ""
-	shards := s.c.allShards(func(names map[uint64]string) { name = names[n.GetEndpoint()] })
-	if name == "" {
-		return
-	}
-	if hold := time.Duration(n.GetHoldMs()) * time.Millisecond; hold > 0 {
-		s.mu.Lock()
-		s.heldUntil[name] = now.Add(hold)
-		s.mu.Unlock()
-	}
-	for _, sh := range shards {
-		sh.admitter.Update(func(b *balancer.Balancer) {
-			switch {
-			case n.GetLeaving():
-				b.MarkLeaving(now, name)
-			case n.GetReturned():
-				b.MarkReturned(now, name)
-			}
-		})
-	}
-}
-
-// applyStated applies the speeds that endpoints report.
-func (s *session) applyStated(now time.Time, stated []*coordinatorpb.Stated) {
-	if len(stated) == 0 {
-		return
-	}
-	figures := make(map[string]float64, len(stated))
-	shards := s.c.allShards(func(names map[uint64]string) {
-		for _, p := range stated {
-			figures[names[p.GetEndpoint()]] = float64(p.GetPercent())
-		}
-	})
-	for _, sh := range shards {
-		sh.admitter.Update(func(b *balancer.Balancer) {
-			for id, percent := range figures {
-				b.RecordSpeed(now, id, percent)
-			}
-		})
-	}
-}
-
 // startAsk redirects or refuses a placement request at once, or starts a goroutine that acquires a place for it.
 func (s *session) startAsk(now time.Time, p *coordinatorpb.Ask) {
 	c := s.c
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,12 +91,7 @@
 		}
 		outcome, response, replacement, err := q.send(grant)
 		q.unjoinable = q.unjoinable || q.g.versionChanged(q.boundBy, q.work.Version)
-		if next = replacement; next != nil && (outcome == answered || !q.fits(next.Choice.Endpoint)) {
-			// The response was complete, or the stream was bound to a version, just before the send was canceled.
-			next.EndRefused(time.Now(), false)
-			q.g.returnRetry(q.pool)
-			next = nil
-		}
+		next = q.checkReplacement(replacement, outcome)
 		q.logSend(grant, outcome, err)
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
@@ -115,11 +110,6 @@
 			last = response
 		}
 		q.tried[grant.Choice.Endpoint.ID] = true
-		if next != nil && (q.r.Context().Err() != nil || !time.Now().Before(q.deadline)) {
-			next.EndRefused(time.Now(), false)
-			q.g.returnRetry(q.pool)
-			next = nil
-		}
 		if next != nil {
 			continue
 		}
@@ -136,6 +126,25 @@
 	}
 }
 
+// checkReplacement returns the grant that replaces an ended send, or nil if there is none or if it is not needed: the response was complete
+// or the stream was bound to a version just before the send was canceled, or the request has ended.
+func (q *request) checkReplacement(grant *admitter.Grant, o sendOutcome) *admitter.Grant {
+	if grant == nil {
+		return nil
+	}
+	if o == answered || !q.fits(grant.Choice.Endpoint) || q.r.Context().Err() != nil || !time.Now().Before(q.deadline) {
+		q.returnReplacement(grant)
+		return nil
+	}
+	return grant
+}
+
+// returnReplacement gives back a grant that replaces a send, and its retry.
+func (q *request) returnReplacement(grant *admitter.Grant) {
+	grant.EndRefused(time.Now(), false)
+	q.g.returnRetry(q.pool)
+}
+
 // acquire waits for an endpoint. The wait is limited so that the request can still meet its target, or resume its stream in time.
 func (q *request) acquire() (*admitter.Grant, error) {
 	maxWait := min(time.Duration(maxWaitFraction*float64(q.rule.LatencyTarget)), time.Until(q.deadline))
@@ -239,8 +248,7 @@
 		// The exchange has panicked. Ending a run twice has no effect.
 		grant.EndAbandoned(time.Now())
 		if next != nil {
-			next.EndRefused(time.Now(), false)
-			q.g.returnRetry(q.pool)
+			q.returnReplacement(next)
 		}
 	}()
 	outcome, response, err = q.exchange(ctx, cancel, f, grant)
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -142,8 +142,7 @@
 	defer close(searching)
 	f.searching = nil
 	if grant != nil && (f.closed || f.progressAt != began || !f.fits(grant)) {
-		grant.EndRefused(time.Now(), false)
-		f.q.g.returnRetry(f.q.pool)
+		f.q.returnReplacement(grant)
 		grant, reason = nil, "the endpoint went on"
 	}
 	if f.closed {
