admitter: a size class that is served too rarely goes first in its tier

Cause: within a tier the queue is ordered by expected size, smallest first, without a bound. While a tier is overloaded, smaller requests never cease to arrive; the largest wait until their patience ends, or are refused at once for their position in the queue.

Change: each tier of a pool tallies the requests that were granted an endpoint or refused, by size class, with a half-life of 2 s. A request whose class is granted less than 0.75 times as often as its tier goes before the others of the tier. Small requests still go first as long as the large ones get their share, and a load without refusals is placed as before. Those that go first are the hardest to place, so they do not use up the scan of the queue.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -81,6 +81,8 @@
 	req     Request
 	seq     uint64
 	granted chan *Grant
+	// behind is true if too few requests of its size were granted an endpoint when it arrived.
+	behind bool
 }
 
 // Admitter serializes access to a balancer and maintains a queue for each pool. It is safe for concurrent use.
@@ -94,6 +96,7 @@
 	lastScan  map[string]time.Time
 	scanDue   map[string]time.Time
 	overloads map[string]overload
+	shares    map[shareKey]*tierShares
 }
 
 // overload is a period in which a pool refuses requests, with the times of its first and last refusal.
@@ -103,7 +106,7 @@
 func New(b *balancer.Balancer) *Admitter {
 	return &Admitter{
 		balancer: b, queues: map[string]*queue{}, grantTimes: map[string][]time.Time{}, overloads: map[string]overload{},
-		lastScan: map[string]time.Time{}, scanDue: map[string]time.Time{},
+		lastScan: map[string]time.Time{}, scanDue: map[string]time.Time{}, shares: map[shareKey]*tierShares{},
 	}
 }
 
@@ -262,8 +265,11 @@
 		// The grant was issued before the waiter was removed.
 		return g, nil
 	default:
-		return nil, err
 	}
+	if ctx.Err() == nil {
+		a.recordShare(time.Now(), req, false)
+	}
+	return nil, err
 }
 
 func (a *Admitter) enqueue(now time.Time, req Request) (*waiter, *Grant, error) {
@@ -273,7 +279,7 @@
 		return nil, nil, a.refusalLocked(req, NoEndpoint, 0)
 	}
 	a.seq++
-	w := &waiter{req: req, seq: a.seq, granted: make(chan *Grant, 1)}
+	w := &waiter{req: req, seq: a.seq, granted: make(chan *Grant, 1), behind: a.tierShares(req).isBehind(now, req.Work.SizeClass())}
 	if a.queues[req.Pool] == nil {
 		a.queues[req.Pool] = &queue{}
 	}
@@ -291,6 +297,7 @@
 	}
 	if wait := a.predictWait(now, req.Pool, position); wait > req.Patience {
 		a.remove(w)
+		a.recordShare(now, req, false)
 		return nil, nil, a.refusalLocked(req, WaitTooLong, 0)
 	}
 	return w, nil, nil
@@ -361,6 +368,7 @@
 func (a *Admitter) grant(now time.Time, w *waiter, choice balancer.Choice, queued int) {
 	pool := w.req.Pool
 	a.grantTimes[pool] = append(a.recentGrants(now, pool), now)
+	a.recordShare(now, w.req, true)
 	w.granted <- &Grant{Choice: choice, QueueLength: queued, admitter: a, run: a.balancer.Place(now, choice, w.req.Work)}
 }
 
--- a/internal/admitter/dispatch.go
+++ b/internal/admitter/dispatch.go
@@ -23,7 +23,9 @@
 		return
 	}
 	kept := queue{unbound: q.unbound[:0], bound: q.bound[:0]}
-	i, j, failures, granted := 0, 0, 0, false
+	i, j, granted := 0, 0, false
+	// The large requests that go first are the hardest to place; they must not use up the scan.
+	var failures, behindFailures int
 	for open && i < len(q.unbound) || j < len(q.bound) {
 		if j < len(q.bound) && (!open || i == len(q.unbound) || compareWaiters(q.bound[j], q.unbound[i]) < 0) {
 			w := q.bound[j]
@@ -37,11 +39,19 @@
 		}
 		w := q.unbound[i]
 		i++
+		if w.behind && behindFailures == maxScanFailures {
+			kept.unbound = append(kept.unbound, w)
+			continue
+		}
 		if choice, ok := a.balancer.Pick(now, pool, w.req.Work, w.req.excluded); ok {
 			a.grant(now, w, choice, kept.len()+q.len()-i-j)
 			granted, open = true, a.balancer.HasRoom(now, pool, balancer.Work{})
 		} else {
 			kept.unbound = append(kept.unbound, w)
+			if w.behind {
+				behindFailures++
+				continue
+			}
 			failures++
 			open = failures < maxScanFailures
 		}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -21,6 +21,12 @@
 		}
 		return 1
 	}
+	if x.behind != y.behind {
+		if x.behind {
+			return -1
+		}
+		return 1
+	}
 	if c := x.req.Work.SizeClass() - y.req.Work.SizeClass(); c != 0 {
 		return c
 	}
