--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -104,6 +104,8 @@
 	DialTimeout time.Duration
 	// OnDial is called before each connection attempt; it may be nil.
 	OnDial func(addr string)
+	// Dial opens a connection to an endpoint; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -305,8 +307,7 @@
 	if c.OnDial != nil {
 		c.OnDial(addr)
 	}
-	dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1, Control: setSocketOptions}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := c.open(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -314,6 +315,17 @@
 	return &conn{Conn: raw, addr: addr, header: header, reader: bufio.NewReader(header)}, nil
 }
 
+// open opens a connection to an endpoint within DialTimeout.
+func (c *Client) open(ctx context.Context, addr string) (net.Conn, error) {
+	if c.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+		defer cancel()
+		return c.Dial(ctx, addr)
+	}
+	dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1, Control: setSocketOptions}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // Probe checks that a connection to addr can be opened, and keeps the connection for a later request. It returns a
 // *NotSentError otherwise.
 func (c *Client) Probe(ctx context.Context, addr string) error {
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -71,6 +71,8 @@
 	// them. GracePeriod bounds the whole shutdown.
 	BalancerDelay time.Duration
 	GracePeriod   time.Duration
+	// DialEndpoint opens a connection to an endpoint; nil means TCP.
+	DialEndpoint func(ctx context.Context, addr string) (net.Conn, error)
 
 	transport          *transporter.Transport
 	participant        *participant.Participant
@@ -158,7 +160,7 @@
 	h.acquirer.Init()
 	h.gateway = &gateway.Gateway{
 		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter, Placer: h.acquirer, Origins: h.acquirer, OnEndpointStatus: h.forwardNotice,
-		Client: &exchanger.Client{DialTimeout: dialTimeout}, RetryLimit: h.RetryLimit,
+		Client: &exchanger.Client{DialTimeout: dialTimeout, Dial: h.DialEndpoint}, RetryLimit: h.RetryLimit,
 		AllotmentWindow: h.AllotmentWindow,
 	}
 	h.gateway.Init()
