forwarder: test addresses that outgoing connections cannot take

TestHostsWithoutPathToEndpointsServe failed once with 'address already in use': freeAddr finds a free port of 127.0.0.1 and closes it, and until the host under test listens there, any outgoing connection of the process may get that port. Each address now has a loopback IP of its own, from which no outgoing connection is made.

--- a/internal/forwarder/host_test.go
+++ b/internal/forwarder/host_test.go
@@ -26,9 +26,11 @@
 
 var key = []byte("a key of sixteen bytes or more")
 
+// freeAddr returns an address to listen on. It has a loopback IP address of its own, because outgoing connections take any free port of
+// 127.0.0.1 until the host under test listens.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 	if err != nil {
 		t.Fatal(err)
 	}
