proxier: send requests through other entry hosts while no endpoint is reached

Cause: a host had no other way to an endpoint than its own connections, and it blamed the endpoints for its own loss. Each failed connect was reported as 'unreachable', after which the coordinator gave that endpoint no work from any host for up to a second; interrupted exchanges counted as failures of the endpoint and as crashes of the request, on all hosts. So the other hosts suffered too: with a zone cut off they served nothing at all in the test, although they reached every endpoint. Ruled out as the main cause: grants that are held during a vain connect (300 ms each). With new connections refused at once nothing is held, and the others still served 103 of 240.

Change: after a failed connect or a broken connection, a host tries up to four endpoints of the pool (pathwatcher decides). If none is reached it has lost its paths to that pool, and each exchange goes through another entry host: that host accepts first, then gets the request, and sends the response back in parts. The host that owns the request keeps its grant, attempts, units and retries; a request counts as sent as soon as it is written to the accepting host. A failure says nothing about the endpoint while the paths are lost, unless the other host finds the endpoint unreachable as well. Paths are tried again each 500 ms. A host without paths, one that stops, and one that the endpoint has told to wait, accept nothing.

Response no longer knows its connection, so that a response can arrive in another way.

--- a/internal/correlator/correlator.go
+++ b/internal/correlator/correlator.go
@@ -24,6 +24,7 @@
 var contextPrefixes = []string{
 	"forwarder: configuration in force", "forwarder: started", "forwarder: stopping", "cataloguer: endpoint", "cataloguer: list",
 	"controller: leadership", "controller: voters changed", "platform: settings reloaded",
+	"proxier: paths",
 }
 
 // Line is one log line.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -152,12 +152,16 @@
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
 
-	client     *Client
-	conn       *conn
-	http       *http.Response
-	written    chan error
-	stopCancel func() bool
-	complete   bool
+	framed   bool
+	complete bool
+	// close ends the exchange; complete is true if the whole body was read.
+	close func(complete bool)
+}
+
+// NewResponse returns a response that arrived in another way than on a connection of a Client. Framed is true if the end of the body
+// does not depend on the end of a connection; onClose is called when the response is closed.
+func NewResponse(status int, header http.Header, body io.Reader, length int64, framed bool, onClose func()) *Response {
+	return &Response{Status: status, Header: header, Body: body, Length: length, framed: framed, close: func(bool) { onClose() }}
 }
 
 // Do sends a request and returns the response once its header is complete. Canceling ctx closes the connection, so that the
@@ -196,8 +200,11 @@
 		return fail(err)
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
-		client: c, conn: k, http: resp, written: written, stopCancel: stop,
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, framed: resp.ContentLength >= 0 || isChunked(resp),
+		close: func(complete bool) {
+			stopped := stop()
+			c.finish(k, resp, complete && stopped, written)
+		},
 	}, nil
 }
 
@@ -230,30 +237,32 @@
 }
 
 // Framed reports whether the response has a length or is chunked. The end of any other response is the end of its connection.
-func (r *Response) Framed() bool { return r.Length >= 0 || isChunked(r.http) }
+func (r *Response) Framed() bool { return r.framed }
 
 // MarkComplete records that the complete body was read, so that the connection may be reused.
 func (r *Response) MarkComplete() { r.complete = true }
 
 // Close ends the exchange. It keeps the connection for reuse if request and response were complete and the endpoint did not ask
 // to close it, and closes the connection otherwise.
-func (r *Response) Close() {
-	stopped := r.stopCancel()
-	keep := r.complete && stopped && !r.http.Close && r.Framed()
+func (r *Response) Close() { r.close(r.complete) }
+
+// finish keeps the connection of an exchange for reuse, or closes it.
+func (c *Client) finish(k *conn, resp *http.Response, keep bool, written <-chan error) {
+	keep = keep && !resp.Close && (resp.ContentLength >= 0 || isChunked(resp))
 	select {
-	case err := <-r.written:
+	case err := <-written:
 		keep = keep && err == nil
 	default:
 		// The endpoint responded before the request body was written completely.
 		keep = false
 	}
-	if !keep || r.conn.reader.Buffered() > 0 {
-		_ = r.conn.Close()
+	if !keep || k.reader.Buffered() > 0 {
+		_ = k.Close()
 		return
 	}
-	r.conn.idleTimeout = keepAliveTimeout(r.Header)
-	r.conn.reused, r.conn.verifiedAt = true, time.Now()
-	r.client.putIdle(r.conn)
+	k.idleTimeout = keepAliveTimeout(resp.Header)
+	k.reused, k.verifiedAt = true, time.Now()
+	c.putIdle(k)
 }
 
 func isChunked(r *http.Response) bool {
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -26,6 +26,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/participant"
+	"github.com/dragonflycroft/dragonflycroft/internal/proxier"
 	"github.com/dragonflycroft/dragonflycroft/internal/ratelimiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
@@ -80,12 +81,15 @@
 	acquirer           *acquirer.Acquirer
 	admitter           *admitter.Admitter
 	gateway            *gateway.Gateway
+	sender             *proxier.Sender
+	proxy              *proxier.Server
 	index              atomic.Pointer[router.Index]
 	entries            atomic.Pointer[[]cataloguer.Entry]
 	stopping           atomic.Bool
 	startedParticipant atomic.Pointer[participant.Participant]
 	sharedUse          sharedUse
 	knownControlHosts  atomic.Pointer[[]sharder.Host]
+	knownEntryHosts    atomic.Pointer[[]proxier.Peer]
 }
 
 // SetControllers replaces the configured control hosts while the host runs. It does nothing before Run.
@@ -148,7 +152,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", h.CallerAddr)
 	}
-	h.participant.Agent().OnMembers(func(members []marshaller.Member) { h.knownControlHosts.Store(new(controlHosts(members, ""))) })
+	h.participant.Agent().OnMembers(func(members []marshaller.Member) {
+		h.knownControlHosts.Store(new(controlHosts(members, "")))
+		h.knownEntryHosts.Store(new(entryHosts(members, h.HostID)))
+	})
 	h.acquirer = &acquirer.Acquirer{
 		Zone: h.Zone, Network: network{h.transport}, ControlHosts: h.controlHosts, Incarnation: h.participant.Incarnation,
 		Local: h.admitter, FillReport: h.fillReport, ApplyOrders: h.applyOrders, Windows: h.usageWindows,
@@ -158,9 +165,11 @@
 		},
 	}
 	h.acquirer.Init()
+	client := &exchanger.Client{DialTimeout: dialTimeout, Dial: h.DialEndpoint}
+	h.buildProxy(client)
 	h.gateway = &gateway.Gateway{
 		Listener: listener, Headers: h.Headers, Table: h.table, Admitter: h.admitter, Placer: h.acquirer, Origins: h.acquirer, OnEndpointStatus: h.forwardNotice,
-		Client: &exchanger.Client{DialTimeout: dialTimeout, Dial: h.DialEndpoint}, RetryLimit: h.RetryLimit,
+		Client: client, Sender: h.sender, RetryLimit: h.RetryLimit,
 		AllotmentWindow: h.AllotmentWindow,
 	}
 	h.gateway.Init()
@@ -284,7 +293,7 @@
 	time.Sleep(min(h.BalancerDelay, time.Until(deadline)))
 	closeCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	err := h.gateway.Close(closeCtx)
+	err := errors.Join(h.gateway.Close(closeCtx), h.awaitProxied(closeCtx), h.sender.Close())
 	leaveCtx, done := context.WithTimeout(ctx, leaveTimeout)
 	defer done()
 	if leaveErr := h.participant.Leave(leaveCtx); leaveErr != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/proxier"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
 )
 
@@ -95,11 +96,13 @@
 		q.logSend(grant, outcome, err)
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
+		var noPeer *proxier.NoPeerError
+		pathLost := errors.Is(err, errPathLost) || errors.As(err, &noPeer)
 		canceled := errors.Is(err, errCallerDisconnected) || errors.Is(err, errEndpointTimeout)
 		q.recordCrashEvidence(grant.Choice.Endpoint, sendResult{
-			unreachable: errors.As(err, &unreachable), replaced: errors.As(err, &replaced),
-			interrupted: outcome == interrupted && !canceled, canceled: outcome == interrupted && canceled,
-			succeeded: outcome == answered && response.status < http.StatusMultipleChoices, notRun: outcome == notRun,
+			unreachable: errors.As(err, &unreachable) && !pathLost, replaced: errors.As(err, &replaced),
+			interrupted: outcome == interrupted && !canceled && !pathLost, canceled: outcome == interrupted && canceled,
+			succeeded: outcome == answered && response.status < http.StatusMultipleChoices, notRun: outcome == notRun || noPeer != nil,
 		})
 		switch outcome {
 		case answered:
@@ -115,7 +118,7 @@
 		}
 		var unsent *exchanger.NotSentError
 		if errors.As(err, &unsent) {
-			if dials++; dials < maxDials {
+			if dials++; dials < maxDials && noPeer == nil {
 				continue
 			}
 		} else if q.mayRetry(outcome) {
@@ -268,7 +271,8 @@
 	}
 	q.answering, q.sendEvents, q.survived = false, 0, false
 	first := q.sends == 0
-	response, err := q.g.Client.Do(ctx, e.Addr, req)
+	response, via, err := q.g.Sender.Do(ctx, e, req, q.id)
+	q.via = via
 	if exchanger.MaybeSent(err) || err == nil {
 		q.sends++
 		if first {
@@ -280,7 +284,7 @@
 	}
 	defer response.Close()
 	q.answering = true
-	q.g.recordStatus(e.ID, response)
+	q.g.RecordStatus(e.ID, response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(q.g.Headers.NotRun) != "" {
 		// The head is sufficient; an endless body must not delay the caller.
 		defer time.AfterFunc(refusalBodyTimeout, cancel).Stop()
@@ -323,6 +327,9 @@
 	errEndpointTimeout    = eris.New("endpoint timed out")
 )
 
+// errPathLost replaces the error of an exchange that ended because this host has lost its paths to all endpoints.
+var errPathLost = eris.New("this host has lost its paths to the endpoints")
+
 // closedWhileIdle reports whether a reused connection was closed or reset before any byte of the response.
 func closedWhileIdle(err error) bool {
 	var interrupted *exchanger.InterruptedError
@@ -333,13 +340,20 @@
 // recordInterrupted ends the grant of an exchange without a complete response.
 func (q *request) recordInterrupted(grant *admitter.Grant, err error) (sendOutcome, bufferedResponse, error) {
 	sent := exchanger.MaybeSent(err)
+	var noPeer *proxier.NoPeerError
 	switch {
 	case q.r.Context().Err() != nil && q.rule.Kind != router.NonIdempotent:
 		// This is no evidence about the endpoint.
 		grant.EndAbandoned(time.Now())
 		err = errCallerDisconnected
+	case errors.As(err, &noPeer):
+		grant.EndRefused(time.Now(), false)
 	case !sent:
 		grant.EndUnreachable(time.Now())
+	case q.via == "" && q.g.Sender.CheckPath(q.r.Context(), q.pool):
+		// The other hosts still reach the endpoint.
+		grant.EndAbandoned(time.Now())
+		err = errPathLost
 	case closedWhileIdle(err):
 		// The endpoint may have dropped the connection while it was idle, which is no evidence of a failure. The request may
 		// still have run.
@@ -421,7 +435,7 @@
 	sendCounts.Add(outcome, 1)
 	klog.InfoS("gateway: request sent", "request", q.id, "endpoint", c.Endpoint.ID, "outcome", outcome, "rule", q.rule.Name,
 		"pool", q.pool, "send", q.sends, "cost_ms", c.Cost, "running", c.Running, "unread", c.PromptBacklog, "kept", c.CachedTokens,
-		"version", c.Endpoint.Version, "bound", q.work.Bound, "queued", grant.QueueLength, "placed_by", c.PlacedBy, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
+		"version", c.Endpoint.Version, "bound", q.work.Bound, "queued", grant.QueueLength, "placed_by", c.PlacedBy, "via", q.via, "revision", q.revision, "workspace", q.workspaceName(), "tier", q.tier,
 		"units", q.units, "prompt", q.work.Prompt, "output", q.work.Output, "events", q.events, "first_event", q.firstEvent,
 		"left", q.deadline.Sub(q.started), "longest_gap", q.longestGap, "waited", q.waited, "reason", err, "after", time.Since(q.started))
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -182,10 +182,11 @@
 		defer cancel()
 		time.Sleep(crashConfirmDelay)
 		err := g.Client.Probe(ctx, e.Addr)
+		lost := err != nil && g.Sender.CheckPath(ctx, e.Pool)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.confirmingCrash, e.ID)
-		if err != nil {
+		if err != nil && !lost {
 			klog.InfoS("gateway: endpoint crashed", "endpoint", e.ID, "broken_off", g.crashWatcher.Interrupted(e.ID), "reason", err)
 			g.crashWatcher.RecordCrash(time.Now(), e.ID)
 		}
--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -31,9 +31,9 @@
 	refusalBodyTimeout = 100 * time.Millisecond
 )
 
-// recordStatus records the status that an endpoint reports in a response header: the current duration of its work, that it is
+// RecordStatus records the status that an endpoint reports in a response header: the current duration of its work, that it is
 // draining, or how long it refuses requests of this host.
-func (g *Gateway) recordStatus(id string, response *exchanger.Response) {
+func (g *Gateway) RecordStatus(id string, response *exchanger.Response) {
 	draining := g.Headers.Leaving != "" && response.Header.Get(g.Headers.Leaving) != ""
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -85,6 +85,8 @@
 	originReportedAt time.Time
 	// boundBy is the ID of the endpoint whose first event has bound the request to a version; empty for a take-up.
 	boundBy string
+	// via is the host that the last send went through; empty if this host has sent the request itself.
+	via string
 	// answering is true once the endpoint of the current send has sent the head of its response.
 	answering bool
 	waited    time.Duration
