platform, cataloguer: an odd entry of the list costs only that entry

What it does to users: one entry of another writer among the endpoints makes all hosts keep their last list for as long as it stands there, or sends requests to an address that no connection can reach.

Addresses were only split at the colon, so ports out of range and names passed; slots were not checked and could overflow in the relayed list.

An entry needs an IP address with a port from 1 to 65535, all names, and 1 to 65536 slots. A host that is told the list checks again, because the reader may be of an earlier version.

The list tests of the cataloguer used names as addresses, which are no usable endpoints now; they use IP addresses and compare the same.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	initialInterval = 25 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = 900 * time.Millisecond
+	// maxSlots is the largest number of slots, and maxNameBytes the largest total length of the names, of an entry that is used.
+	maxSlots     = 1 << 16
+	maxNameBytes = 1 << 10
 )
 
 var countReadings = expvar.NewMap("cataloguer_readings")
@@ -40,6 +44,33 @@
 	Version string
 }
 
+// EntryError reports an entry that names no endpoint to use.
+type EntryError struct{ ID, Field, Reason string }
+
+// Error implements error.
+func (e *EntryError) Error() string { return "list entry: " + e.Field + " " + e.Reason }
+
+// Validate returns an *EntryError for an entry that names no endpoint to use.
+func (e Entry) Validate() error {
+	addr, err := netip.ParseAddrPort(e.Addr)
+	field, reason := "", ""
+	switch {
+	case e.ID == "" || e.Pool == "" || e.Zone == "":
+		field, reason = "name", "is missing"
+	case len(e.ID)+len(e.Pool)+len(e.Zone)+len(e.Version) > maxNameBytes:
+		field, reason = "name", "is too long"
+	case err != nil:
+		field, reason = "address", "is invalid: "+err.Error()
+	case addr.Port() == 0:
+		field, reason = "port", "is 0"
+	case e.Slots <= 0 || e.Slots > maxSlots:
+		field, reason = "slots", "are out of range"
+	default:
+		return nil
+	}
+	return &EntryError{ID: e.ID, Field: field, Reason: reason}
+}
+
 // Source reads the complete list of endpoints.
 type Source interface {
 	Read(ctx context.Context) ([]Entry, error)
--- a/internal/cataloguer/relay.go
+++ b/internal/cataloguer/relay.go
@@ -127,10 +127,16 @@
 	}
 	list := make([]Entry, 0, len(reply.GetEndpoints()))
 	for _, e := range reply.GetEndpoints() {
-		list = append(list, Entry{
+		entry := Entry{
 			ID: e.GetId(), Pool: e.GetPool(), Addr: e.GetAddr(), Zone: e.GetZone(), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
 			Version: e.GetVersion(),
-		})
+		}
+		if err := entry.Validate(); err != nil {
+			// A reader of an earlier version relays such entries.
+			klog.V(1).InfoS("cataloguer: relayed entry skipped", "endpoint", entry.ID, "reason", err)
+			continue
+		}
+		list = append(list, entry)
 	}
 	r.store(list, requestedAt.Add(-age))
 	return list, nil
--- a/internal/cataloguer/relay_test.go
+++ b/internal/cataloguer/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 // the platform's own list once the reader is gone or its list is too old.
 func TestRelay(t *testing.T) {
 	w := &fakeNetwork{handlers: map[string]transporter.Handler{}}
-	p := &fakePlatform{list: []cataloguer.Entry{{ID: "b", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2}, {ID: "a", Pool: "p", Addr: "x:2", Zone: "z", Slots: 3}}}
+	p := &fakePlatform{list: []cataloguer.Entry{{ID: "b", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2}, {ID: "a", Pool: "p", Addr: "10.0.0.2:80", Zone: "z", Slots: 3}}}
 	reader := &cataloguer.Relay{Platform: p, Network: fakePort{w, "reader"}, ReaderAddr: func() string { return "" }}
 	other := &cataloguer.Relay{Platform: p, Network: fakePort{w, "other"}, ReaderAddr: func() string { return "reader" }}
 	reader.Register()
@@ -92,7 +93,7 @@
 	if w.bytes >= fullSize {
 		t.Errorf("an unchanged list takes %d bytes, a full one %d", w.bytes, fullSize)
 	}
-	p.list = []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "x:2", Zone: "z", Slots: 3, Leaving: true}}
+	p.list = []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "10.0.0.2:80", Zone: "z", Slots: 3, Leaving: true}}
 	read(reader)
 	record(read(other))
 	time.Sleep(1600 * time.Millisecond) // longer than maxRelayedAge
@@ -108,13 +109,13 @@
 // Guards against relayed entries that lack a field, and against a change of only the software version that is not relayed.
 func TestRelayedEntries(t *testing.T) {
 	w := &fakeNetwork{handlers: map[string]transporter.Handler{}}
-	p := &fakePlatform{list: []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v1"}}}
+	p := &fakePlatform{list: []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2, Version: "v1"}}}
 	reader := &cataloguer.Relay{Platform: p, Network: fakePort{w, "reader"}, ReaderAddr: func() string { return "" }}
 	other := &cataloguer.Relay{Platform: p, Network: fakePort{w, "other"}, ReaderAddr: func() string { return "reader" }}
 	reader.Register()
 	var got [][]cataloguer.Entry
 	for _, version := range []string{"v1", "v2", ""} {
-		p.list = []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: version}}
+		p.list = []cataloguer.Entry{{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2, Version: version}}
 		for _, r := range []*cataloguer.Relay{reader, other} {
 			list, err := r.Read(t.Context())
 			if err != nil {
@@ -126,11 +127,49 @@
 		}
 	}
 	want := [][]cataloguer.Entry{
-		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v1"}},
-		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2, Version: "v2"}},
-		{{ID: "a", Pool: "p", Addr: "x:1", Zone: "z", Slots: 2}},
+		{{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2, Version: "v1"}},
+		{{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2, Version: "v2"}},
+		{{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2}},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("relayed lists (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an odd entry in the list of a reader, which an earlier version relays, that other hosts use or that costs them the
+// rest of the list.
+func TestOddRelayedEntries(t *testing.T) {
+	w := &fakeNetwork{handlers: map[string]transporter.Handler{}}
+	sound := cataloguer.Entry{ID: "a", Pool: "p", Addr: "10.0.0.1:80", Zone: "z", Slots: 2}
+	odd := func(change func(e *cataloguer.Entry)) cataloguer.Entry {
+		e := sound
+		e.ID = "odd"
+		change(&e)
+		return e
+	}
+	last := sound
+	last.ID = "z"
+	p := &fakePlatform{list: []cataloguer.Entry{
+		sound,
+		odd(func(e *cataloguer.Entry) { e.Addr = "10.0.0.7:70000" }),
+		odd(func(e *cataloguer.Entry) { e.Addr = "somewhere" }),
+		odd(func(e *cataloguer.Entry) { e.Slots = 3_000_000_000 }),
+		odd(func(e *cataloguer.Entry) { e.Slots = 0 }),
+		odd(func(e *cataloguer.Entry) { e.ID = strings.Repeat("x", 5000) }),
+		odd(func(e *cataloguer.Entry) { e.Pool = "" }),
+		last,
+	}}
+	reader := &cataloguer.Relay{Platform: p, Network: fakePort{w, "reader"}, ReaderAddr: func() string { return "" }}
+	other := &cataloguer.Relay{Platform: p, Network: fakePort{w, "other"}, ReaderAddr: func() string { return "reader" }}
+	reader.Register()
+	if _, err := reader.Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := other.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]cataloguer.Entry{sound, last}, got); diff != "" {
+		t.Errorf("relayed list (-want +got):\n%s", diff)
+	}
+}
