exchanger: a response without an ID on a reused connection is not taken for the current request

What callers saw: 'not run, try again' for requests that an endpoint ran, after it had written an earlier refusal once more on a kept connection (REFUSED); a request that may run twice by such an answer alone would be sent to a second endpoint (TWICE).

Cause: a response with the ID of another request was skipped, but one without an ID was taken for the response to the last request. A refusal that is written again without its ID then decided about a request that was running.

Change: on a connection that has completed an exchange, a response must repeat the ID of the request. Otherwise the exchange counts as interrupted, so the request may have run. On a new connection there is no earlier response.

Failing before, on bytes: TestRepeatedRefusal, 6 of 9 cases (503 instead of 502, or another answer as a success); TestRepeatedRefusalIsNoReasonForASecondRun, 503 after one run on both paths. Cases with the earlier ID passed before.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -91,7 +91,7 @@
 	Header http.Header
 	Body   []byte
 	// EchoHeader names the header whose value the endpoint copies to the response. A response with another value belongs to an
-	// earlier request and is skipped. It may be empty.
+	// earlier request and is skipped; one without a value is not accepted on a reused connection. It may be empty.
 	EchoHeader string
 	// MaxIdleTime bounds the time since the last complete response on a reused connection; 0 means no bound but the idle
 	// timeout.
@@ -208,6 +208,9 @@
 	}, nil
 }
 
+// errUnattributable reports a response that may belong to an earlier request on the connection.
+var errUnattributable = eris.New("response without an ID on a reused connection")
+
 // readResponse skips informational responses and responses to earlier requests.
 func readResponse(k *conn, req *Request) (*http.Response, error) {
 	for mismatched, informational := 0, 0; ; {
@@ -223,8 +226,11 @@
 			continue
 		}
 		k.header.limited = false
-		echo := resp.Header.Get(req.EchoHeader)
-		if req.EchoHeader == "" || echo == "" || echo == req.Header.Get(req.EchoHeader) {
+		echo, id := resp.Header.Get(req.EchoHeader), req.Header.Get(req.EchoHeader)
+		if req.EchoHeader != "" && echo == "" && id != "" && k.reused {
+			return nil, errUnattributable
+		}
+		if req.EchoHeader == "" || echo == "" || echo == id {
 			return resp, nil
 		}
 		if mismatched++; mismatched > maxMismatchedResponses {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -106,3 +106,69 @@
 		t.Errorf("status and runs of the order, status of the stream and runs in total (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an earlier refusal that an endpoint writes once more on a kept connection, and that is taken for the refusal of the next
+// request: its caller would be told that it has not run, or it would run at another endpoint too. The endpoint writes the refusal
+// before the response to the second request on the connection.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(status int, lines, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, lines, len(body), body)
+	}
+	for _, c := range []struct {
+		name, path, repeated string
+		// status is the status for the caller of the second request.
+		status int
+	}{
+		{"order, with the earlier ID", "/order/", refusal(503, "X-Id: 1\r\nX-Not-Run: 1\r\n", "full"), 200},
+		{"order, with the earlier ID, misdirected", "/order/", refusal(421, "X-Id: 1\r\n", ""), 200},
+		{"order, without an ID", "/order/", refusal(503, "X-Not-Run: 1\r\n", "full"), 502},
+		{"order, without an ID, misdirected", "/order/", refusal(421, "", ""), 502},
+		{"order, without an ID, too many requests", "/order/", refusal(429, "X-Not-Run: 1\r\nRetry-After: 1\r\n", ""), 502},
+		{"order, without an ID, signed", "/order/", refusal(503, signed+"X-Not-Run: 1\r\n", "full"), 502},
+		{"order, without an ID, a success", "/order/", refusal(200, signed, "earlier"), 502},
+		{"stream, without an ID", "/chat/", refusal(503, "X-Not-Run: 1\r\n", "full"), 502},
+		{"read, with the earlier ID", "/read/", refusal(503, "X-Id: 1\r\nX-Not-Run: 1\r\n", "full"), 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startFakeEndpoint(t, "e1", func(n int, r *http.Request) ([]string, bool) {
+				if n == 0 {
+					return []string{response(r, 503, "X-Not-Run: 1\r\n", "full")}, false
+				}
+				return []string{c.repeated + response(r, 200, signed, "id: 1\ndata: own\n\n")}, false
+			})
+			h := startTestHost(t, e)
+			var got []any
+			for _, id := range []string{"1", "2"} {
+				status, _, body, _ := h.send(t, strings.Replace(postRequest(c.path, "k"), "X-Id: 1\r\n", "X-Id: "+id+"\r\n", 1))
+				got = append(got, status, strings.Contains(body, "own"))
+			}
+			got = append(got, len(e.received()))
+			if diff := cmp.Diff([]any{503, false, c.status, c.status == 200, 2}, got); diff != "" {
+				t.Errorf("status and own body of both requests, requests at the endpoint (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a request that an endpoint runs on a kept connection and a second one runs too, because of a refusal of an earlier
+// request that came in between.
+func TestRepeatedRefusalIsNoReasonForASecondRun(t *testing.T) {
+	for _, path := range []string{"/order/", "/chat/"} {
+		var runs atomic.Int64
+		respond := func(n int, r *http.Request) ([]string, bool) {
+			if n == 0 {
+				return []string{response(r, 503, "X-Not-Run: 1\r\n", "full")}, false
+			}
+			runs.Add(1)
+			return []string{"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" + response(r, 200, signed, "own")}, false
+		}
+		h := startTestHost(t, startFakeEndpoint(t, "e1", respond), startFakeEndpoint(t, "e2", respond))
+		for i := range 4 {
+			runs.Store(0)
+			status, _, _, _ := h.send(t, strings.Replace(postRequest(path, "k"), "X-Id: 1\r\n", fmt.Sprintf("X-Id: %d\r\n", i), 1))
+			if n := runs.Load(); n > 1 || n == 1 && status == http.StatusServiceUnavailable {
+				t.Errorf("%s %d: status %d after %d runs", path, i, status, n)
+			}
+		}
+	}
+}
