gateway: only events with an ID go on with a stream that another endpoint began

Change: a response goes on with a stream only if it has the media type of the response that began it, and if its first event that is no comment has an ID. This holds too for the first response to a caller who takes a stream up again. Otherwise the send counts as interrupted; another attempt may follow, or the stream is cut.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,8 +35,14 @@
 	errEmptyStream     = eris.New("stream without a length ended before its first event")
 )
 
+// errNoContinuation reports a successful response that does not go on with the stream that another endpoint began.
+var errNoContinuation = eris.New("response does not go on with the stream")
+
 // relay forwards complete events as they arrive and records the ID of the last one.
 func (q *request) relay(grant *admitter.Grant, response *exchanger.Response, f *failover) (sendOutcome, bufferedResponse, error) {
+	if q.streaming && mediaType(response.Header) != mediaType(q.w.Header()) {
+		return q.recordInterrupted(grant, errNoContinuation)
+	}
 	control := http.NewResponseController(q.w)
 	buffer := make([]byte, 0, streamReadBytes)
 	for {
@@ -51,6 +58,9 @@
 		}
 		if complete := lastEventEnd(buffer[searched:]); complete > 0 {
 			complete += searched
+			if q.sendEvents == 0 && (q.streaming || q.isTakeUp()) && !continues(buffer[:complete]) {
+				return q.recordInterrupted(grant, errNoContinuation)
+			}
 			events, progress := q.newEvents(buffer[:complete])
 			if progress {
 				// Only events are progress: a faulty endpoint may go on sending single bytes or comments without end.
@@ -89,6 +99,25 @@
 	}
 }
 
+// mediaType returns the Content-Type of a response without its parameters.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
+// continues reports whether the first event that is no comment has an ID. Otherwise it is not known which event it follows, or it is the
+// text of an error.
+func continues(events []byte) bool {
+	for len(events) > 0 {
+		end := eventEnd(events)
+		if !isComment(events[:end]) {
+			return eventID(events[:end]) != ""
+		}
+		events = events[end:]
+	}
+	return true
+}
+
 // writeEvents writes events to the caller, preceded by the response head at the first call. A resumed stream keeps the head of
 // its first endpoint.
 func (q *request) writeEvents(control *http.ResponseController, response *exchanger.Response, events []byte) error {
