balancer, gateway: no queue at brittle endpoints, less room at those that reject

What callers would see: endpoints of a service that says that it is brittle fall over again and again (LIMIT), since hosts fill queues that have become shorter and are rejected hundreds of times a second.

Cause: a plain service was given half as many requests again as it has places, whatever it said and however often it rejected them; a rejection told the balancer nothing.

Change: hosts read Server-Brittle, place no more than the places there, and repeat the notice to the coordinators each second; it holds for 4 s. An outcome of its own, 'rejected', tells the balancer that a plain service or a brittle engine takes fewer requests than it had; it gets one more each 2 s.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -386,7 +386,7 @@
 var outcomeCodes = map[admitter.Outcome]coordinatorpb.End_Outcome{
 	admitter.Answered: coordinatorpb.End_ANSWERED, admitter.Failed: coordinatorpb.End_FAILED, admitter.NotRun: coordinatorpb.End_NOT_RUN,
 	admitter.Replaced: coordinatorpb.End_REPLACED, admitter.Unreachable: coordinatorpb.End_UNREACHABLE,
-	admitter.Abandoned: coordinatorpb.End_ABANDONED,
+	admitter.Abandoned: coordinatorpb.End_ABANDONED, admitter.Rejected: coordinatorpb.End_REJECTED,
 }
 
 // Ended implements admitter.RunObserver.
--- a/internal/acquirer/notice.go
+++ b/internal/acquirer/notice.go
@@ -10,9 +10,17 @@
 // ReportStatus reports to the coordinators that an endpoint has announced that it leaves, that it has returned, or that it
 // accepts nothing from this host for the time hold.
 func (a *Acquirer) ReportStatus(endpoint string, leaving, returned bool, hold time.Duration) {
-	n := &coordinatorpb.Notice{
+	a.reportNotice(&coordinatorpb.Notice{
 		Endpoint: coordinator.Digest(endpoint), Leaving: leaving, Returned: returned, HoldMs: uint32(hold.Milliseconds()),
-	}
+	})
+}
+
+// ReportBrittle reports to the coordinators that an endpoint fails if it must reject many requests.
+func (a *Acquirer) ReportBrittle(endpoint string) {
+	a.reportNotice(&coordinatorpb.Notice{Endpoint: coordinator.Digest(endpoint), Brittle: true})
+}
+
+func (a *Acquirer) reportNotice(n *coordinatorpb.Notice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, l := range a.links {
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -141,6 +141,8 @@
 	Unreachable
 	// Abandoned means that the caller disconnected; the request may have run.
 	Abandoned
+	// Rejected means that the endpoint rejected the request for want of room.
+	Rejected
 )
 
 // RunObserver receives the events of a run that was placed by another host. Its methods are called with the Admitter's lock held
@@ -188,6 +190,9 @@
 // EndUnreachable ends the run of a request of which no byte could be sent.
 func (g *Grant) EndUnreachable(now time.Time) { g.EndWithOutcome(now, Unreachable, 0) }
 
+// EndRejected ends the run of a request that the endpoint rejected for want of room.
+func (g *Grant) EndRejected(now time.Time) { g.EndWithOutcome(now, Rejected, 0) }
+
 // EndWithOutcome records the outcome of a run and the measured time between two events in milliseconds; 0 if it is unknown.
 func (g *Grant) EndWithOutcome(now time.Time, o Outcome, pace float64) {
 	a := g.admitter
@@ -200,6 +205,8 @@
 		a.balancer.EndRefused(now, g.run, o == Replaced)
 	case Unreachable:
 		a.balancer.EndUnreachable(now, g.run)
+	case Rejected:
+		a.balancer.EndRejected(now, g.run)
 	}
 	if g.observer != nil {
 		g.observer.Ended(o, pace)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -164,6 +164,9 @@
 	leavingSince time.Time
 	// permits is the limit that the endpoint states, or nil.
 	permits *permits
+	// brittleUntil is the time until which the endpoint counts as brittle, and room what its rejections show.
+	brittleUntil time.Time
+	room         learnedRoom
 }
 
 // Balancer holds the endpoints of all pools. It is not safe for concurrent use.
@@ -261,7 +264,7 @@
 // of a slow one.
 func (b *Balancer) Pick(now time.Time, pool string, w Work, except func(id string) bool) (Choice, bool) {
 	members := b.pools[pool]
-	if !slices.ContainsFunc(members, func(e *endpoint) bool { return b.available(now, e, w) && b.hasRoom(e, w) }) {
+	if !slices.ContainsFunc(members, func(e *endpoint) bool { return b.available(now, e, w) && b.hasRoom(now, e, w) }) {
 		// Fast path: under overload, usually no endpoint has room.
 		return Choice{}, false
 	}
@@ -275,7 +278,7 @@
 		c := b.evaluate(now, e, w)
 		anyInTime = anyInTime || bounded && c.End <= left
 		anyWithoutLongGap = anyWithoutLongGap || e.Engine && !b.gapTooLong(b.slowness(e), w.Prompt, w)
-		if b.hasRoom(e, w) && (except == nil || !except(e.ID)) {
+		if b.hasRoom(now, e, w) && (except == nil || !except(e.ID)) {
 			candidates = append(candidates, c)
 		}
 	}
@@ -295,15 +298,15 @@
 // HasRoom reports whether any endpoint of a pool that the work fits by its version could take a small piece of work now.
 func (b *Balancer) HasRoom(now time.Time, pool string, w Work) bool {
 	small := Work{Bound: w.Bound, Version: w.Version}
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, small) && b.hasRoom(e, small) })
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, small) && b.hasRoom(now, e, small) })
 }
 
 // FreePlaces returns the number of free places of the available endpoints of a pool.
 func (b *Balancer) FreePlaces(now time.Time, pool string) int {
 	free := 0
 	for _, e := range b.pools[pool] {
-		if b.available(now, e, Work{}) && b.hasRoom(e, Work{}) {
-			free += min(max(e.Slots, 1)-e.load.Running, b.freePermits(now, e))
+		if b.available(now, e, Work{}) && b.hasRoom(now, e, Work{}) {
+			free += min(min(max(e.Slots, 1), int(e.maxRunning(now)))-e.load.Running, b.freePermits(now, e))
 		}
 	}
 	return free
@@ -360,17 +363,14 @@
 	return !now.Before(e.heldUntil) && !now.Before(e.unavailableUntil) && (e.failedConnects == 0 || e.load.Running == 0)
 }
 
-func (b *Balancer) hasRoom(e *endpoint, w Work) bool {
+func (b *Balancer) hasRoom(now time.Time, e *endpoint, w Work) bool {
 	running := e.load.Running
-	if !e.Engine {
-		return float64(running) < serviceQueueFactor*float64(max(e.Slots, 1))
+	if float64(running) >= e.maxRunning(now) {
+		return false
 	}
-	if running == 0 {
+	if !e.Engine || running == 0 {
 		return true
 	}
-	if running >= max(e.Slots, 1) {
-		return false
-	}
 	if e.MemoryTokens > 0 && float64(e.load.Memory+w.Prompt+w.Output) > maxMemoryShare*float64(e.MemoryTokens) {
 		return false
 	}
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 )
@@ -26,6 +28,8 @@
 				b.MarkLeaving(now, name)
 			case n.GetReturned():
 				b.MarkReturned(now, name)
+			case n.GetBrittle() && b.MarkBrittle(now, name):
+				klog.InfoS("coordinator: endpoint is brittle", "endpoint", name, "host", s.host)
 			}
 		})
 	}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -267,6 +267,8 @@
 		o = admitter.Replaced
 	case coordinatorpb.End_UNREACHABLE:
 		o = admitter.Unreachable
+	case coordinatorpb.End_REJECTED:
+		o = admitter.Rejected
 	}
 	g.EndWithOutcome(now, o, float64(e.GetPaceUs())/1000)
 }
--- a/internal/forwarder/usage.go
+++ b/internal/forwarder/usage.go
@@ -151,5 +151,9 @@
 		h.acquirer.ReportSpeed(n.Endpoint, n.Speed)
 		return
 	}
+	if n.Brittle {
+		h.acquirer.ReportBrittle(n.Endpoint)
+		return
+	}
 	h.acquirer.ReportStatus(n.Endpoint, n.Leaving, n.Returned, n.RetryAfter)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -291,7 +291,11 @@
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err == nil {
 			response.MarkComplete()
 		}
-		grant.EndRefused(time.Now(), response.Status == http.StatusMisdirectedRequest)
+		if response.Status == http.StatusServiceUnavailable {
+			grant.EndRejected(time.Now())
+		} else {
+			grant.EndRefused(time.Now(), response.Status == http.StatusMisdirectedRequest)
+		}
 		if response.Status == http.StatusMisdirectedRequest {
 			return notRun, bufferedResponse{}, &replacedError{Endpoint: e.ID}
 		}
--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -24,6 +24,8 @@
 	healthCheckTimeout = time.Second
 	// maxSlowdownPercent is the largest duration of work, in percent of the usual duration, that is accepted in a load header.
 	maxSlowdownPercent = 100_000
+	// brittleReportInterval is the time between two reports of a brittle endpoint. It is a fraction of the time for which it counts as one.
+	brittleReportInterval = time.Second
 	// minLimit is the lowest limit of an endpoint that is applied, in requests per second. A request now and then shows whether the
 	// endpoint still states the limit.
 	minLimit = 0.1
@@ -43,6 +45,7 @@
 		g.recordLimit(id, rate)
 	}
 	now := time.Now()
+	g.recordBrittle(now, id, response)
 	if percent := parseSlowdown(response.Header.Get(g.Headers.Load)); percent > 0 {
 		g.Admitter.Update(func(b *balancer.Balancer) { b.RecordSpeed(now, id, percent) })
 		g.OnEndpointStatus(EndpointStatus{Endpoint: id, Speed: percent})
@@ -63,6 +66,24 @@
 	klog.InfoS("gateway: endpoint gave notice", "endpoint", id, "leaving", draining, "wants_nothing_for", retryAfter, "status", response.Status)
 }
 
+// recordBrittle records that an endpoint says that it fails if it must reject many requests. It is reported again while it goes on, so
+// that each coordinator knows.
+func (g *Gateway) recordBrittle(now time.Time, id string, response *exchanger.Response) {
+	if _, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get(g.Headers.Brittle)), 10, 64); err != nil {
+		return
+	}
+	g.Admitter.Update(func(b *balancer.Balancer) { b.MarkBrittle(now, id) })
+	g.mu.Lock()
+	due := now.Sub(g.brittleReportedAt[id]) >= brittleReportInterval
+	if due {
+		g.brittleReportedAt[id] = now
+	}
+	g.mu.Unlock()
+	if due {
+		g.OnEndpointStatus(EndpointStatus{Endpoint: id, Brittle: true})
+	}
+}
+
 // parseRetryAfter returns the delay in a Retry-After header, in seconds with an optional fraction; 0 if there is none. The delay
 // is limited to an hour.
 func parseRetryAfter(h http.Header) time.Duration {
--- a/internal/gateway/endpoint_status_test.go
+++ b/internal/gateway/endpoint_status_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 )
 
 // The list of endpoints shows with a delay that an endpoint is draining, and the endpoint reports it in each response. Guards
@@ -328,3 +329,34 @@
 		t.Errorf("limits after each response (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an endpoint that says that it is brittle, in whatever answer, and that the coordinators hear of only once or never: a
+// coordinator that starts later would fill its queue.
+func TestBrittleEndpointIsReportedAgain(t *testing.T) {
+	headers := []string{signed, signed + "X-Brittle: 5\r\n", "X-Not-Run: 1\r\nX-Brittle: 5\r\n", signed + "X-Brittle: soon\r\n", signed + "X-Brittle: 0\r\n"}
+	e := startFakeEndpoint(t, "e1", func(n int, r *http.Request) ([]string, bool) {
+		status := 200
+		if !strings.HasPrefix(headers[n], signed) {
+			status = 503
+		}
+		return []string{response(r, status, headers[n], "x")}, false
+	})
+	h := startTestHost(t, e)
+	var reports atomic.Int64
+	h.gateway.OnEndpointStatus = func(s gateway.EndpointStatus) {
+		if s.Brittle && s.Endpoint == "e1" {
+			reports.Add(1)
+		}
+	}
+	var got []int64
+	for i := range headers {
+		if i == len(headers)-1 {
+			time.Sleep(1100 * time.Millisecond) // until the next report is due
+		}
+		h.send(t, postRequest("/order/", "k"))
+		got = append(got, reports.Load())
+	}
+	if diff := cmp.Diff([]int64{0, 1, 1, 1, 2}, got); diff != "" {
+		t.Errorf("reports after each response (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -87,6 +88,8 @@
 	Leaving string
 	// Limit holds the number of requests per second, as a decimal number, that an endpoint takes from all hosts together.
 	Limit string
+	// Brittle holds the number of requests per second that an endpoint can reject without failing.
+	Brittle string
 	// LastEventID holds the ID of the last event that the caller of a resumed stream has received.
 	LastEventID string
 	// Resumes holds the ID of the request that brought the first event of a stream which the caller takes up again.
@@ -166,6 +169,8 @@
 	Speed float64
 	// RetryAfter is the time for which the endpoint asked this host to send no requests.
 	RetryAfter time.Duration
+	// Brittle is true if the endpoint says that it fails if it must reject many requests.
+	Brittle bool
 	// LimitChanged is true if the endpoint states another limit than before, and Limit is that limit in requests per second from all
 	// hosts together; 0 means none.
 	LimitChanged bool
@@ -206,6 +211,8 @@
 	confirmingCrash map[string]bool
 	// endpointLimits are the known limits of endpoints, in requests per second by ID.
 	endpointLimits map[string]float64
+	// brittleReportedAt holds the time at which a brittle endpoint was reported last, by ID.
+	brittleReportedAt map[string]time.Time
 	// healthCheckedAt holds the time of the last health check of draining endpoints, by endpoint ID.
 	healthCheckedAt map[string]time.Time
 	checks          sync.WaitGroup
@@ -238,6 +245,7 @@
 	g.allotments = ratelimiter.New(time.Now(), g.AllotmentWindow)
 	g.retryBudgets = map[string]*ratelimiter.RetryBudget{}
 	g.crashWatcher = crashwatcher.New(time.Now(), rand.Float64())
+	g.brittleReportedAt = map[string]time.Time{}
 	g.confirmingCrash, g.healthCheckedAt, g.endpointLimits = map[string]bool{}, map[string]time.Time{}, map[string]float64{}
 	g.tableReady = make(chan struct{})
 	g.tracker = &trackingListener{Listener: g.Listener, conns: map[*trackedConn]struct{}{}}
@@ -298,6 +306,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashWatcher.Sweep(time.Now())
+	maps.DeleteFunc(g.brittleReportedAt, func(_ string, at time.Time) bool { return time.Since(at) > time.Minute })
 }
 
 // limits returns the limits for callers' connections and requests: those of the table, or the defaults.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,7 +30,7 @@
 
 var testHeaders = gateway.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", ExpectedOutput: "X-Expected", PromptParts: "X-Parts", Workspace: "X-Workspace",
-	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "Last-Event-Id", Resumes: "Resumes", KeyScheme: "Token", Leaving: "X-Leaving", Limit: "X-Limit", InstanceID: "X-Instance-Id",
+	Instance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "Last-Event-Id", Resumes: "Resumes", KeyScheme: "Token", Leaving: "X-Leaving", Limit: "X-Limit", Brittle: "X-Brittle", InstanceID: "X-Instance-Id",
 	Internal: []string{"X-Hold"},
 }
 
