forwarder: tests of allotments, planned stops and leaving callers of requests through other hosts

They pass on the code as it is. Guarded against: requests through another host that are not charged or charged twice, a stream that is cut when the host that sends it on stops as planned, and an endpoint that works on after the caller has left.

--- a/internal/forwarder/cut_host_test.go
+++ b/internal/forwarder/cut_host_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
 	"github.com/dragonflycroft/dragonflycroft/internal/forwarder"
 	"github.com/dragonflycroft/dragonflycroft/internal/router"
@@ -143,6 +145,18 @@
 	return k.Conn.Close()
 }
 
+// streamEvents are the numbers of events of the streams by path.
+var streamEvents = map[string]int{"/s/short": 5, "/s/long": 50}
+
+// streamBody returns the whole body of a stream.
+func streamBody(path, id string) string {
+	out := ""
+	for i := range streamEvents[path] {
+		out += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id)
+	}
+	return out
+}
+
 // countingEndpoints answer requests after a few milliseconds and count the runs of each request that must not run twice.
 type countingEndpoints struct {
 	entries []cataloguer.Entry
@@ -194,11 +208,11 @@
 		return
 	}
 	time.Sleep(10 * time.Millisecond)
-	if r.URL.Path == "/s/short" {
-		for i := range 5 {
+	if r.URL.Path == "/s/short" || r.URL.Path == "/s/long" {
+		for i := range streamEvents[r.URL.Path] {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, id)
 			_ = http.NewResponseController(w).Flush()
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
 		}
 		return
 	}
@@ -219,8 +233,9 @@
 }
 
 // kindsDocument is a configuration with a rule for each kind of request.
-func kindsDocument(t *testing.T) []byte {
+func kindsDocument(t *testing.T, w router.Workspace) []byte {
 	t.Helper()
+	w.Name, w.Keys = "w", []string{"k1"}
 	rule := func(path string, kind router.Kind, attempts int) router.Rule {
 		return router.Rule{
 			Name: path, Host: "h", PathPrefix: path, Kind: kind, Timeout: 3 * time.Second, LatencyTarget: 500 * time.Millisecond,
@@ -228,7 +243,7 @@
 		}
 	}
 	raw, err := json.Marshal(router.Table{
-		Revision: 1, Pools: []router.Pool{{Name: "p"}}, Workspaces: []router.Workspace{{Name: "w", Keys: []string{"k1"}}},
+		Revision: 1, Pools: []router.Pool{{Name: "p"}}, Workspaces: []router.Workspace{w},
 		Rules: []router.Rule{rule("/a/", router.Idempotent, 2), rule("/o/", router.NonIdempotent, 1), rule("/s/", router.Streaming, 1)},
 	})
 	if err != nil {
@@ -276,10 +291,7 @@
 	status, body := sendWithID(l.t, l.addr, method, path, id)
 	want := id + " "
 	if path == "/s/short" {
-		want = ""
-		for i := range 5 {
-			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id)
-		}
+		want = streamBody(path, id)
 	}
 	switch {
 	case status == http.StatusOK && body != want:
@@ -314,27 +326,31 @@
 }
 
 // startLinkedHost runs an entry host of an availability zone whose connections to endpoints go through a link.
-func startLinkedHost(t *testing.T, id, zone, controlAddr string, endpoints cataloguer.Source, link *endpointLink) (addr string) {
+func startLinkedHost(t *testing.T, id, zone, controlAddr string, endpoints cataloguer.Source, link *endpointLink) (addr string, stop func()) {
 	t.Helper()
 	addr = freeAddr(t)
 	h := newHost(id, freeAddr(t), addr, freeAddr(t), controlAddr, endpoints)
 	h.Zone, h.DialEndpoint = zone, link.dial
-	runHost(t, h)
-	return addr
+	return addr, runHost(t, h)
 }
 
-// runHost runs a host until the test ends.
-func runHost(t *testing.T, h *forwarder.Host) {
+// runHost runs a host until the test ends or stop is called, which waits for its graceful shutdown.
+func runHost(t *testing.T, h *forwarder.Host) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- h.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-stopped; err != nil {
-			t.Errorf("graceful shutdown returned %v", err)
-		}
-	})
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-stopped; err != nil {
+				t.Errorf("graceful shutdown returned %v", err)
+			}
+		})
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 // Guards against hosts that serve hardly any request while they have lost their paths to all endpoints, and against other hosts
@@ -365,10 +381,11 @@
 				link := &endpointLink{mode: test.mode}
 				id := fmt.Sprintf("h%d", i)
 				links = append(links, link)
-				loads = append(loads, &cutLoad{t: t, addr: startLinkedHost(t, id, zone, controlAddr, endpoints, link), name: id, counting: &counting})
+				addr, _ := startLinkedHost(t, id, zone, controlAddr, endpoints, link)
+				loads = append(loads, &cutLoad{t: t, addr: addr, name: id, counting: &counting})
 			}
 			waitForStatus(t, loads[0].addr, "k1", http.StatusServiceUnavailable, 10*time.Second)
-			if _, err := c.participant.Client().ImportConfig(t.Context(), 1, kindsDocument(t), "operator"); err != nil {
+			if _, err := c.participant.Client().ImportConfig(t.Context(), 1, kindsDocument(t, router.Workspace{}), "operator"); err != nil {
 				t.Fatal(err)
 			}
 			for _, l := range loads {
@@ -418,3 +435,100 @@
 		})
 	}
 }
+
+// startWithCutHost runs a control host and two entry hosts, of which the first has lost its paths to the endpoints.
+func startWithCutHost(t *testing.T, w router.Workspace) (endpoints *countingEndpoints, cut string, stopOther func()) {
+	t.Helper()
+	endpoints = startCountingEndpoints(t, 3)
+	controlAddr := freeAddr(t)
+	c := startControl(t, controlAddr, endpoints)
+	link := &endpointLink{mode: refuseNew}
+	cut, _ = startLinkedHost(t, "h0", "z1", controlAddr, endpoints, link)
+	other, stopOther := startLinkedHost(t, "h1", "z2", controlAddr, endpoints, &endpointLink{})
+	waitForStatus(t, cut, "k1", http.StatusServiceUnavailable, 10*time.Second)
+	if _, err := c.participant.Client().ImportConfig(t.Context(), 1, kindsDocument(t, w), "operator"); err != nil {
+		t.Fatal(err)
+	}
+	waitForStatus(t, other, "k1", http.StatusOK, 5*time.Second)
+	link.set(true)
+	waitForStatus(t, cut, "k1", http.StatusOK, 5*time.Second)
+	time.Sleep(time.Second) // until both hosts have joined their coordinator
+	return endpoints, cut, stopOther
+}
+
+// Guards against requests through another host that are not counted in the allotment of their workspace, or twice.
+func TestAllotmentOfRequestsThroughOtherHosts(t *testing.T) {
+	t.Parallel()
+	const burst = 30
+	endpoints, cut, _ := startWithCutHost(t, router.Workspace{Rate: 1, Burst: burst, DefaultCost: 1})
+	statuses := map[int]int{}
+	for i := range 2 * burst {
+		status, _ := sendWithID(t, cut, http.MethodPost, "/o/x", fmt.Sprint(i))
+		statuses[status]++
+	}
+	endpoints.mu.Lock()
+	runs := 0
+	for id, n := range endpoints.runs {
+		if id != "" {
+			runs += n
+		}
+	}
+	endpoints.mu.Unlock()
+	served := statuses[http.StatusOK]
+	// The requests that waited for the configuration count too, and the rate allows a few more.
+	if served < burst/2 || served > burst+10 || runs != served || statuses[http.StatusTooManyRequests] != 2*burst-served {
+		t.Errorf("responses by status %v after %d runs, with an allotment of %d", statuses, runs, burst)
+	}
+}
+
+// Guards against a stream that is cut off because the host that sends it on for another host stops as planned.
+func TestStopOfHostThatSendsForAnother(t *testing.T) {
+	t.Parallel()
+	_, cut, stopOther := startWithCutHost(t, router.Workspace{})
+	var status int
+	var body string
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		status, body = sendWithID(t, cut, http.MethodPost, "/s/long", "1")
+	}()
+	time.Sleep(200 * time.Millisecond)
+	stopOther()
+	<-done
+	if diff := cmp.Diff([]any{200, streamBody("/s/long", "1")}, []any{status, body}); diff != "" {
+		t.Errorf("status and body (-want +got):\n%s", diff)
+	}
+	// No host is left that could send a request.
+	if status, _ := sendWithID(t, cut, http.MethodPost, "/o/x", "2"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d without any path, want 503", status)
+	}
+}
+
+// Guards against an endpoint that works on for a caller who has left a host without paths.
+func TestCallerOfRequestThroughOtherHostLeaves(t *testing.T) {
+	t.Parallel()
+	endpoints, cut, _ := startWithCutHost(t, router.Workspace{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+cut+"/s/endless", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Token k1")
+	req.Header.Set("X-Id", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.ReadFull(resp.Body, make([]byte, 40))
+	running := endpoints.running.Load()
+	cancel()
+	_ = resp.Body.Close()
+	for deadline := time.Now().Add(2 * time.Second); endpoints.running.Load() > 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if diff := cmp.Diff([]int64{1, 0}, []int64{running, endpoints.running.Load()}); diff != "" {
+		t.Errorf("requests at the endpoints before and after (-want +got):\n%s", diff)
+	}
+}
