balancer, coordinator: an endpoint that answers other hosts is not unreachable

What callers saw: beside a host that cannot connect to some endpoints, callers of the other hosts wait or are refused.

Cause: the coordinator gave an endpoint no work from any host after one host had failed to connect to it. While a host has lost its paths to a whole pool it blames no endpoint any more, but until it has noticed, and when it cannot reach only some endpoints, each of its vain attempts took the endpoint from all hosts.

Change: an endpoint that has sent an event or a response since the run began does not rest. The host that could not connect gets no place there for half a second.

TestUnreachableForOneHost failed before: the other host got no grant at once, and the first one none half a second later.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -162,6 +162,8 @@
 	// leavingSince is the time from which the endpoint is known to leave; zero if it was already leaving when it first appeared in the
 	// list.
 	leavingSince time.Time
+	// responses is the number of events and complete responses that the endpoint has sent.
+	responses uint64
 	// permits is the limit that the endpoint states, or nil.
 	permits *permits
 	// brittleUntil is the time until which the endpoint counts as brittle, and room what its rejections show.
--- a/internal/balancer/run.go
+++ b/internal/balancer/run.go
@@ -18,6 +18,8 @@
 	last          time.Time
 	events        int
 	ended         bool
+	// responses is the number of responses of the endpoint when the run began.
+	responses uint64
 }
 
 // Place counts a request that this balancer has placed at the chosen endpoint, also against the limit of the endpoint.
@@ -35,7 +37,7 @@
 	if !ok {
 		return r
 	}
-	r.endpoint = e
+	r.endpoint, r.responses = e, e.responses
 	e.load.Running++
 	if e.Engine {
 		r.memoryTokens = w.Prompt + w.Output
@@ -55,6 +57,9 @@
 func (r *Run) RecordEvent(now time.Time) bool {
 	r.events++
 	r.last = now
+	if r.endpoint != nil {
+		r.endpoint.responses++
+	}
 	if r.events > 1 {
 		return false
 	}
@@ -90,6 +95,9 @@
 	}
 	e := r.endpoint
 	e.failedConnects = 0
+	if !failed {
+		e.responses++
+	}
 	rate := e.recentFailureRate(now) * (1 - failureWeight)
 	if failed {
 		rate += failureWeight
@@ -117,9 +125,10 @@
 }
 
 // EndUnreachable counts the end of a run that could not be sent because the connect failed. The endpoint gets no work for a
-// backoff that grows with each failed connect; after that it is tried by one request at a time.
+// backoff that grows with each failed connect; after that it is tried by one request at a time. If the endpoint has responded to
+// another request meanwhile, the fault lies between it and the host of the run.
 func (b *Balancer) EndUnreachable(now time.Time, r *Run) {
-	if !r.finish() {
+	if !r.finish() || r.endpoint.responses > r.responses {
 		return
 	}
 	e := r.endpoint
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,6 +52,8 @@
 	peerReachableFor = 900 * time.Millisecond
 	// reconnectGrace is the time in which a host whose stream has ended may report its runs again before they count as ended.
 	reconnectGrace = 500 * time.Millisecond
+	// unreachableHold is how long a host gets no place at an endpoint that it could not connect to. Others may reach it.
+	unreachableHold = 500 * time.Millisecond
 	// othersUsageInterval is the longest time between two messages with the usage of other hosts. Hosts treat the others as
 	// silent after half a second without one.
 	othersUsageInterval = 250 * time.Millisecond
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -17,9 +17,7 @@
 		return
 	}
 	if hold := time.Duration(n.GetHoldMs()) * time.Millisecond; hold > 0 {
-		s.mu.Lock()
-		s.heldUntil[name] = now.Add(hold)
-		s.mu.Unlock()
+		s.hold(name, now.Add(hold))
 	}
 	for _, sh := range shards {
 		sh.admitter.Update(func(b *balancer.Balancer) {
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -205,6 +205,9 @@
 	for _, e := range r.GetEnds() {
 		s.settleCharge(now, e.GetTicket(), mayHaveRun(e.GetOutcome()))
 		if g := s.grantFor(e.GetTicket(), true); g != nil {
+			if e.GetOutcome() == coordinatorpb.End_UNREACHABLE {
+				s.hold(g.Choice.Endpoint.ID, now.Add(unreachableHold))
+			}
 			concludeGrant(now, g, e)
 		}
 	}
@@ -239,6 +242,13 @@
 	}
 }
 
+// hold places no request of the host at an endpoint until a time.
+func (s *session) hold(endpoint string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldUntil[endpoint] = until
+}
+
 func (s *session) grantFor(ticket uint64, ended bool) *admitter.Grant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
