coordinator: units that the other control hosts do not know of are bounded

Cause: a coordinator that is cut off serves its hosts for most of a second, until it dismisses them, and admits whatever its allotments have left. Its successor takes a silent coordinator to have admitted nothing since its last report, and admits the same units again.

Change: a coordinator admits at most 4 in 100 of an allotment's window beyond what a majority of the control hosts has acknowledged, and reports early once half of that is used up. Without an isolation, reports are answered within milliseconds, so the bound is not met. A request beyond it is refused with a Retry-After of 0.3 s; by then the reports are answered or the hosts have another coordinator.

--- a/internal/coordinator/charge.go
+++ b/internal/coordinator/charge.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -8,6 +9,16 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/ratelimiter"
+	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
+)
+
+const (
+	// maxUnconfirmedShare is the share of an allotment in a window that a coordinator may admit before a majority of the control hosts knows
+	// of it. One that is cut off admits no more, and its successor may admit the same units again.
+	maxUnconfirmedShare = 0.04
+	// unconfirmedRetryAfter is the retry delay of a request that was refused because of it. In that time the reports are answered, or the hosts
+	// have another coordinator.
+	unconfirmedRetryAfter = 300 * time.Millisecond
 )
 
 // applyUsage applies the crashes and the evidence in a report and counts the units that the host has admitted without a coordinator.
@@ -47,6 +58,11 @@
 	if !limited {
 		return nil
 	}
+	if c.exceedsUnconfirmed(p.GetWorkspace(), units) {
+		countAsks.Add("unconfirmed", 1)
+		klog.V(1).InfoS("coordinator: units not confirmed", "host", s.host, "workspace", name, "units", units)
+		return &admitter.RefusedError{Reason: admitter.AllotmentExhausted, RetryAfter: unconfirmedRetryAfter}
+	}
 	ok, retry := c.allotments.Take(now, name, units)
 	if !ok {
 		klog.V(1).InfoS("coordinator: allotment used up", "host", s.host, "workspace", name, "units", units, "level", c.allotments.Available(name),
@@ -58,6 +74,52 @@
 	return nil
 }
 
+// exceedsUnconfirmed reports whether a charge would exceed the units that this coordinator may admit before the others know of them. It
+// sends reports early once half of them is used up. The caller holds c.mu.
+func (c *Coordinator) exceedsUnconfirmed(workspace uint64, units float64) bool {
+	needed := (len(c.peerIDs) + 1) / 2
+	if needed == 0 {
+		return false
+	}
+	confirmed := make([]float64, 0, len(c.peerIDs))
+	for _, id := range c.peerIDs {
+		if p := c.peers[id]; p != nil {
+			confirmed = append(confirmed, p.ackedTotals[workspace])
+		} else {
+			confirmed = append(confirmed, 0)
+		}
+	}
+	slices.Sort(confirmed)
+	l := c.limits[c.workspaceNames[workspace]]
+	most := maxUnconfirmedShare * (l.Rate*c.allotmentWindow().Seconds() + l.Burst)
+	unconfirmed := max(0, c.tally.LocalTotal(workspace)-confirmed[len(confirmed)-needed])
+	if unconfirmed+units > most/2 {
+		select {
+		case c.wakeReports <- struct{}{}:
+		default:
+		}
+	}
+	return unconfirmed > 0 && unconfirmed+units > most
+}
+
+// setPeerIDs sets the other control hosts.
+func (c *Coordinator) setPeerIDs(peers []sharder.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peerIDs = c.peerIDs[:0]
+	for _, p := range peers {
+		c.peerIDs = append(c.peerIDs, p.ID)
+	}
+}
+
+// allotmentWindow returns the length of the sliding window of allotments.
+func (c *Coordinator) allotmentWindow() time.Duration {
+	if c.AllotmentWindow > 0 {
+		return c.AllotmentWindow
+	}
+	return ratelimiter.DefaultWindow
+}
+
 // allotmentCharge is the units that a placement request has taken from an allotment.
 type allotmentCharge struct {
 	workspace uint64
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -122,15 +122,19 @@
 	peerUses       map[string]*peerUse
 	workspaceNames map[uint64]string
 	peers          map[string]*peer
-	peerSummaries  map[sharder.Shard]shardSummary
-	crashes        quarantiner.CrashLog
-	evidence       attributor.Log
+	// peerIDs are the other control hosts as of the last round of reports.
+	peerIDs       []string
+	peerSummaries map[sharder.Shard]shardSummary
+	crashes       quarantiner.CrashLog
+	evidence      attributor.Log
 	// endpointLimits are the limits that endpoints state, in requests per second by ID; 0 if the endpoint has lifted it.
 	endpointLimits map[string]float64
 	origins        registrar.Registry
 	versions       *registrar.History
 	historyFile    historyFile
-	wg             sync.WaitGroup
+	// wakeReports makes Run send reports to the other coordinators at once.
+	wakeReports chan struct{}
+	wg          sync.WaitGroup
 }
 
 // shard is a part of a pool that this coordinator places requests in.
@@ -160,6 +164,7 @@
 	c.allotments, c.workspaceNames = c.newAllotments(now), map[uint64]string{}
 	c.versions = c.readHistory(now)
 	c.historyFile.pending = make(chan []byte, 1)
+	c.wakeReports = make(chan struct{}, 1)
 }
 
 // Run exchanges reports with the other coordinators until ctx ends.
@@ -175,6 +180,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-c.wakeReports:
 		}
 		now := time.Now()
 		if pause := clocker.Since(last); pause > maxPause {
@@ -184,7 +190,9 @@
 		if !c.Ready() {
 			c.cancelSessions()
 		}
-		for _, p := range c.Peers() {
+		peers := c.Peers()
+		c.setPeerIDs(peers)
+		for _, p := range peers {
 			if call := c.nextPeerReport(now, p.ID); call != nil {
 				c.wg.Go(func() { c.sendPeerReport(ctx, p, call) })
 			}
--- a/internal/coordinator/peer.go
+++ b/internal/coordinator/peer.go
@@ -36,6 +36,8 @@
 	// last crash and piece of evidence.
 	sentTotals                    map[uint64]float64
 	sentCrashSeq, sentEvidenceSeq uint64
+	// ackedTotals are the units by workspace that it has acknowledged; unlike sentTotals, they outlast a failed report.
+	ackedTotals map[uint64]float64
 	// sentPlacements are the numbers of placements at limited endpoints in the last report that was answered.
 	sentPlacements map[string]uint64
 	// pendingCleared are the fingerprints of cleared requests that have not been reported to it.
@@ -130,6 +132,7 @@
 		p.sentTotals = map[uint64]float64{}
 	}
 	maps.Copy(p.sentTotals, DecodeUses(call.report.GetUses()))
+	p.ackedTotals = maps.Clone(p.sentTotals)
 	if p.sentPlacements == nil {
 		p.sentPlacements = map[string]uint64{}
 	}
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -29,8 +29,8 @@
 	silenceTimeout = 500 * time.Millisecond
 	// minBurstDuration is the least burst of a limit, as a time at its rate. With a burst of 0 no request would be admitted.
 	minBurstDuration = 100 * time.Millisecond
-	// defaultWindow is the window length used when none is configured.
-	defaultWindow = 8 * time.Second
+	// DefaultWindow is the window length used when none is configured.
+	DefaultWindow = 8 * time.Second
 	// startupPeriod is the time after its start during which a host merges the windows of its peers.
 	startupPeriod = 2 * time.Second
 	// peerTimeout is the time without a report after which a peer that represents one host expires: its configuration is no
@@ -168,7 +168,7 @@
 // New returns the tracker of a host that starts now. A length of 0 selects the default window length.
 func New(now time.Time, length time.Duration) *Limiter {
 	if length <= 0 {
-		length = defaultWindow
+		length = DefaultWindow
 	}
 	return &Limiter{started: now, windowLength: length, accounts: map[string]*account{}, peers: map[string]*peerUsage{}}
 }
--- a/internal/ratelimiter/tally.go
+++ b/internal/ratelimiter/tally.go
@@ -34,7 +34,7 @@
 // NewTally returns an empty tally that starts now. A length of 0 selects the default window length.
 func NewTally(now time.Time, length time.Duration) *Tally {
 	if length <= 0 {
-		length = defaultWindow
+		length = DefaultWindow
 	}
 	return &Tally{
 		started: now, length: length, sources: map[string]*source{}, total: map[uint64]float64{}, local: map[uint64]float64{},
@@ -114,6 +114,9 @@
 // LocalTotals returns the totals of the hosts that report to this tally directly.
 func (t *Tally) LocalTotals() map[uint64]float64 { return maps.Clone(t.local) }
 
+// LocalTotal returns the total of one workspace in LocalTotals.
+func (t *Tally) LocalTotal(workspace uint64) float64 { return t.local[workspace] }
+
 // Version returns a number that changes whenever the totals change.
 func (t *Tally) Version() uint64 { return t.version }
 
