proxier: a check of the paths tries one endpoint after the other; names and files

A check opened up to four connections at once, also when one would have shown that the paths are sound. It now begins the next attempt when the last one has failed or after 40 ms.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -81,8 +81,8 @@
 	req     Request
 	seq     uint64
 	granted chan *Grant
-	// behind is true if too few requests of its size were granted an endpoint when it arrived.
-	behind bool
+	// underserved is true if too few requests of its size were granted an endpoint when it arrived.
+	underserved bool
 }
 
 // Admitter serializes access to a balancer and maintains a queue for each pool. It is safe for concurrent use.
@@ -286,7 +286,7 @@
 		return nil, nil, a.refusalLocked(req, NoEndpoint, 0)
 	}
 	a.seq++
-	w := &waiter{req: req, seq: a.seq, granted: make(chan *Grant, 1), behind: a.tierShares(req).isBehind(now, req.Work.SizeClass())}
+	w := &waiter{req: req, seq: a.seq, granted: make(chan *Grant, 1), underserved: a.tierShares(req).isUnderserved(now, req.Work.SizeClass())}
 	if a.queues[req.Pool] == nil {
 		a.queues[req.Pool] = &queue{}
 	}
--- a/internal/admitter/dispatch.go
+++ b/internal/admitter/dispatch.go
@@ -25,7 +25,7 @@
 	kept := queue{unbound: q.unbound[:0], bound: q.bound[:0]}
 	i, j, granted := 0, 0, false
 	// The large requests that go first are the hardest to place; they must not use up the scan.
-	var failures, behindFailures int
+	var failures, underservedFailures int
 	for open && i < len(q.unbound) || j < len(q.bound) {
 		if j < len(q.bound) && (!open || i == len(q.unbound) || compareWaiters(q.bound[j], q.unbound[i]) < 0) {
 			w := q.bound[j]
@@ -39,7 +39,7 @@
 		}
 		w := q.unbound[i]
 		i++
-		if w.behind && behindFailures == maxScanFailures {
+		if w.underserved && underservedFailures == maxScanFailures {
 			kept.unbound = append(kept.unbound, w)
 			continue
 		}
@@ -48,8 +48,8 @@
 			granted, open = true, a.balancer.HasRoom(now, pool, balancer.Work{})
 		} else {
 			kept.unbound = append(kept.unbound, w)
-			if w.behind {
-				behindFailures++
+			if w.underserved {
+				underservedFailures++
 				continue
 			}
 			failures++
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -21,8 +21,8 @@
 		}
 		return 1
 	}
-	if x.behind != y.behind {
-		if x.behind {
+	if x.underserved != y.underserved {
+		if x.underserved {
 			return -1
 		}
 		return 1
--- a/internal/admitter/share.go
+++ b/internal/admitter/share.go
@@ -12,7 +12,7 @@
 	// shareHalfLife is the time in which the weight of a past request halves.
 	shareHalfLife = 2 * time.Second
 	// minDecided is the decayed number of requests of a size class that must have been granted an endpoint or refused before the
-	// class can count as behind.
+	// class can count as underserved.
 	minDecided = 0.5
 )
 
@@ -49,8 +49,8 @@
 	}
 }
 
-// isBehind reports whether fewer requests of a size class are granted an endpoint than minSizeShare allows.
-func (s *tierShares) isBehind(now time.Time, class int) bool {
+// isUnderserved reports whether fewer requests of a size class are granted an endpoint than minSizeShare allows.
+func (s *tierShares) isUnderserved(now time.Time, class int) bool {
 	t := s.classes[class]
 	if t == nil {
 		return false
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -297,23 +297,6 @@
 	return best, found
 }
 
-// HasRoom reports whether any endpoint of a pool that the work fits by its version could take a small piece of work now.
-func (b *Balancer) HasRoom(now time.Time, pool string, w Work) bool {
-	small := Work{Bound: w.Bound, Version: w.Version}
-	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, small) && b.hasRoom(now, e, small) })
-}
-
-// FreePlaces returns the number of free places of the available endpoints of a pool.
-func (b *Balancer) FreePlaces(now time.Time, pool string) int {
-	free := 0
-	for _, e := range b.pools[pool] {
-		if b.available(now, e, Work{}) && b.hasRoom(now, e, Work{}) {
-			free += min(min(max(e.Slots, 1), int(e.maxRunning(now)))-e.load.Running, b.freePermits(now, e))
-		}
-	}
-	return free
-}
-
 // gapTooLong reports whether the streams of an engine would pause for longer than work allows while unread prompt tokens are
 // processed. All tokens of an event may fall into steps that process prompt tokens.
 func (b *Balancer) gapTooLong(slow float64, unread int, w Work) bool {
@@ -365,21 +348,6 @@
 	return !now.Before(e.heldUntil) && !now.Before(e.unavailableUntil) && (e.failedConnects == 0 || e.load.Running == 0)
 }
 
-func (b *Balancer) hasRoom(now time.Time, e *endpoint, w Work) bool {
-	running := e.load.Running
-	if float64(running) >= e.maxRunning(now) {
-		return false
-	}
-	if !e.Engine || running == 0 {
-		return true
-	}
-	if e.MemoryTokens > 0 && float64(e.load.Memory+w.Prompt+w.Output) > maxMemoryShare*float64(e.MemoryTokens) {
-		return false
-	}
-	unread := float64(e.load.PromptBacklog)
-	return b.slowness(e)*unread/promptTokensPerMS < float64(maxPromptBacklog.Milliseconds())
-}
-
 func (b *Balancer) evaluate(now time.Time, e *endpoint, w Work) Choice {
 	running, unread := e.load.Running, e.load.PromptBacklog
 	c, saved := Choice{Endpoint: e.Endpoint, Running: running, PromptBacklog: unread}, 0.0
--- a/internal/balancer/room.go
+++ b/internal/balancer/room.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// brittleTTL is how long after its last statement an endpoint counts as brittle.
@@ -51,3 +54,36 @@
 	}
 	return most
 }
+
+// HasRoom reports whether any endpoint of a pool that the work fits by its version could take a small piece of work now.
+func (b *Balancer) HasRoom(now time.Time, pool string, w Work) bool {
+	small := Work{Bound: w.Bound, Version: w.Version}
+	return slices.ContainsFunc(b.pools[pool], func(e *endpoint) bool { return b.available(now, e, small) && b.hasRoom(now, e, small) })
+}
+
+// FreePlaces returns the number of free places of the available endpoints of a pool.
+func (b *Balancer) FreePlaces(now time.Time, pool string) int {
+	free := 0
+	for _, e := range b.pools[pool] {
+		if b.available(now, e, Work{}) && b.hasRoom(now, e, Work{}) {
+			free += min(min(max(e.Slots, 1), int(e.maxRunning(now)))-e.load.Running, b.freePermits(now, e))
+		}
+	}
+	return free
+}
+
+// hasRoom reports whether an endpoint could take a piece of work now.
+func (b *Balancer) hasRoom(now time.Time, e *endpoint, w Work) bool {
+	running := e.load.Running
+	if float64(running) >= e.maxRunning(now) {
+		return false
+	}
+	if !e.Engine || running == 0 {
+		return true
+	}
+	if e.MemoryTokens > 0 && float64(e.load.Memory+w.Prompt+w.Output) > maxMemoryShare*float64(e.MemoryTokens) {
+		return false
+	}
+	unread := float64(e.load.PromptBacklog)
+	return b.slowness(e)*unread/promptTokensPerMS < float64(maxPromptBacklog.Milliseconds())
+}
--- a/internal/coordinator/brittle_test.go
+++ b/internal/coordinator/brittle_test.go
@@ -54,9 +54,12 @@
 		}
 		hosts[0].grantCount()
 		hosts[0].reports <- &coordinatorpb.Report{Ends: []*coordinatorpb.End{
-			{Ticket: ticket, Outcome: coordinatorpb.End_REJECTED}, {Ticket: ticket - 1, Outcome: coordinatorpb.End_REJECTED},
-			{Ticket: ticket - 2, Outcome: coordinatorpb.End_ANSWERED}, {Ticket: ticket - 3, Outcome: coordinatorpb.End_ANSWERED},
-			{Ticket: ticket - 4, Outcome: coordinatorpb.End_ANSWERED}, {Ticket: ticket - 5, Outcome: coordinatorpb.End_ANSWERED},
+			{Ticket: ticket, Outcome: coordinatorpb.End_REJECTED},
+			{Ticket: ticket - 1, Outcome: coordinatorpb.End_REJECTED},
+			{Ticket: ticket - 2, Outcome: coordinatorpb.End_ANSWERED},
+			{Ticket: ticket - 3, Outcome: coordinatorpb.End_ANSWERED},
+			{Ticket: ticket - 4, Outcome: coordinatorpb.End_ANSWERED},
+			{Ticket: ticket - 5, Outcome: coordinatorpb.End_ANSWERED},
 		}}
 		synctest.Wait()
 		got["after two of six were rejected"] = fill()
--- a/internal/forwarder/cut_host_test.go
+++ b/internal/forwarder/cut_host_test.go
@@ -255,11 +255,11 @@
 // cutLoad sends requests of each kind to a host and counts the answers to those sent while counting is true. In that time it sends
 // more of them at once, so that the host needs further connections.
 type cutLoad struct {
-	t              *testing.T
-	addr, name     string
-	counting       *atomic.Bool
-	asked, served  atomic.Int64
-	spoiled, wrong atomic.Int64
+	t             *testing.T
+	addr, name    string
+	counting      *atomic.Bool
+	asked, served atomic.Int64
+	wrong         atomic.Int64
 }
 
 func (l *cutLoad) run(ctx context.Context) {
--- a/internal/proxier/sender.go
+++ b/internal/proxier/sender.go
@@ -32,8 +32,9 @@
 	openTimeout = 250 * time.Millisecond
 	// avoidTime is the time for which a host that did not accept a request is not asked again.
 	avoidTime = time.Second
-	// checkTimeout bounds one check of the paths.
-	checkTimeout = 300 * time.Millisecond
+	// checkTimeout bounds one check of the paths, and checkStagger is the time after which it tries the next endpoint.
+	checkTimeout = 400 * time.Millisecond
+	checkStagger = 40 * time.Millisecond
 )
 
 var (
@@ -226,23 +227,29 @@
 	return out
 }
 
-// check tries to connect to some of the addresses, and returns how many were tried and reached. The first one that is reached ends the
-// other attempts.
+// check tries to connect to some of the addresses, one after the other, and returns how many were tried and reached. It does not wait long for
+// one before it tries the next, and ends with the first one that is reached.
 func (s *Sender) check(addrs []string) (tried, reached int) {
-	sample := pathwatcher.Sample(rand.New(rand.NewPCG(rand.Uint64(), 0)), addrs)
 	ctx, cancel := context.WithTimeout(s.ctx, checkTimeout)
 	defer cancel()
+	sample := pathwatcher.Sample(rand.New(rand.NewPCG(rand.Uint64(), 0)), addrs)
 	results := make(chan error, len(sample))
-	for _, addr := range sample {
-		go func() { results <- s.Client.Probe(ctx, addr) }()
-	}
-	for range sample {
-		if err := <-results; err == nil {
-			reached++
-			cancel()
+	for pending := 0; tried < len(sample) || pending > 0; {
+		var next <-chan time.Time
+		if tried < len(sample) {
+			addr := sample[tried]
+			go func() { results <- s.Client.Probe(ctx, addr) }()
+			tried, pending, next = tried+1, pending+1, time.After(checkStagger)
+		}
+		select {
+		case err := <-results:
+			if pending--; err == nil {
+				return tried, 1
+			}
+		case <-next:
 		}
 	}
-	return len(sample), reached
+	return tried, 0
 }
 
 // sendThroughPeer sends a request through another host that accepts it.
