forwarder: the cases of TestHostsWithoutPathToEndpointsServe run one after the other

The six cases ran at once, which is 24 entry hosts and 24 callers in one process with the race detector. Checks, bounds and the load of each case are the same.

--- a/internal/forwarder/cut_host_test.go
+++ b/internal/forwarder/cut_host_test.go
@@ -370,7 +370,6 @@
 		{"zone, new connections refused", refuseNew, []int{0, 1}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
 			endpoints := startCountingEndpoints(t, 6)
 			controlAddr := freeAddr(t)
 			c := startControl(t, controlAddr, endpoints)
