--- a/review/rig/controlcases.go
+++ b/review/rig/controlcases.go
@@ -142,7 +142,7 @@
 	defer p.close()
 	core := c.of("core")
 	time.Sleep(300 * time.Millisecond)
-	acker := o.replace(core, 20*time.Second)
+	acker := o.race(core, 20*time.Second)
 	if acker == nil {
 		c.rec.fail("the first configuration was not acknowledged")
 		return notRun
--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// raceGap is the time between the first sends of orders that are in progress at the same time.
+const raceGap = 60 * time.Millisecond
+
 // operator sends and reads configurations at the control machines.
 type operator struct {
 	c       *cluster
@@ -97,6 +100,41 @@
 	return nil
 }
 
+// race sends one version to each machine, shortly one after the other, so that several orders are in progress, and returns the machine that
+// is the first to acknowledge its version, or nil at the end of limit.
+func (o *operator) race(machines []*machine, limit time.Duration) *machine {
+	type ack struct {
+		m       *machine
+		version uint64
+	}
+	acks := make(chan ack, len(machines))
+	end := time.Now().Add(limit)
+	for i, m := range machines {
+		o.version += 3
+		version := o.version
+		go func() {
+			time.Sleep(time.Duration(i) * raceGap)
+			body := o.document(version, int(version))
+			for time.Now().Before(end) {
+				o.c.rec.event("operator: version %d sent to %s", version, m.name)
+				if status, _ := o.call(m, http.MethodPost, "/v1/config/replace", body); status == http.StatusOK {
+					acks <- ack{m, version}
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	select {
+	case a := <-acks:
+		o.acked = a.version
+		o.c.rec.event("operator: version %d acknowledged by %s", a.version, a.m.name)
+		return a.m
+	case <-time.After(limit):
+		return nil
+	}
+}
+
 // read reads the configuration back until a machine answers with 200, and returns its version, or false at the end of limit.
 func (o *operator) read(machines []*machine, limit time.Duration) (uint64, bool) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
