--- a/review/rig/controlcases.go
+++ b/review/rig/controlcases.go
@@ -100,6 +100,8 @@
 
 // firstStart removes one of the three seeds for good right after all machines have started for the first time. Another machine with the
 // same roles starts at another address.
+//
+// With TROUBLE=0 no machine is removed. With TROUBLE=restart the seed's process is killed instead, and is back after 0.3 s.
 func firstStart(c *cluster, trouble string) int {
 	p, o := prepare(c)
 	if p == nil {
@@ -107,7 +109,15 @@
 	}
 	defer p.close()
 	core := c.of("core")
-	if trouble != "0" {
+	if trouble == "restart" {
+		time.Sleep(150 * time.Millisecond)
+		m := core[0]
+		c.rec.event("the process of core machine %s is killed, and started again with bootstrap set to false", m.name)
+		m.powerOff()
+		m.wg.Wait()
+		m.bootstrap = false
+		m.start()
+	} else if trouble != "0" {
 		time.Sleep(150 * time.Millisecond)
 		lost := core[0]
 		c.rec.event("core machine %s is gone for good", lost.name)
