--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -65,6 +67,13 @@
 	}
 	c := newCluster(abs, dir, rec)
 	rec.event("case %s, TROUBLE=%s", *name, trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		c.stopAll()
+		os.Exit(notRun)
+	}()
 	result := play(c, trouble)
 	c.stopAll()
 	if rec.couldNotRun() {
