--- a/review/rig/crashcase.go
+++ b/review/rig/crashcase.go
@@ -9,7 +9,7 @@
 const (
 	// crashingRequests is the number of requests that crash runners, one after the other. Each comes again crashWaves times, every
 	// waveGap, perMachine times at each entry machine.
-	crashingRequests = 5
+	crashingRequests = 6
 	crashWaves       = 3
 	waveGap          = 5 * time.Second
 	perMachine       = 2
