controller, membershipplanner: replace voters that leave at once

Cause: the planner did not know that a host leaves. Its successor was no member before the leaving host had been silent for 1.5 s, and the host stayed a voter until it had been silent for 5 s, counted anew under each leader. In between, four of six voters were needed, and the loss of two of the five that run left three.

Change: the planner gets the hosts that leave, also from the replicated members, which a new leader has too. A voter that leaves or is silent is removed as soon as five others are live; a voter that might return only makes the quorum larger. Up to two further control hosts follow the log as standbys, so that a promotion takes a few round trips. A new leader waits up to 750 ms for first heartbeats instead of taking all unreported voters for dead.

--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -123,7 +123,12 @@
 		return nil, errStaleHeartbeat
 	}
 	if f := hb.GetFolder(); f != nil {
-		lead.folderReports[hb.GetHost()] = folderReport{incarnation: f.GetIncarnation(), addr: hb.GetAddr(), receivedAt: now}
+		lead.folderReports[hb.GetHost()] = folderReport{
+			incarnation: f.GetIncarnation(), addr: hb.GetAddr(), leaving: hb.GetLeaving(), receivedAt: now,
+		}
+		if hb.GetLeaving() {
+			s.requestStep()
+		}
 	}
 	reply := &controllerpb.HeartbeatReply{
 		Incarnation: incarnation, Term: lead.term, Leader: s.HostID, ConfigVersion: version, LeaseMs: LeaseTTL.Milliseconds(),
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -14,9 +14,12 @@
 	// voterAliveTimeout is the time without heartbeats up to which a control host counts as alive. It spans several
 	// heartbeats, so that a single lost one does not change the voters.
 	voterAliveTimeout = 6 * heartbeater.HeartbeatInterval
-	// voterRemovalTimeout is the time without heartbeats after which a voter may be removed, provided that enough other hosts
-	// are alive. It exceeds a restart and a short partition, after which the voter continues with its data folder.
-	voterRemovalTimeout = 5 * time.Second
+	// learnerRemovalTimeout is the time without heartbeats after which a learner is removed. It exceeds a restart and a short
+	// partition.
+	learnerRemovalTimeout = 5 * time.Second
+	// firstReportTimeout is the time after the start of a leadership in which all members have sent a heartbeat if they can. A
+	// member that has not is then taken as silent since long before.
+	firstReportTimeout = 3 * heartbeater.HeartbeatInterval
 	// voterChangeName is the name of a voter change in leadership.inFlight.
 	voterChangeName = "voters"
 )
@@ -25,29 +28,48 @@
 type folderReport struct {
 	incarnation uint64
 	addr        string
+	leaving     bool
 	receivedAt  time.Duration
 }
 
-// reconcileVoters starts the next voter change that is needed to match the voters to the control hosts that are alive. The
-// caller holds s.mu.
-func (s *Service) reconcileVoters(ctx context.Context, lead *leadership, now time.Duration) {
-	if s.Voters == 0 || lead.inFlight[voterChangeName] {
-		return
-	}
+// planVoterChange returns the next voter change that is needed to match the voters to the control hosts that are alive. The caller
+// holds s.mu.
+func (s *Service) planVoterChange(lead *leadership, now time.Duration) membershipplanner.Change {
 	hosts := make([]membershipplanner.Host, 0, len(lead.folderReports))
 	for id, f := range lead.folderReports {
-		hosts = append(hosts, membershipplanner.Host{ID: id, Addr: f.addr, FolderIncarnation: f.incarnation, SinceHeartbeat: now - f.receivedAt})
+		hosts = append(hosts, membershipplanner.Host{
+			ID: id, Addr: f.addr, FolderIncarnation: f.incarnation, SinceHeartbeat: now - f.receivedAt, Leaving: f.leaving,
+		})
 	}
-	// A voter without a heartbeat in this term counts as silent since the leadership began, and as not alive.
 	members := s.Log.Members()
 	for _, m := range members {
-		if _, reported := lead.folderReports[m.ID]; !reported && m.Voter {
-			hosts = append(hosts, membershipplanner.Host{ID: m.ID, Addr: m.Addr, FolderIncarnation: m.Incarnation, SinceHeartbeat: max(now-lead.startedAt, voterAliveTimeout+1)})
+		if _, reported := lead.folderReports[m.ID]; reported {
+			continue
 		}
+		if now-lead.startedAt < firstReportTimeout && !s.hasLeft(m.ID) {
+			return membershipplanner.Change{}
+		}
+		hosts = append(hosts, membershipplanner.Host{
+			ID: m.ID, Addr: m.Addr, FolderIncarnation: m.Incarnation, SinceHeartbeat: max(now-lead.startedAt, voterAliveTimeout+1), Leaving: s.hasLeft(m.ID),
+		})
 	}
-	change := membershipplanner.Next(members, hosts, membershipplanner.Options{
-		TargetVoters: s.Voters, HeartbeatTimeout: voterAliveTimeout, RemoveAfter: voterRemovalTimeout,
+	return membershipplanner.Next(members, hosts, membershipplanner.Options{
+		TargetVoters: s.Voters, HeartbeatTimeout: voterAliveTimeout, RemoveLearnerAfter: learnerRemovalTimeout, Standbys: s.Voters / 2,
 	})
+}
+
+// hasLeft reports whether the last process of a host has been removed from the members, under this leader or an earlier one.
+func (s *Service) hasLeft(id string) bool {
+	m, known := s.StateMachine.Member(id)
+	return known && m.Removed
+}
+
+// reconcileVoters starts the next voter change. The caller holds s.mu.
+func (s *Service) reconcileVoters(ctx context.Context, lead *leadership, now time.Duration) {
+	if s.Voters == 0 || lead.inFlight[voterChangeName] {
+		return
+	}
+	change := s.planVoterChange(lead, now)
 	if change.Action == membershipplanner.None {
 		return
 	}
--- a/internal/membershipplanner/membershipplanner.go
+++ b/internal/membershipplanner/membershipplanner.go
@@ -4,8 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
@@ -19,6 +19,8 @@
 	FolderIncarnation uint64
 	// SinceHeartbeat is the time since the last heartbeat.
 	SinceHeartbeat time.Duration
+	// Leaving is true if the host stops or has stopped as planned.
+	Leaving bool
 }
 
 // Options are the parameters of Next.
@@ -27,8 +29,11 @@
 	TargetVoters int
 	// HeartbeatTimeout is the maximum time since the last heartbeat of a live host.
 	HeartbeatTimeout time.Duration
-	// RemoveAfter is the time since the last heartbeat after which a member may be removed.
-	RemoveAfter time.Duration
+	// RemoveLearnerAfter is the time since the last heartbeat after which a learner is removed.
+	RemoveLearnerAfter time.Duration
+	// Standbys is the target number of live learners besides the voters. They hold the log, so that each can take the place of a
+	// voter within a few round trips.
+	Standbys int
 }
 
 // Action is the type of a membership change.
@@ -49,6 +54,8 @@
 	Addr   string
 	// Reason explains the change to operators in the log.
 	Reason string
+	// LearnersOnly is true if the change is no step towards other voters.
+	LearnersOnly bool
 }
 
 type planner struct {
@@ -58,14 +65,14 @@
 }
 
 // Next returns the next change, or one with the action None. A voter with a lost data folder is removed first, because it counts
-// towards the quorum but can never vote again. A silent member is removed only if the target number
-// of voters is live.
+// towards the quorum but can never vote again. A voter that leaves or is silent is removed as soon as the target number of other
+// voters is live: until then it may return with its data folder, and from then on it only makes the quorum larger.
 func Next(members journaler.Membership, hosts []Host, o Options) Change {
 	p := &planner{options: o, members: members, hosts: make(map[string]Host, len(hosts))}
 	for _, h := range hosts {
 		p.hosts[h.ID] = h
 	}
-	for _, next := range []func() Change{p.removeLostFolder, p.removeSilent, p.promoteLearner, p.addHost} {
+	for _, next := range []func() Change{p.removeLostFolder, p.removeVoter, p.promoteLearner, p.addHost, p.removeLearner, p.addStandby} {
 		if c := next(); c.Action != None {
 			return c
 		}
@@ -73,9 +80,10 @@
 	return Change{}
 }
 
+// alive returns a host and whether it has sent a recent heartbeat and does not leave.
 func (p *planner) alive(id string) (Host, bool) {
 	h, ok := p.hosts[id]
-	return h, ok && h.SinceHeartbeat <= p.options.HeartbeatTimeout
+	return h, ok && !h.Leaving && h.SinceHeartbeat <= p.options.HeartbeatTimeout
 }
 
 // isLiveVoter reports whether a member is a live voter with the data folder recorded in the membership.
@@ -108,19 +116,37 @@
 	return Change{}
 }
 
-// removeSilent removes a member without recent heartbeats if the target number of voters is live.
-func (p *planner) removeSilent() Change {
+// removeVoter removes a voter that leaves or is silent if the target number of voters is live.
+func (p *planner) removeVoter() Change {
 	if p.liveVoters() < p.options.TargetVoters {
 		return Change{}
 	}
 	for _, m := range p.members {
-		if h, ok := p.hosts[m.ID]; !ok || h.SinceHeartbeat >= p.options.RemoveAfter {
-			return Change{Action: Remove, ID: m.ID, Reason: fmt.Sprintf("silent for %v, and %d voters are alive", h.SinceHeartbeat, p.liveVoters())}
+		if h, ok := p.alive(m.ID); m.Voter && !ok {
+			return Change{Action: Remove, ID: m.ID, Reason: p.absence(h)}
 		}
 	}
 	return Change{}
 }
 
+// removeLearner removes a learner that leaves or has been silent for long.
+func (p *planner) removeLearner() Change {
+	for _, m := range p.members {
+		if h, ok := p.hosts[m.ID]; !m.Voter && (!ok || h.Leaving || h.SinceHeartbeat >= p.options.RemoveLearnerAfter) {
+			return Change{Action: Remove, ID: m.ID, Reason: p.absence(h), LearnersOnly: true}
+		}
+	}
+	return Change{}
+}
+
+// absence describes why a member is not alive.
+func (p *planner) absence(h Host) string {
+	if h.Leaving {
+		return fmt.Sprintf("it leaves, and %d voters are alive", p.liveVoters())
+	}
+	return fmt.Sprintf("silent for %v, and %d voters are alive", h.SinceHeartbeat, p.liveVoters())
+}
+
 func (p *planner) promoteLearner() Change {
 	if p.liveVoters() >= p.options.TargetVoters {
 		return Change{}
@@ -133,19 +159,36 @@
 	return Change{}
 }
 
+// addHost adds a host as a learner that is promoted next.
 func (p *planner) addHost() Change {
 	if p.liveVoters() >= p.options.TargetVoters {
 		return Change{}
 	}
-	ids := make([]string, 0, len(p.hosts))
-	for id := range p.hosts {
-		ids = append(ids, id)
+	return p.add(fmt.Sprintf("%d of %d voters are alive", p.liveVoters(), p.options.TargetVoters))
+}
+
+// addStandby adds a host as a learner that replaces a voter later.
+func (p *planner) addStandby() Change {
+	standbys := 0
+	for _, m := range p.members {
+		if _, ok := p.alive(m.ID); ok && !m.Voter {
+			standbys++
+		}
 	}
-	slices.SortFunc(ids, strings.Compare)
-	for _, id := range ids {
+	if standbys >= p.options.Standbys {
+		return Change{}
+	}
+	c := p.add(fmt.Sprintf("%d of %d standbys are alive", standbys, p.options.Standbys))
+	c.LearnersOnly = true
+	return c
+}
+
+// add adds the first live host that is not a member.
+func (p *planner) add(reason string) Change {
+	for _, id := range slices.Sorted(maps.Keys(p.hosts)) {
 		h, ok := p.alive(id)
 		if _, member := p.members.Find(id); ok && !member {
-			return Change{Action: Add, ID: id, Addr: h.Addr, Reason: fmt.Sprintf("%d of %d voters are alive", p.liveVoters(), p.options.TargetVoters)}
+			return Change{Action: Add, ID: id, Addr: h.Addr, Reason: reason}
 		}
 	}
 	return Change{}
--- a/internal/membershipplanner/membershipplanner_test.go
+++ b/internal/membershipplanner/membershipplanner_test.go
@@ -16,7 +16,7 @@
 //go:embed testdata/*.txt
 var cases embed.FS
 
-var options = membershipplanner.Options{TargetVoters: 5, HeartbeatTimeout: time.Second, RemoveAfter: 5 * time.Second}
+var options = membershipplanner.Options{TargetVoters: 5, HeartbeatTimeout: time.Second, RemoveLearnerAfter: 5 * time.Second, Standbys: 2}
 
 // Each block of the file has a membership, the control hosts with heartbeats, and the expected change. The test guards against
 // never reaching the target number of voters, keeping a voter with a lost data folder, and a removal that loses the quorum.
@@ -52,6 +52,8 @@
 						t.Fatalf("line %q: %v", line, err)
 					}
 					hosts = append(hosts, membershipplanner.Host{ID: id, Addr: id, FolderIncarnation: folder, SinceHeartbeat: silence})
+				case "leaving":
+					hosts = append(hosts, membershipplanner.Host{ID: rest, Addr: rest, Leaving: true})
 				case "next":
 					want = rest
 				default:
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -15,9 +15,9 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
 	"github.com/dragonflycroft/dragonflycroft/internal/distributor"
+	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 	"github.com/dragonflycroft/dragonflycroft/internal/recorder"
 	"github.com/dragonflycroft/dragonflycroft/internal/sequencer"
-	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
 // Options describe a host.
@@ -35,6 +35,13 @@
 	RequestTimeout time.Duration
 }
 
+// Network sends and serves RPCs between hosts; *transporter.Transport implements it.
+type Network interface {
+	heartbeater.Network
+	// Addr returns the address at which other hosts reach this one.
+	Addr() string
+}
+
 // Participant is the connection of a host to the control plane.
 type Participant struct {
 	agent        *controller.Agent
@@ -46,22 +53,22 @@
 	running      atomic.Bool
 }
 
-// New returns a participant that communicates over the transport.
-func New(t *transporter.Transport, o Options) *Participant {
+// New returns a participant that communicates over the network.
+func New(n Network, o Options) *Participant {
 	p := &Participant{}
 	p.agent = &controller.Agent{
-		HostID: o.HostID, Zone: o.Zone, Addr: t.Addr(), CallersAddr: o.CallersAddr, Control: o.DataDir != "", Network: t,
+		HostID: o.HostID, Zone: o.Zone, Addr: n.Addr(), CallersAddr: o.CallersAddr, Control: o.DataDir != "", Network: n,
 	}
-	p.client = &controller.Client{Network: t, DiscoveredHosts: p.controlAddrs, RequestTimeout: o.RequestTimeout}
+	p.client = &controller.Client{Network: n, DiscoveredHosts: p.controlAddrs, RequestTimeout: o.RequestTimeout}
 	if o.DataDir != "" {
 		p.stateMachine = controller.NewStateMachine()
 		p.sequencer = &sequencer.Sequencer{
-			HostID: o.HostID, DataDir: o.DataDir, Bootstrap: o.Bootstrap, Transport: t, StateMachine: p.stateMachine,
+			HostID: o.HostID, DataDir: o.DataDir, Bootstrap: o.Bootstrap, Transport: n, StateMachine: p.stateMachine,
 		}
 		p.agent.FolderIncarnation = p.sequencer.FolderIncarnation
-		p.service = &controller.Service{HostID: o.HostID, Network: t, Log: p.sequencer, StateMachine: p.stateMachine, Voters: o.Voters}
+		p.service = &controller.Service{HostID: o.HostID, Network: n, Log: p.sequencer, StateMachine: p.stateMachine, Voters: o.Voters}
 	}
-	p.relay = &distributor.Relay{HostID: o.HostID, Network: t, Store: p.agent}
+	p.relay = &distributor.Relay{HostID: o.HostID, Network: n, Store: p.agent}
 	p.SetControlHosts(o.Controllers)
 	return p
 }
