controller: acknowledge a configuration once the voters bear the loss of disks

Cause: an acknowledgement waited for a majority of the voters of the log, whoever they were. While a voter that has left or is lost waits for its successor, the loss of two disks leaves no majority. The same holds for the first acknowledgements of a new cluster, given while only the three initial voters vote.

Change: the leader delays the acknowledgement of a committed configuration while a change of the voters is due or, if there is a standby, until each voter has sent a heartbeat since the commit.

--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -24,10 +24,14 @@
 		return nil, eris.Wrap(err, "decode command")
 	}
 	cmd := req.GetCommand()
+	configuration := false
 	switch body := cmd.GetBody().(type) {
 	case *controllerpb.Command_PatchConfig:
 		s.StateMachine.CheckPatch(body.PatchConfig)
-	case *controllerpb.Command_ImportConfig, *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder, *controllerpb.Command_WithdrawOrder:
+		configuration = true
+	case *controllerpb.Command_ImportConfig:
+		configuration = true
+	case *controllerpb.Command_IntendOrder, *controllerpb.Command_ConcludeOrder, *controllerpb.Command_WithdrawOrder:
 	default:
 		failure := marshaller.EncodeFailure(&marshaller.MalformedCommandError{Reason: "clients may not send this command"})
 		return proto.Marshal(&controllerpb.SubmitReply{Result: &controllerpb.Result{Failure: failure}})
@@ -48,6 +52,12 @@
 	if code := result.GetFailure().GetCode(); code != "" {
 		commandCounts.Add(code, 1)
 	} else {
+		if configuration {
+			if reason := s.awaitVoters(ctx); reason != "" {
+				commandCounts.Add("uncertain", 1)
+				return proto.Marshal(&controllerpb.SubmitReply{Redirect: s.redirect(reason)})
+			}
+		}
 		commandCounts.Add("applied", 1)
 	}
 	return proto.Marshal(&controllerpb.SubmitReply{Result: result})
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -91,6 +91,8 @@
 	lastExpiryAt     time.Duration
 	startedAt        time.Duration
 	folderReports    map[string]folderReport
+	// votersChangingSince is the time since which changes of the voters have been pending, or 0 if none are.
+	votersChangingSince time.Duration
 }
 
 // Register adds the service's RPC handlers to the network. Call it before the network and the log run.
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -32,9 +32,9 @@
 	receivedAt  time.Duration
 }
 
-// planVoterChange returns the next voter change that is needed to match the voters to the control hosts that are alive. The caller
-// holds s.mu.
-func (s *Service) planVoterChange(lead *leadership, now time.Duration) membershipplanner.Change {
+// planVoterChange returns the next voter change that is needed to match the voters to the control hosts that are alive. It returns
+// false while a new leader waits for the first heartbeats of its term. The caller holds s.mu.
+func (s *Service) planVoterChange(lead *leadership, now time.Duration) (change membershipplanner.Change, known bool) {
 	hosts := make([]membershipplanner.Host, 0, len(lead.folderReports))
 	for id, f := range lead.folderReports {
 		hosts = append(hosts, membershipplanner.Host{
@@ -47,15 +47,18 @@
 			continue
 		}
 		if now-lead.startedAt < firstReportTimeout && !s.hasLeft(m.ID) {
-			return membershipplanner.Change{}
+			return membershipplanner.Change{}, false
 		}
 		hosts = append(hosts, membershipplanner.Host{
 			ID: m.ID, Addr: m.Addr, FolderIncarnation: m.Incarnation, SinceHeartbeat: max(now-lead.startedAt, voterAliveTimeout+1), Leaving: s.hasLeft(m.ID),
 		})
 	}
-	return membershipplanner.Next(members, hosts, membershipplanner.Options{
+	change = membershipplanner.Next(members, hosts, membershipplanner.Options{
 		TargetVoters: s.Voters, HeartbeatTimeout: voterAliveTimeout, RemoveLearnerAfter: learnerRemovalTimeout, Standbys: s.Voters / 2,
 	})
+	// In a new cluster, the hosts that are no initial voters are not known before their first heartbeat.
+	complete := members.Voters() >= s.Voters || now-lead.startedAt >= firstReportTimeout
+	return change, complete || change.Action != membershipplanner.None
 }
 
 // hasLeft reports whether the last process of a host has been removed from the members, under this leader or an earlier one.
@@ -69,7 +72,13 @@
 	if s.Voters == 0 || lead.inFlight[voterChangeName] {
 		return
 	}
-	change := s.planVoterChange(lead, now)
+	change, known := s.planVoterChange(lead, now)
+	switch {
+	case known && (change.Action == membershipplanner.None || change.LearnersOnly):
+		lead.votersChangingSince = 0
+	case lead.votersChangingSince == 0:
+		lead.votersChangingSince = now
+	}
 	if change.Action == membershipplanner.None {
 		return
 	}
--- a/internal/participant/voters_test.go
+++ b/internal/participant/voters_test.go
@@ -149,9 +149,9 @@
 }
 
 // ack submits a configuration through a host until it is acknowledged.
-func (c *cluster) ack() {
+func (c *cluster) ack(timeout time.Duration) {
 	c.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), ackTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	c.sent++
 	if _, err := c.hosts[c.ids()[0]].participant.Client().ImportConfig(ctx, c.sent, fmt.Appendf(nil, `{"revision":%d}`, c.sent), "operator"); err != nil {
@@ -176,6 +176,15 @@
 	return cfg.Import.Revision, nil
 }
 
+func (c *cluster) duration(s string) time.Duration {
+	c.t.Helper()
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return d
+}
+
 // run runs one step of a script.
 func (c *cluster) run(step string) {
 	c.t.Helper()
@@ -193,11 +202,7 @@
 			c.start(id, false)
 		}
 	case "wait":
-		d, err := time.ParseDuration(args[0])
-		if err != nil {
-			c.t.Fatal(err)
-		}
-		time.Sleep(d)
+		time.Sleep(c.duration(args[0]))
 	case "leave":
 		c.leave(args[0])
 	case "leave-during":
@@ -209,7 +214,11 @@
 	case "isolate", "join":
 		c.network.setIsolated(args[0], words[0] == "isolate")
 	case "ack":
-		c.ack()
+		timeout := ackTimeout
+		if len(args) > 0 {
+			timeout = c.duration(args[0])
+		}
+		c.ack(timeout)
 	default:
 		c.t.Fatalf("unknown step %q", step)
 	}
