heartbeater, controller: a leaving voter stays until it is replaced

Two disks lost at the moment at which a host had left as planned, its successor having run for seconds, left two of five voters.

Cause: a host that stops ended its process as soon as the leader knew that it leaves, before its successor voted. A leader even had to hand over the leadership first, so the next leader began late.

Change: a leaving leader first transfers the leadership. The reply to a heartbeat that says that the host leaves tells whether another host takes its place; the host sends heartbeats every 20 ms and ends when it no longer does, or after 1.5 s. Without a successor nothing changes, so a restart takes as long as before.

The reply has a new field, which earlier builds ignore and leave unset: under an earlier leader, a host leaves as it did before.

--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -134,6 +134,7 @@
 		Incarnation: incarnation, Term: lead.term, Leader: s.HostID, ConfigVersion: version, LeaseMs: LeaseTTL.Milliseconds(),
 		MembersVersion: membersVersion, MembersFull: full,
 	}
+	reply.Replacing = hb.GetLeaving() && s.replacing(lead, now, hb.GetHost())
 	if hb.GetConfigVersion() < version && !hb.GetRelayed() {
 		data, err := s.compressed.forVersion(version, document)
 		if err != nil {
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -61,6 +61,16 @@
 	return change, complete || change.Action != membershipplanner.None
 }
 
+// replacing reports whether another host is about to take the place of a voter that leaves. The caller holds s.mu.
+func (s *Service) replacing(lead *leadership, now time.Duration, id string) bool {
+	m, _ := s.Log.Members().Find(id)
+	if s.Voters == 0 || !m.Voter {
+		return false
+	}
+	change, known := s.planVoterChange(lead, now)
+	return !known || lead.inFlight[voterChangeName] || change.Action != membershipplanner.None && !change.LearnersOnly
+}
+
 // hasLeft reports whether the last process of a host has been removed from the members, under this leader or an earlier one.
 func (s *Service) hasLeft(id string) bool {
 	m, known := s.StateMachine.Member(id)
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -47,6 +47,10 @@
 	rejoinDelay = 5 * time.Second
 	// maxHeartbeatRequests bounds the queue of requests for an immediate heartbeat.
 	maxHeartbeatRequests = 64
+	// replacementTimeout bounds the wait of a leaving host until another one has taken its place as a voter.
+	replacementTimeout = 1500 * time.Millisecond
+	// replacementInterval is the time between heartbeats during that wait.
+	replacementInterval = 20 * time.Millisecond
 	// retryDelay is the delay before the next heartbeat when no control host has answered.
 	retryDelay = 50 * time.Millisecond
 )
@@ -105,7 +109,9 @@
 	leases   *leaseholder.Leases
 	draining bool
 	leaving  bool
-	shed     shedState
+	// replacing is true while the leader replaces this leaving host as a voter.
+	replacing bool
+	shed      shedState
 
 	subscribers       []func(uint64, *configurer.Config)
 	onRole            []func(string, uint64, bool)
@@ -314,7 +320,7 @@
 		a.nonce, a.incarnation, a.rejoinAt = rand.Uint64(), 0, a.Clock.Now().Add(rejoinDelay)
 		return
 	}
-	a.term, a.leader, a.leaderAddr = r.GetTerm(), r.GetLeader(), addr
+	a.term, a.leader, a.leaderAddr, a.replacing = r.GetTerm(), r.GetLeader(), addr, r.GetReplacing()
 	if a.incarnation != r.GetIncarnation() && r.GetIncarnation() != 0 {
 		first := a.incarnation == 0
 		a.incarnation = r.GetIncarnation()
--- a/internal/heartbeater/roles.go
+++ b/internal/heartbeater/roles.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
@@ -68,14 +69,35 @@
 	return a.sendHeartbeatNow(ctx)
 }
 
-// Leave releases all roles and removes this process from the members. Orders of this process that are still open get an
-// unknown outcome, so call it only when no request is in progress.
+// Leave releases all roles and removes this process from the members. If the leader has another host for its place as a voter, Leave
+// waits for replacementTimeout at most until that host has taken it. Orders of this process that are still open get an unknown
+// outcome, so call it only when no request is in progress.
 func (a *Agent) Leave(ctx context.Context) error {
 	a.mu.Lock()
 	a.init()
 	a.leaving = true
 	a.mu.Unlock()
-	return a.HandOver(ctx)
+	if err := a.HandOver(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, replacementTimeout)
+	defer cancel()
+	for a.isReplacing() {
+		if err := a.sendHeartbeatNow(ctx); err != nil {
+			return eris.Wrap(err, "wait for the replacement as a voter")
+		}
+		select {
+		case <-time.After(replacementInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (a *Agent) isReplacing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.replacing
 }
 
 // sendHeartbeatNow requests a heartbeat and retries until a leader has answered or ctx ends.
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -218,8 +218,12 @@
 // HandOver releases all roles of this host and prevents it from taking new ones.
 func (p *Participant) HandOver(ctx context.Context) error { return p.agent.HandOver(ctx) }
 
-// Leave releases all roles, removes this process from the members and closes the replicated log, transferring its leadership.
+// Leave transfers the leadership, releases all roles, removes this process from the members and closes the replicated log.
 func (p *Participant) Leave(ctx context.Context) error {
+	if p.sequencer != nil {
+		// The next leader replaces this host as a voter, if it can, before Leave returns.
+		p.sequencer.TransferLeadership()
+	}
 	err := p.agent.Leave(ctx)
 	if p.sequencer != nil {
 		err = errors.Join(err, p.sequencer.Close())
--- a/internal/participant/voters_test.go
+++ b/internal/participant/voters_test.go
@@ -59,10 +59,10 @@
 		seeds: map[string]string{"c1": "c1", "c2": "c2", "c3": "c3"},
 	}
 	t.Cleanup(func() {
-		for id := range c.hosts {
-			c.kill(id)
-		}
 		c.leaving.Wait()
+		for _, h := range c.hosts {
+			h.kill()
+		}
 		c.network.handlers.Wait()
 	})
 	return c
@@ -94,30 +94,34 @@
 	c.hosts[id] = h
 }
 
-// kill stops a host without notice. Its data folder is kept.
-func (c *cluster) kill(id string) {
+// remove returns a host and no longer counts it among those that run.
+func (c *cluster) remove(id string) *host {
 	h := c.hosts[id]
 	delete(c.hosts, id)
+	return h
+}
+
+// kill stops the process of a host without notice. Its data folder is kept.
+func (h *host) kill() {
 	h.transport.turnOff()
 	h.cancel()
 	<-h.done
 }
 
 // leave stops a host as planned. It returns when the host has stopped.
-func (c *cluster) leave(id string) {
-	h := c.hosts[id]
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+func (c *cluster) leave(h *host) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	if err := h.participant.Leave(ctx); err != nil {
-		c.t.Errorf("host %s leaves: %v", id, err)
+		c.t.Errorf("host %s leaves: %v", h.transport.id, err)
 	}
-	c.kill(id)
+	h.kill()
 }
 
 // lose takes the disks of hosts, which start again with empty ones.
 func (c *cluster) lose(ids []string) {
 	for _, id := range ids {
-		c.kill(id)
+		c.remove(id).kill()
 		if err := os.RemoveAll(filepath.Join(c.dir, id)); err != nil {
 			c.t.Fatal(err)
 		}
@@ -204,13 +208,13 @@
 	case "wait":
 		time.Sleep(c.duration(args[0]))
 	case "leave":
-		c.leave(args[0])
+		c.leave(c.remove(args[0]))
 	case "leave-during":
-		id := args[0]
-		c.leaving.Go(func() { c.leave(id) })
+		h := c.remove(args[0])
+		c.leaving.Go(func() { c.leave(h) })
 		time.Sleep(20 * time.Millisecond)
 	case "kill":
-		c.kill(args[0])
+		c.remove(args[0]).kill()
 	case "isolate", "join":
 		c.network.setIsolated(args[0], words[0] == "isolate")
 	case "ack":
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -322,7 +322,7 @@
 	s.init()
 	s.closeOnce.Do(func() {
 		if s.started.Load() {
-			s.transferLeadership()
+			s.TransferLeadership()
 		}
 		close(s.stop)
 	})
@@ -333,8 +333,9 @@
 	return nil
 }
 
-// transferLeadership starts a leadership transfer and waits up to two election timeouts for it to complete.
-func (s *Sequencer) transferLeadership() {
+// TransferLeadership makes another voter the leader if this host is, and waits up to two election timeouts until it is.
+func (s *Sequencer) TransferLeadership() {
+	s.init()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*s.ElectionTimeout)
 	defer cancel()
 	started := make(chan error, 1)
