controller, heartbeater: hosts pass a parent that lacks the version

Cause: a host whose parent in the relay tree is cut off from the leader still gets confirmations from it, up to 2 s old. It goes on to tell the leader that a parent serves it, so the leader leaves out the document of a higher version for 3.5 s, and the host ignores that the reply names one. When the confirmation has run out, the host refuses all requests.

Change: the leader relies on the tree for 300 ms after it has announced a version; later it sends the document to any host that lacks it.

The messages are unchanged. Keys, routes, weights and allotments travel in the same document.

--- a/internal/controller/fake_network_test.go
+++ b/internal/controller/fake_network_test.go
@@ -19,7 +19,11 @@
 	mu         sync.Mutex
 	transports map[string]*fakeTransport
 	isolated   map[string]bool
-	delay      time.Duration
+	// cut are the pairs of hosts between which RPCs time out.
+	cut   map[[2]string]bool
+	delay time.Duration
+	// slow are additional delays of RPCs from and to single hosts.
+	slow map[string]time.Duration
 	// dropResponse, if set, reports whether to drop the response of an RPC whose handler has run.
 	dropResponse func(from, to, method string) bool
 	// handlersRunning waits for handlers, which may outlive the RPC that started them.
@@ -34,7 +38,7 @@
 }
 
 func newFakeNetwork() *fakeNetwork {
-	return &fakeNetwork{transports: map[string]*fakeTransport{}, isolated: map[string]bool{}, delay: time.Millisecond}
+	return &fakeNetwork{transports: map[string]*fakeTransport{}, isolated: map[string]bool{}, cut: map[[2]string]bool{}, slow: map[string]time.Duration{}, delay: time.Millisecond}
 }
 
 func (n *fakeNetwork) attach(id string) *fakeTransport {
@@ -71,7 +75,28 @@
 	if from == nil || to == nil || from.down || to.down {
 		return false
 	}
-	return a == b || (!n.isolated[a] && !n.isolated[b])
+	return a == b || (!n.isolated[a] && !n.isolated[b] && !n.cut[[2]string{a, b}])
+}
+
+// setCut makes the RPCs between two hosts time out.
+func (n *fakeNetwork) setCut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = true, true
+}
+
+// setSlow delays each message from and to a host.
+func (n *fakeNetwork) setSlow(id string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow[id] = delay
+}
+
+// latency returns the delay of a message between two hosts.
+func (n *fakeNetwork) latency(a, b string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay + n.slow[a] + n.slow[b]
 }
 
 func (t *fakeTransport) Handle(method string, h transporter.Handler) { t.handlers[method] = h }
@@ -83,7 +108,7 @@
 		return err
 	}
 	n := t.network
-	time.Sleep(n.delay)
+	time.Sleep(n.latency(t.id, addr))
 	if !n.connected(t.id, addr) {
 		<-ctx.Done()
 		return ctx.Err()
@@ -105,7 +130,7 @@
 	})
 	select {
 	case a := <-responses:
-		time.Sleep(n.delay)
+		time.Sleep(n.latency(t.id, addr))
 		if !n.connected(t.id, addr) || n.dropsResponse(t.id, addr, method) {
 			<-ctx.Done()
 			return ctx.Err()
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -135,7 +135,8 @@
 		MembersVersion: membersVersion, MembersFull: full,
 	}
 	reply.Replacing = hb.GetLeaving() && s.replacing(lead, now, hb.GetHost())
-	if hb.GetConfigVersion() < version && !hb.GetRelayed() {
+	relayed := hb.GetRelayed() && now-lead.announcedAt < relayTimeout
+	if hb.GetConfigVersion() < version && !relayed {
 		data, err := s.compressed.forVersion(version, document)
 		if err != nil {
 			return nil, err
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -36,6 +36,9 @@
 	PermitTTL = time.Second
 	// maxMissedHeartbeats is how many heartbeats a host may miss before it is no longer granted roles.
 	maxMissedHeartbeats = 3
+	// relayTimeout is how long after the announcement of a version the leader relies on the relay tree for hosts that have a parent
+	// there. It covers a push through all levels. A parent may be cut off from the leader and still answer its children.
+	relayTimeout = 300 * time.Millisecond
 	// memberRemovalTimeout is the time without heartbeats after which a host is removed and its open orders become unknown. A
 	// host that reconnects earlier can still conclude its orders.
 	memberRemovalTimeout = 10 * time.Second
@@ -88,9 +91,11 @@
 	permits          *permitter.Permitter
 	inFlight         map[string]bool
 	announcedVersion uint64
-	lastExpiryAt     time.Duration
-	startedAt        time.Duration
-	folderReports    map[string]folderReport
+	// announcedAt is the time at which the children of the leader were told of the version.
+	announcedAt   time.Duration
+	lastExpiryAt  time.Duration
+	startedAt     time.Duration
+	folderReports map[string]folderReport
 	// votersChangingSince is the time since which changes of the voters have been pending, or 0 if none are.
 	votersChangingSince time.Duration
 }
@@ -227,6 +232,7 @@
 		inFlight:         map[string]bool{},
 		folderReports:    map[string]folderReport{},
 		announcedVersion: version,
+		announcedAt:      now,
 		lastExpiryAt:     now,
 		startedAt:        now,
 	}
@@ -256,7 +262,7 @@
 		s.wakePoolHolders(ctx, members, roles)
 	}
 	if version > lead.announcedVersion {
-		lead.announcedVersion = version
+		lead.announcedVersion, lead.announcedAt = version, now
 		klog.Infof("controller: configuration accepted version=%d term=%d", version, lead.term)
 		for _, m := range distributor.LeaderAndChildren(s.HostID, members) {
 			s.heartbeatRequester.Request(ctx, m.Addr, "configuration")
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -97,7 +97,9 @@
 	term        uint64
 	rejoinAt    time.Time
 
-	version        uint64
+	version uint64
+	// leaderVersion is the highest version that the leader has named.
+	leaderVersion  uint64
 	document       []byte
 	config         *configurer.Config
 	confirmedAt    time.Time
@@ -329,6 +331,7 @@
 		}
 	}
 	a.applyMembers(r)
+	a.leaderVersion = max(a.leaderVersion, r.GetConfigVersion())
 	a.applyConfig(r.GetConfigVersion(), r.GetDocument(), sent)
 	// The shed level is applied before the roles, so that a new holder starts with the less urgent tiers closed.
 	a.applyShedLevel(sent, r)
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -58,9 +58,10 @@
 	a.applyConfig(version, document, confirmedAt)
 }
 
-// relayed reports whether a parent has confirmed the configuration within relayedTTL.
+// relayed reports whether a parent has confirmed the configuration within relayedTTL, and the leader has named no higher version. A
+// parent that is cut off from the leader goes on to confirm its version for some time.
 func (a *Agent) relayed(now time.Time) bool {
-	return !a.relayedAt.IsZero() && now.Sub(a.relayedAt) < relayedTTL
+	return a.version >= a.leaderVersion && !a.relayedAt.IsZero() && now.Sub(a.relayedAt) < relayedTTL
 }
 
 // applyConfig activates a higher version or confirms the active one. A lower version is ignored.
@@ -70,6 +71,7 @@
 	}
 	if version > a.version {
 		if len(document) == 0 {
+			klog.V(1).Infof("heartbeater: a higher version exists host=%s version=%d higher=%d", a.HostID, a.version, version)
 			return
 		}
 		cfg, err := load(document)
