acquirer, coordinator: ask all coordinators about the version of a stream

Cause, in the case in which the record of the stream is lost with its host: the host asked three of the five coordinators for a pool's only version, and its own list was the only further check. A coordinator that stood still or could not read the list answered from its old list, and the one that had placed the stream might not be asked.

Change: the home coordinator is asked first, then all others at once; one that knows the record decides. A coordinator states a sole version only while its endpoint list was read within 2.5 s, on a clock that counts suspensions.

The messages are unchanged. Coordinators of earlier builds answer from older lists.

--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/acquirer"
 	"github.com/dragonflycroft/dragonflycroft/internal/admitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
@@ -47,6 +48,10 @@
 	peerIsolated map[string]bool
 	// halfCut are control hosts that the entry hosts with an odd number cannot reach.
 	halfCut map[string]bool
+	// parted are pairs of an entry host and a control host that it does not reach.
+	parted map[[2]string]bool
+	// listAge is the age of the endpoint list of all coordinators.
+	listAge time.Duration
 	streams map[string][]*pipe
 	clients []*acquirer.Acquirer
 	locals  []*admitter.Admitter
@@ -79,7 +84,7 @@
 
 func newFixture(t *testing.T, ctx context.Context, hosts, engines, slots int, configure func(f *fixture)) *fixture {
 	f := &fixture{
-		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{}, halfCut: map[string]bool{},
+		t: t, ctx: ctx, coordinators: map[string]*coordinator.Coordinator{}, alive: map[string]bool{}, unreachable: map[string]bool{}, peerIsolated: map[string]bool{}, halfCut: map[string]bool{}, parted: map[[2]string]bool{},
 		streams: map[string][]*pipe{}, running: map[string]int{}, peak: map[string]int{}, slots: slots,
 		cancels: map[string]context.CancelFunc{},
 	}
@@ -117,6 +122,10 @@
 			}
 		}
 		return out
+	}, ListedAt: func() time.Time {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return clocker.Now().Add(-f.listAge)
 	}}
 	if f.historyDir != "" {
 		c.HistoryPath, c.Bootstrap = filepath.Join(f.historyDir, id), f.bootstrap
@@ -198,7 +207,7 @@
 func (n network) cut(addr string) bool {
 	number, isEntryHost := strings.CutPrefix(n.from, "h")
 	i, _ := strconv.Atoi(number)
-	return isEntryHost && i%2 == 1 && n.f.halfCut[addr]
+	return isEntryHost && i%2 == 1 && n.f.halfCut[addr] || n.f.parted[[2]string{n.from, addr}]
 }
 
 var errNoHost = errors.New("host unreachable")
--- a/internal/acquirer/origin.go
+++ b/internal/acquirer/origin.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// maxOriginCalls is the largest number of coordinators that are asked for the origin of a stream, and originTimeout bounds each
-	// call.
-	maxOriginCalls = 3
-	originTimeout  = 150 * time.Millisecond
+	// homeOriginTimeout bounds the first call for the origin of a stream, to the home coordinator.
+	homeOriginTimeout = 150 * time.Millisecond
+	// originTimeout bounds the calls to the other coordinators, which are made at once.
+	originTimeout = 300 * time.Millisecond
 )
 
 // ReportStream records which version began the stream of a request, and reports it to the coordinators.
@@ -63,7 +63,8 @@
 }
 
 // StreamOrigin returns which version began the stream of a request. It returns false if this is not known. A record of any host
-// decides. Without one, the pool must have had only one version, by all coordinators that were asked and by this host's list.
+// decides. Without one, the pool must have had only one version, by all coordinators that answer and by this host's list. All are
+// asked, since one of them may have placed the stream at a version that the others have not seen yet.
 func (a *Acquirer) StreamOrigin(ctx context.Context, request uint64, pool string) (registrar.Origin, bool) {
 	a.mu.Lock()
 	own, known := a.origins.Lookup(time.Now(), request)
@@ -71,31 +72,56 @@
 	if known {
 		return own, true
 	}
-	var sole *string
-	contradicted := false
-	for _, h := range a.originHosts() {
-		reply, err := a.askOrigin(ctx, h.Addr, request, pool)
-		switch {
-		case err != nil:
-			klog.InfoS("asker: origin of stream not received", "addr", h.Addr, "reason", err)
-		case reply.GetKnown():
-			o := registrar.Origin{Pool: reply.GetPool(), Version: reply.GetVersion(), Joinable: reply.GetJoinable()}
-			a.ReportStream(request, o)
-			return o, true
-		case reply.GetSole():
-			contradicted = contradicted || sole != nil && *sole != reply.GetVersion()
-			sole = new(reply.GetVersion())
-		case reply.GetMixed():
-			contradicted = true
+	hosts := a.originHosts()
+	if len(hosts) == 0 {
+		return registrar.Origin{}, false
+	}
+	ask := func(addr string, timeout time.Duration) *coordinatorpb.OriginReply {
+		reply, err := a.askOrigin(ctx, addr, request, pool, timeout)
+		if err != nil {
+			klog.InfoS("asker: origin of stream not received", "addr", addr, "reason", err)
+			return &coordinatorpb.OriginReply{}
+		}
+		return reply
+	}
+	replies := []*coordinatorpb.OriginReply{ask(hosts[0].Addr, homeOriginTimeout)}
+	last := replies[0]
+	if !last.GetKnown() {
+		rest := make(chan *coordinatorpb.OriginReply, len(hosts)-1)
+		for _, h := range hosts[1:] {
+			go func() { rest <- ask(h.Addr, originTimeout) }()
+		}
+		for len(replies) < len(hosts) && !last.GetKnown() {
+			last = <-rest
+			replies = append(replies, last)
 		}
 	}
-	if sole == nil || contradicted || !a.listsOnly(pool, *sole) {
+	if last.GetKnown() {
+		o := registrar.Origin{Pool: last.GetPool(), Version: last.GetVersion(), Joinable: last.GetJoinable()}
+		a.ReportStream(request, o)
+		return o, true
+	}
+	version, ok := soleVersion(replies)
+	if !ok || !a.listsOnly(pool, version) {
 		return registrar.Origin{}, false
 	}
-	return registrar.Origin{Pool: pool, Version: *sole, Joinable: true}, true
+	return registrar.Origin{Pool: pool, Version: version, Joinable: true}, true
+}
+
+// soleVersion returns the only version of a pool according to replies. It returns false if none states one or if they differ.
+func soleVersion(replies []*coordinatorpb.OriginReply) (version string, ok bool) {
+	for _, r := range replies {
+		switch {
+		case r.GetMixed(), r.GetSole() && ok && version != r.GetVersion():
+			return "", false
+		case r.GetSole():
+			version, ok = r.GetVersion(), true
+		}
+	}
+	return version, ok
 }
 
-// originHosts returns the control hosts to ask for an origin, the home coordinator first.
+// originHosts returns the control hosts, the home coordinator first.
 func (a *Acquirer) originHosts() []sharder.Host {
 	zone := ""
 	if shards := a.shards.Load(); shards != nil {
@@ -112,11 +138,11 @@
 		}
 		return 0
 	})
-	return hosts[:min(len(hosts), maxOriginCalls)]
+	return hosts
 }
 
-func (a *Acquirer) askOrigin(ctx context.Context, addr string, request uint64, pool string) (*coordinatorpb.OriginReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+func (a *Acquirer) askOrigin(ctx context.Context, addr string, request uint64, pool string, timeout time.Duration) (*coordinatorpb.OriginReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply := &coordinatorpb.OriginReply{}
 	err := a.Network.Call(ctx, addr, coordinator.MethodOrigin, &coordinatorpb.OriginRequest{Request: request, Pool: pool}, reply)
--- a/internal/acquirer/origin_test.go
+++ b/internal/acquirer/origin_test.go
@@ -85,7 +85,7 @@
 
 func (f *fixture) originStep(step []string) (got, want string) {
 	host := 0
-	if len(step) > 2 {
+	if len(step) > 1 {
 		host, _ = strconv.Atoi(step[1])
 	}
 	switch step[0] {
@@ -110,6 +110,29 @@
 			return "refused", step[3]
 		}
 		return o.Version, step[3]
+	case "part":
+		f.mu.Lock()
+		for _, number := range step[2:] {
+			n, _ := strconv.Atoi(number)
+			f.parted[[2]string{"h" + step[1], f.owner(n)}] = true
+		}
+		f.mu.Unlock()
+	case "apart":
+		f.mu.Lock()
+		f.peerIsolated[f.owner(host)] = true
+		f.mu.Unlock()
+	case "meet":
+		f.mu.Lock()
+		clear(f.parted)
+		f.mu.Unlock()
+	case "age":
+		d, err := time.ParseDuration(step[1])
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.mu.Lock()
+		f.listAge = d
+		f.mu.Unlock()
 	case "kill":
 		ids, hosts := f.processes(step[1])
 		if hosts {
--- a/internal/cataloguer/relay.go
+++ b/internal/cataloguer/relay.go
@@ -67,6 +67,14 @@
 // Register adds MethodList to the network. Call it before the network runs.
 func (r *Relay) Register() { r.Network.Handle(MethodList, r.handleList) }
 
+// ListedAt returns the time, on the clock of package clocker, at which the platform was asked for the list in use. It is zero without a
+// list.
+func (r *Relay) ListedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readAt
+}
+
 // Read implements Source.
 func (r *Relay) Read(ctx context.Context) ([]Entry, error) {
 	if addr := r.ReaderAddr(); addr != "" {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -102,6 +102,9 @@
 	// the whole system starts for the first time.
 	HistoryPath string
 	Bootstrap   bool
+	// ListedAt returns the time, on the clock of package clocker, at which the platform began to send the endpoint list in use. It may
+	// be nil.
+	ListedAt func() time.Time
 
 	mu        sync.Mutex
 	processID uint64
--- a/internal/coordinator/origin.go
+++ b/internal/coordinator/origin.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/registrar"
 )
@@ -22,6 +23,9 @@
 	maxStreamsPerReport = 4096
 	// versionsInterval is the longest time between two reports of the history of versions to another coordinator.
 	versionsInterval = 2 * time.Second
+	// maxSoleListAge is the age of the endpoint list up to which it shows that a pool has no other version. It covers the interval
+	// between two reads and the time in which a list is relayed.
+	maxSoleListAge = 2500 * time.Millisecond
 	// historyWriteInterval is the longest time between two writes of the history file, and minHistoryWriteInterval the shortest.
 	historyWriteInterval    = 10 * time.Second
 	minHistoryWriteInterval = 200 * time.Millisecond
@@ -126,7 +130,8 @@
 	c.versions.Merge(now, pools, decodeAge(in.GetCoveredMs()))
 }
 
-// HandleOrigin answers MethodOrigin. A coordinator that does not reach most of the others answers only by its records.
+// HandleOrigin answers MethodOrigin. A coordinator that does not reach most of the others, or whose endpoint list is old, answers only
+// by its records.
 func (c *Coordinator) HandleOrigin(payload []byte) ([]byte, error) {
 	r := &coordinatorpb.OriginRequest{}
 	if err := proto.Unmarshal(payload, r); err != nil {
@@ -138,7 +143,7 @@
 	reply := &coordinatorpb.OriginReply{}
 	if o, ok := c.origins.Lookup(now, r.GetRequest()); ok {
 		reply.Known, reply.Joinable, reply.Pool, reply.Version = true, o.Joinable, o.Pool, o.Version
-	} else if version, sole := c.versions.Sole(now, r.GetPool()); sole && ready {
+	} else if version, sole := c.versions.Sole(now, r.GetPool()); sole && ready && c.hasRecentList() {
 		reply.Sole, reply.Pool, reply.Version = true, r.GetPool(), version
 	} else {
 		reply.Mixed = c.versions.Mixed(now, r.GetPool())
@@ -146,6 +151,11 @@
 	return proto.Marshal(reply)
 }
 
+// hasRecentList reports whether the platform has sent the endpoint list recently enough to show all versions that are in use.
+func (c *Coordinator) hasRecentList() bool {
+	return c.ListedAt == nil || clocker.Since(c.ListedAt()) <= maxSoleListAge
+}
+
 // sweepOrigins removes what has expired, and passes the history of versions to the writer of its file if it is due.
 func (c *Coordinator) sweepOrigins(now time.Time) {
 	c.mu.Lock()
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -51,9 +51,10 @@
 
 // Register adds the coordinator's methods to the transport. Call it before the transport runs.
 func (c *Control) Register() {
+	relay := &cataloguer.Relay{Platform: c.Endpoints, Network: c.Transport, ReaderAddr: c.readerAddr, MinInterval: minPlatformInterval}
 	c.coordinator = &coordinator.Coordinator{
 		HostID: c.HostID, Network: c.Transport, Peers: c.peers, AllotmentWindow: c.AllotmentWindow,
-		HistoryPath: c.HistoryPath, Bootstrap: c.Bootstrap,
+		HistoryPath: c.HistoryPath, Bootstrap: c.Bootstrap, ListedAt: relay.ListedAt,
 	}
 	c.coordinator.Init()
 	c.Participant.Agent().OnMembers(func(members []marshaller.Member) {
@@ -62,7 +63,6 @@
 		c.hosts = controlHosts(members, "")
 	})
 	c.Participant.Subscribe(c.applyConfig)
-	relay := &cataloguer.Relay{Platform: c.Endpoints, Network: c.Transport, ReaderAddr: c.readerAddr, MinInterval: minPlatformInterval}
 	relay.Register()
 	c.cataloguer = &cataloguer.Cataloguer{Source: relay, Interval: controlListInterval, OnChange: func(list []cataloguer.Entry) {
 		c.mu.Lock()
