--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -172,3 +172,44 @@
 		}
 	}
 }
+
+// Guards against a response whose head is cut off at any byte, by a close or a reset, and that the caller gets as a success: empty or
+// short, but framed as whole.
+func TestCutHead(t *testing.T) {
+	for name, c := range map[string]struct{ path, response string }{
+		"order with a length":     {"/order/", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "Content-Length: 12\r\n\r\nhello, there"},
+		"order with chunks":       {"/order/", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\nc\r\nhello, there\r\n0\r\n\r\n"},
+		"order without a length":  {"/order/", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "\r\nhello, there"},
+		"order after an interim":  {"/order/", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "Content-Length: 12\r\n\r\nhello, there"},
+		"stream with chunks":      {"/chat/", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"},
+		"stream without a length": {"/chat/", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + signed + "\r\nid: 1\ndata: a\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			head := strings.LastIndex(c.response, signed)
+			head += strings.Index(c.response[head:], "\r\n\r\n") + len("\r\n\r\n")
+			for n := range head {
+				reached := make(chan struct{}, 8)
+				e := startRawEndpoint(t, "e1", func(conn net.Conn, r *http.Request) error {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return err
+					}
+					reached <- struct{}{}
+					if _, err := io.WriteString(conn, c.response[:n]); err != nil {
+						return err
+					}
+					if tcp, ok := conn.(*net.TCPConn); ok && n%4 == 3 {
+						time.Sleep(5 * time.Millisecond)
+						_ = tcp.SetLinger(0)
+					}
+					return io.EOF
+				})
+				// A host of its own, since one that has seen such responses refuses the request.
+				status, _, body, complete := startTestHost(t, e).send(t, postRequest(c.path, "k"))
+				if status/100 == 2 && complete || len(reached) == 0 {
+					t.Errorf("head cut after %d of %d bytes (%q): status %d with body %q, framed as whole", n, head, c.response[:n], status, body)
+				}
+			}
+		})
+	}
+}
