gateway: late requests that a stop would cut are refused unsent

It could happen here: a request whose head had begun to arrive before the stop, and whose body ended late, was sent on with its own time limit.

Change: the gateway learns how long responses take, by rule. Once a stop has begun, a request of which nothing was sent is refused with 503 and Retry-After if most such responses would end after the stop, so its caller can repeat it elsewhere at once. Requests that can be finished are served as before.

--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -289,7 +289,7 @@
 	deadline := time.Now().Add(h.GracePeriod - exitReserve)
 	h.stopping.Store(true)
 	klog.InfoS("forwarder: stopping", "host", h.HostID, "active", h.gateway.Active())
-	h.gateway.Drain()
+	h.gateway.Drain(deadline)
 	time.Sleep(min(h.BalancerDelay, time.Until(deadline)))
 	closeCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,6 +85,11 @@
 			continue
 		}
 		began := time.Now()
+		if q.endsTooLate() {
+			grant.EndRefused(began, false)
+			q.respondNoGrant(&admitter.RefusedError{Reason: stopping, RetryAfter: noTableRetryAfter}, last)
+			return
+		}
 		if left := q.beginRun(began); left > 0 {
 			grant.EndRefused(began, false)
 			q.respondNoGrant(&admitter.RefusedError{Reason: quarantined, RetryAfter: left}, last)
@@ -107,6 +112,7 @@
 		switch outcome {
 		case answered:
 			requestCounts.Add("answered", 1)
+			q.g.sendTimes.observe(q.rule.Name, time.Since(began))
 			responseTimes.Observe(q.metricLabel(), time.Since(q.started))
 			return
 		case failed:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,6 +199,8 @@
 	tableReadyOnce  sync.Once
 	tracker         *trackingListener
 	stopWaiting     context.CancelFunc
+	stopEnd         stopEnd
+	sendTimes       sendTimes
 	draining        atomic.Bool
 	closed          atomic.Bool
 	active          atomic.Int64
@@ -306,8 +308,12 @@
 	return l
 }
 
-// Drain makes callers reconnect elsewhere: every further response closes its connection. New requests are still served.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain makes callers reconnect elsewhere: every further response closes its connection. New requests are still served if they can be
+// finished before end, at which Close will close the remaining connections; the zero time means that this is not known yet.
+func (g *Gateway) Drain(end time.Time) {
+	g.stopEnd.set(end)
+	g.draining.Store(true)
+}
 
 // Close stops accepting connections, closes idle ones, waits for the requests in progress until ctx ends and then closes the
 // remaining connections. The requests that still wait for an endpoint shortly before that are refused.
@@ -318,6 +324,7 @@
 	g.tracker.drain()
 	defer g.stopWaiting()
 	if end, limited := ctx.Deadline(); limited {
+		g.stopEnd.set(end)
 		refuse := time.AfterFunc(max(0, time.Until(end)-refuseReserve), g.stopWaiting)
 		defer refuse.Stop()
 	}
@@ -340,6 +347,7 @@
 
 // SetTable applies the allotments of a table.
 func (g *Gateway) SetTable(x *router.Index) {
+	g.sendTimes.retain(x.Table())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allotments.SetLimits(time.Now(), LimitsOf(x.Table()))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -570,7 +570,7 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	h.gateway.Drain()
+	h.gateway.Drain(time.Time{})
 	time.Sleep(50 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
