gateway: requests at endpoints get a failure at the end of a stop

Evidence: TestRequestInProgressAtTheEndOfAStop failed before for orders and reads (no response).

Change: 150 ms before the end of a stop, such requests get a 502, which does not say whether they have run; they are not sent again, and nothing is held against the endpoint. A stream that has begun is cut, as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 		var replaced *replacedError
 		var noPeer *proxier.NoPeerError
 		pathLost := errors.Is(err, errPathLost) || errors.As(err, &noPeer)
-		canceled := errors.Is(err, errCallerDisconnected) || errors.Is(err, errEndpointTimeout)
+		canceled := errors.Is(err, errCallerDisconnected) || errors.Is(err, errEndpointTimeout) || errors.Is(err, errStopping)
 		q.recordCrashEvidence(grant.Choice.Endpoint, sendResult{
 			unreachable: errors.As(err, &unreachable) && !pathLost, replaced: errors.As(err, &replaced),
 			interrupted: outcome == interrupted && !canceled && !pathLost, canceled: outcome == interrupted && canceled,
@@ -189,7 +189,7 @@
 // mayRetry reports whether the rule, the deadline and the retry budget allow another send after an outcome.
 func (q *request) mayRetry(o sendOutcome) bool {
 	switch {
-	case q.sends >= max(q.rule.Attempts, 1), time.Now().After(q.deadline), q.r.Context().Err() != nil:
+	case q.sends >= max(q.rule.Attempts, 1), time.Now().After(q.deadline), q.r.Context().Err() != nil, q.g.sendsEnded.Err() != nil:
 		return false
 	case o != notRun && !q.rule.Repeatable(), q.unjoinable:
 		return false
@@ -230,6 +230,8 @@
 		q.refuse(http.StatusServiceUnavailable, "endpoint_refused", refusedRetryAfter)
 	case q.r.Context().Err() != nil:
 		q.abortDisconnected(err)
+	case errors.Is(err, errStopping):
+		q.refuse(http.StatusBadGateway, string(stopping), 0)
 	case errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(q.deadline):
 		q.refuse(http.StatusGatewayTimeout, "timeout", 0)
 	default:
@@ -356,6 +358,9 @@
 		// This is no evidence about the endpoint.
 		grant.EndAbandoned(time.Now())
 		err = errCallerDisconnected
+	case sent && q.g.sendsEnded.Err() != nil:
+		grant.EndAbandoned(time.Now())
+		err = errStopping
 	case errors.As(err, &noPeer):
 		grant.EndRefused(time.Now(), false)
 	case !sent:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	closePollInterval = 10 * time.Millisecond
 	// refuseReserve is the time before the end of a stop at which the requests that wait for an endpoint are refused.
 	refuseReserve = 250 * time.Millisecond
+	// answerReserve is the time before the end of a stop at which the requests that are at endpoints get a failure.
+	answerReserve = 150 * time.Millisecond
 	// noTableRetryAfter is the retry delay sent by a host that has no confirmed table.
 	noTableRetryAfter = 500 * time.Millisecond
 )
@@ -199,6 +201,9 @@
 	tableReadyOnce  sync.Once
 	tracker         *trackingListener
 	stopWaiting     context.CancelFunc
+	// sendsEnded ends shortly before the end of a stop, when endSends is called.
+	sendsEnded context.Context
+	endSends   context.CancelFunc
 	stopEnd         stopEnd
 	sendTimes       sendTimes
 	draining        atomic.Bool
@@ -216,6 +221,7 @@
 	}
 	stopped, stopWaiting := context.WithCancel(context.Background())
 	g.Placer, g.stopWaiting = stoppingPlacer{Placer: g.Placer, stopped: stopped}, stopWaiting
+	g.sendsEnded, g.endSends = context.WithCancel(context.Background())
 	if g.OnEndpointStatus == nil {
 		g.OnEndpointStatus = func(EndpointStatus) {}
 	}
@@ -323,10 +329,13 @@
 	err := g.Listener.Close()
 	g.tracker.drain()
 	defer g.stopWaiting()
+	defer g.endSends()
 	if end, limited := ctx.Deadline(); limited {
 		g.stopEnd.set(end)
 		refuse := time.AfterFunc(max(0, time.Until(end)-refuseReserve), g.stopWaiting)
 		defer refuse.Stop()
+		fail := time.AfterFunc(max(0, time.Until(end)-answerReserve), g.endSends)
+		defer fail.Stop()
 	}
 	tick := time.NewTicker(closePollInterval)
 	defer tick.Stop()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -430,11 +430,17 @@
 	return out
 }
 
-// sendContext returns a context that ends at the deadline, and when the caller disconnects unless the request is non-idempotent.
+// sendContext returns a context that ends at the deadline, shortly before the end of a stop, and when the caller disconnects unless the
+// request is non-idempotent.
 func (q *request) sendContext() (context.Context, context.CancelFunc) {
 	parent := q.r.Context()
 	if q.rule.Kind == router.NonIdempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, q.deadline)
+	ctx, cancel := context.WithDeadline(parent, q.deadline)
+	stop := context.AfterFunc(q.g.sendsEnded, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -86,6 +86,49 @@
 	}
 }
 
+// Guards against a connection that is closed without a response at the end of a stop, while the endpoint is still at work on a request.
+// The status must promise nothing, and the request must not be sent again. A stream that has begun can only be cut.
+func TestRequestInProgressAtTheEndOfAStop(t *testing.T) {
+	for path, want := range map[string][]any{
+		"/order/": {502, true, 1},
+		"/read/":  {502, true, 1},
+		"/chat/":  {200, false, 1},
+	} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			t.Parallel()
+			var ran atomic.Int32
+			began := make(chan struct{}, 4)
+			e := startRawEndpoint(t, "e1", func(c net.Conn, r *http.Request) error {
+				ran.Add(1)
+				if path == "/chat/" {
+					if _, err := io.WriteString(c, streamHead(r)+chunk("id: 1\ndata: a\n\n")); err != nil {
+						return err
+					}
+				}
+				began <- struct{}{}
+				time.Sleep(1800 * time.Millisecond)
+				return io.EOF
+			})
+			h := startTestHost(t, e)
+			got := make(chan []any, 1)
+			go func() {
+				status, _, _, complete := h.send(t, postRequest(path, "k"))
+				got <- []any{status, complete, int(ran.Load())}
+			}()
+			<-began
+			time.Sleep(20 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+			defer cancel()
+			if err := h.gateway.Close(ctx); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(want, <-got); diff != "" {
+				t.Errorf("status, complete response and requests at the endpoint (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func duration(t *testing.T, s string) time.Duration {
 	t.Helper()
 	d, err := time.ParseDuration(s)
