proxier, gateway: endpoints that crash together are not lost paths

Cause: a host that reaches none of some endpoints takes its own paths as lost, and an exchange that was broken off then was no evidence of a crash.

Change: such an exchange is evidence, and before a crash is recorded the host asks up to four others, of other availability zones first, whether they reach the endpoint. If one does, its own paths are lost and the endpoint is not blamed; if two or more do not, the endpoint is down.

The question is a new field of a message: hosts of earlier builds answer it without a check, which counts as no answer.

--- a/internal/forwarder/crash_host_test.go
+++ b/internal/forwarder/crash_host_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,3 +189,38 @@
 		t.Errorf("at most three crashes, responses of two hosts with and without the part, crashes after them (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that crashes all endpoints of a pool at once and is not counted, because the hosts take the refused
+// connections for lost paths of their own: it crashes them again whenever they are back. Uses real sockets.
+func TestRequestThatCrashesAllEndpointsAtOnce(t *testing.T) {
+	controlAddr := freeAddr(t)
+	endpoints := startCrashingEndpoints(t, "e1", "e2", "e3")
+	c := startControl(t, controlAddr, endpoints)
+	first, stopFirst := startHost(t, "h1", controlAddr, endpoints)
+	defer stopFirst()
+	importFirst(t, c, first)
+	second, stopSecond := startHost(t, "h2", controlAddr, endpoints)
+	defer stopSecond()
+	waitForStatus(t, second, "k1", http.StatusOK, 10*time.Second)
+	time.Sleep(time.Second) // until the hosts know each other
+	var crashes []int64
+	for range 4 {
+		before := endpoints.crashes.Load()
+		var wave sync.WaitGroup
+		for _, host := range []string{first, second} {
+			for range 3 {
+				wave.Go(func() { getPath(t, host, "k1", "/a/fatal") })
+			}
+		}
+		wave.Wait()
+		time.Sleep(restartDelay + 1500*time.Millisecond) // until the endpoints are back and the hosts use them
+		crashes = append(crashes, endpoints.crashes.Load()-before)
+	}
+	if crashes[0] < 2 {
+		t.Errorf("%d endpoints crashed in the first wave, want 2 or more", crashes[0])
+	}
+	if diff := cmp.Diff([]int64{0, 0, 0}, crashes[1:]); diff != "" {
+		t.Errorf("crashes in the waves after the first (-want +got):\n%s", diff)
+	}
+	waitForStatus(t, first, "k1", http.StatusOK, 10*time.Second)
+}
--- a/internal/forwarder/proxy.go
+++ b/internal/forwarder/proxy.go
@@ -29,7 +29,7 @@
 	h.sender = &proxier.Sender{Zone: h.Zone, Client: client, Network: proxyNetwork{h.transport}, Peers: h.entryHosts, Endpoints: h.endpoints}
 	h.sender.Init()
 	h.proxy = &proxier.Server{
-		Sender: h.sender, Unavailable: h.unreadyReason, Admit: h.admitProxied,
+		Sender: h.sender, Unavailable: h.unreadyReason, Admit: h.admitProxied, Endpoint: h.endpoint,
 		OnResponse: func(id string, r *exchanger.Response) { h.gateway.RecordStatus(id, r) },
 	}
 	h.transport.HandleStream(proxier.Method, func(ctx context.Context, peer transporter.Peer, s *transporter.Stream) error {
@@ -62,6 +62,12 @@
 	return out
 }
 
+// endpoint returns an endpoint in the list of this host.
+func (h *Host) endpoint(id string) (e balancer.Endpoint, known bool) {
+	h.admitter.View(func(b *balancer.Balancer) { e, known = b.Endpoint(id) })
+	return e, known
+}
+
 // admitProxied returns an endpoint for a request of another host, or false if the endpoint is not known or accepts nothing from this host.
 func (h *Host) admitProxied(id string) (e balancer.Endpoint, ok bool) {
 	h.admitter.View(func(b *balancer.Balancer) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,11 +102,11 @@
 		var unreachable *exchanger.NotSentError
 		var replaced *replacedError
 		var noPeer *proxier.NoPeerError
-		pathLost := errors.Is(err, errPathLost) || errors.As(err, &noPeer)
+		noPath := errors.As(err, &noPeer)
 		canceled := errors.Is(err, errCallerDisconnected) || errors.Is(err, errEndpointTimeout) || errors.Is(err, errStopping)
 		q.recordCrashEvidence(grant.Choice.Endpoint, sendResult{
-			unreachable: errors.As(err, &unreachable) && !pathLost, replaced: errors.As(err, &replaced),
-			interrupted: outcome == interrupted && !canceled && !pathLost, canceled: outcome == interrupted && canceled,
+			unreachable: errors.As(err, &unreachable) && !noPath, replaced: errors.As(err, &replaced),
+			interrupted: outcome == interrupted && !canceled && !noPath, canceled: outcome == interrupted && canceled,
 			succeeded: outcome == answered && response.status < http.StatusMultipleChoices, notRun: outcome == notRun || noPeer != nil,
 		})
 		switch outcome {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -171,7 +171,8 @@
 }
 
 // confirmCrash checks in the background whether an endpoint that interrupted an exchange still accepts connections, and records a
-// crash if it does not. The caller holds the lock.
+// crash if it does not. If this host reaches no endpoint of the pool, other hosts decide: all of them may have crashed at once. The
+// caller holds the lock.
 func (g *Gateway) confirmCrash(e balancer.Endpoint) {
 	if g.confirmingCrash[e.ID] || g.closed.Load() {
 		return
@@ -182,11 +183,11 @@
 		defer cancel()
 		time.Sleep(crashConfirmDelay)
 		err := g.Client.Probe(ctx, e.Addr)
-		lost := err != nil && g.Sender.CheckPath(ctx, e.Pool)
+		crashed := err != nil && (!g.Sender.CheckPath(ctx, e.Pool) || g.Sender.DownForOthers(ctx, e))
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.confirmingCrash, e.ID)
-		if err != nil && !lost {
+		if crashed {
 			klog.InfoS("gateway: endpoint crashed", "endpoint", e.ID, "broken_off", g.crashWatcher.Interrupted(e.ID), "reason", err)
 			g.crashWatcher.RecordCrash(time.Now(), e.ID)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,11 +204,11 @@
 	// sendsEnded ends shortly before the end of a stop, when endSends is called.
 	sendsEnded context.Context
 	endSends   context.CancelFunc
-	stopEnd         stopEnd
-	sendTimes       sendTimes
-	draining        atomic.Bool
-	closed          atomic.Bool
-	active          atomic.Int64
+	stopEnd    stopEnd
+	sendTimes  sendTimes
+	draining   atomic.Bool
+	closed     atomic.Bool
+	active     atomic.Int64
 }
 
 // Init prepares the state that Run and the other methods use.
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -14,6 +14,8 @@
 	Do(ctx context.Context, e balancer.Endpoint, req *exchanger.Request, id string) (response *exchanger.Response, via string, err error)
 	// CheckPath reports, after a failed connect or a broken connection, whether this host has lost its paths to all endpoints of a pool.
 	CheckPath(ctx context.Context, pool string) (lost bool)
+	// DownForOthers reports whether other hosts do not reach an endpoint either.
+	DownForOthers(ctx context.Context, e balancer.Endpoint) bool
 }
 
 // directSender is a Sender that knows no other host.
@@ -27,3 +29,6 @@
 
 // CheckPath implements Sender.
 func (directSender) CheckPath(context.Context, string) bool { return false }
+
+// DownForOthers implements Sender.
+func (directSender) DownForOthers(context.Context, balancer.Endpoint) bool { return false }
--- a/internal/proxier/proxier_test.go
+++ b/internal/proxier/proxier_test.go
@@ -138,6 +138,7 @@
 			}
 			return balancer.Endpoint{}, false
 		},
+		Endpoint:   func(id string) (balancer.Endpoint, bool) { return endpoints[0], id == endpoints[0].ID },
 		OnResponse: func(string, *exchanger.Response) { served.Add(1) },
 	}
 	return func(stream proxier.Stream) {
--- a/internal/proxier/server.go
+++ b/internal/proxier/server.go
@@ -28,6 +28,8 @@
 	Unavailable func() string
 	// Admit returns an endpoint by ID, or false if it is not known or accepts nothing from this host.
 	Admit func(id string) (balancer.Endpoint, bool)
+	// Endpoint returns an endpoint by ID, or false if it is not known.
+	Endpoint func(id string) (balancer.Endpoint, bool)
 	// OnResponse is called with each response head of an endpoint.
 	OnResponse func(id string, r *exchanger.Response)
 
@@ -45,6 +47,9 @@
 	if err := stream.Recv(open); err != nil {
 		return err
 	}
+	if open.GetCheck() {
+		return s.check(ctx, open.GetEndpoint(), stream)
+	}
 	e, admitted := s.Admit(open.GetEndpoint())
 	reason := s.Unavailable()
 	switch {
