--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -91,7 +91,7 @@
 	permits          *permitter.Permitter
 	inFlight         map[string]bool
 	announcedVersion uint64
-	// announcedAt is the time at which the children of the leader were told of the version.
+	// announcedAt is the time at which the leader notified its children of the version.
 	announcedAt   time.Duration
 	lastExpiryAt  time.Duration
 	startedAt     time.Duration
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -385,62 +385,6 @@
 	return interrupted, bufferedResponse{}, err
 }
 
-// bufferResponse reads a response completely before any of it is forwarded, so that a truncated response is never forwarded.
-func (q *request) bufferResponse(grant *admitter.Grant, response *exchanger.Response, f *failover) (sendOutcome, bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(bodyReader{response.Body, f}, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = eris.Errorf("response body exceeds %d bytes", maxResponseBytes)
-	}
-	if err != nil {
-		return q.recordInterrupted(grant, err)
-	}
-	response.MarkComplete()
-	q.mayHaveRun = true
-	buffered := bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError {
-		grant.End(time.Now(), true)
-		return failed, buffered, eris.Errorf("endpoint failed with status %d", response.Status)
-	}
-	grant.End(time.Now(), false)
-	q.writeResponse(buffered)
-	return answered, buffered, nil
-}
-
-// writeResponse writes an endpoint's response to the caller. A status which means that the request did not run is replaced by
-// 502, because the endpoint has run it.
-func (q *request) writeResponse(a bufferedResponse) {
-	if q.streaming {
-		// The caller has already received the head and some events of a stream; another response cannot follow them.
-		q.refuse(http.StatusBadGateway, "resume_failed", 0)
-		return
-	}
-	switch a.status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		q.refuse(http.StatusBadGateway, "endpoint_failed", 0)
-		return
-	}
-	q.copyHeader(a.header)
-	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	q.w.WriteHeader(a.status)
-	if _, err := q.w.Write(a.body); err != nil {
-		klog.V(1).Infof("gateway: writing the response failed request=%s reason=%q", q.id, err)
-	}
-}
-
-// copyHeader copies the header of an endpoint's response to the caller's response, without hop-by-hop headers.
-func (q *request) copyHeader(in http.Header) {
-	out := q.w.Header()
-	for name, values := range in {
-		out[name] = values
-	}
-	for _, name := range hopByHopHeaders {
-		out.Del(name)
-	}
-	if q.g.draining.Load() {
-		out.Set("Connection", "close")
-	}
-}
-
 // metricLabel returns the label of the request in the histograms.
 func (q *request) metricLabel() string { return string(q.rule.Kind) + "/" + strconv.Itoa(q.rule.Tier) }
 
