--- a/review/rig-2/parts.go
+++ b/review/rig-2/parts.go
@@ -63,7 +63,7 @@
 
 // answerPrompt writes a stream of some events, or crashes.
 func (s *crashingRunner) answerPrompt(c net.Conn, r *http.Request, _ []byte) bool {
-	const events, pause = 5, 50 * time.Millisecond
+	const events, pause = 5, 120 * time.Millisecond
 	s.track(c)
 	id := r.Header.Get("X-Dragonflycroft-Attempt-Id")
 	time.Sleep(pause)
