--- a/review/rig-2/revoked.go
+++ b/review/rig-2/revoked.go
@@ -69,14 +69,62 @@
 	}
 }
 
-// revoked takes a key away while one entry host is frozen, and lets its requesters go on when it wakes.
+const (
+	// frozenFor is how long the entry host is frozen, and coreDownFor how long the control hosts are down.
+	frozenFor   = 3500 * time.Millisecond
+	coreDownFor = 1200 * time.Millisecond
+	// killedBefore is the time from the kill of the control hosts to the end of the freeze.
+	killedBefore = 50 * time.Millisecond
+)
+
+// revokeKey sends a configuration without a key and returns the time of its acknowledgement. With trouble, an entry host is frozen
+// meanwhile, and all control hosts are killed just before it wakes and are started again 1.2 s later.
+func (d *deployment) revokeKey(h *host, document []byte, trouble bool) (acked time.Time, err error) {
+	frozen := time.Now()
+	if trouble {
+		d.record.note("%s freezes", h.name)
+		if err := h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			return time.Time{}, err
+		}
+	}
+	if err := d.replaceUntilAcked(document); err != nil {
+		return time.Time{}, errors.Join(err, h.cmd.Process.Signal(syscall.SIGCONT))
+	}
+	acked = time.Now()
+	d.record.note("the configuration without the key of the requesters is acknowledged")
+	if !trouble {
+		return acked, nil
+	}
+	time.Sleep(time.Until(frozen.Add(frozenFor - killedBefore)))
+	killed := time.Now()
+	for _, c := range d.controls() {
+		if err := c.cmd.Process.Kill(); err != nil {
+			return acked, err
+		}
+	}
+	time.Sleep(time.Until(frozen.Add(frozenFor)))
+	d.record.note("%s wakes %.3f s after the acknowledgement", h.name, time.Since(acked).Seconds())
+	if err := h.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		return acked, err
+	}
+	time.Sleep(time.Until(killed.Add(coreDownFor)))
+	for _, c := range d.controls() {
+		<-c.done
+		if err := d.start(c, false); err != nil {
+			return acked, err
+		}
+	}
+	d.record.note("the control hosts run again %.3f s after the acknowledgement", time.Since(acked).Seconds())
+	return acked, nil
+}
+
+// revoked takes a key away while one entry host is frozen and then hears of no control host, and lets its requesters go on.
 func revoked(binary string, r *record, trouble bool) (broken string, err error) {
 	const (
 		routes     = 380
 		requesters = 16
-		// revokeTime is revoke_ms of the site, and frozenFor the length of the freeze.
+		// revokeTime is revoke_ms of the site.
 		revokeTime = 5 * time.Second
-		frozenFor  = 5600 * time.Millisecond
 	)
 	var runners []*runner
 	var arrivals sync.Map
@@ -107,26 +155,11 @@
 		wg.Go(func() { k.run(stop) })
 	}
 	time.Sleep(500 * time.Millisecond)
-	frozen := time.Now()
-	if trouble {
-		r.note("%s freezes", h.name)
-		if err := h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			return "", err
-		}
-	}
-	if err := d.replaceUntilAcked(moreRoutes(document(9), routes, false)); err != nil {
-		return "", errors.Join(err, h.cmd.Process.Signal(syscall.SIGCONT))
-	}
-	acked := time.Now()
-	r.note("version 9 without the key of the requesters is acknowledged")
-	time.Sleep(time.Until(frozen.Add(frozenFor)))
-	if trouble {
-		r.note("%s wakes %.3f s after the acknowledgement", h.name, time.Since(acked).Seconds())
-		if err := h.cmd.Process.Signal(syscall.SIGCONT); err != nil {
-			return "", err
-		}
+	acked, err := d.revokeKey(h, moreRoutes(document(9), routes, false), trouble)
+	if err != nil {
+		return "", err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Until(acked.Add(8 * time.Second)))
 	close(stop)
 	wg.Wait()
 	sent, late := 0, 0
