--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,18 +60,19 @@
 	return d, nil
 }
 
-// streamAnswer writes a stream of events. Its last event is followed by a further empty line if blank is true.
-func streamAnswer(blank bool) func(c net.Conn, r *http.Request, _ []byte) bool {
+// streamAnswer writes a stream of events. Its last event is followed by a further empty line where blank, if not nil, returns true.
+func streamAnswer(blank func(id string) bool) func(c net.Conn, r *http.Request, _ []byte) bool {
 	return func(c net.Conn, r *http.Request, _ []byte) bool {
 		const events = 5
 		id := r.Header.Get("X-Dragonflycroft-Attempt-Id")
+		spoilt := blank != nil && blank(id)
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Dragonflycroft-Attempt-Id: %s\r\nX-Dragonflycroft-Server-Stamp: stamp.%s\r\nX-Dragonflycroft-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id); err != nil {
 			return false
 		}
 		for n := 1; n <= events; n++ {
 			time.Sleep(20 * time.Millisecond)
 			event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
-			if blank && n == events {
+			if spoilt && n == events {
 				event += "\n"
 			}
 			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
@@ -82,12 +84,29 @@
 	}
 }
 
-// blankLine sends streams whose runner writes an empty line after the last event.
+// blankLine sends streams while half of the runners write an empty line after the last event of one stream in 20.
 func blankLine(binary string, r *record, trouble bool) (broken string, err error) {
-	const requests = 12
+	const (
+		count      = 12
+		perSecond  = 97
+		lasts      = 5 * time.Second
+		spoiltEach = 20
+	)
+	var answers atomic.Int64
+	blank := func(id string) bool {
+		if !trouble || answers.Add(1)%spoiltEach != 0 {
+			return false
+		}
+		r.note("the answer to %s gets an empty line after its last event", id)
+		return true
+	}
 	var runners []*runner
-	for n := range 3 {
-		runners = append(runners, &runner{id: fmt.Sprintf("i-model-%d", n+1), service: "model", slots: 12, answer: streamAnswer(trouble)})
+	for n := range count {
+		s := &runner{id: fmt.Sprintf("i-model-%d", n+1), service: "model", slots: 12, quiet: true, answer: streamAnswer(nil)}
+		if n%2 == 0 {
+			s.answer = streamAnswer(blank)
+		}
+		runners = append(runners, s)
 	}
 	d, err := deploy(binary, r, 6, runners...)
 	if err != nil {
@@ -96,15 +115,18 @@
 	defer d.close()
 	var all outcomes
 	var wg sync.WaitGroup
-	for n := range requests {
+	began := time.Now()
+	for n := 0; time.Since(began) < lasts; n++ {
+		h := d.entries()[n%len(d.entries())]
+		q := lookup(fmt.Sprintf("look-%03d", n))
+		q.body = fmt.Sprintf("pro%03d", n)
 		wg.Go(func() {
-			h := d.entries()[n%len(d.entries())]
-			q := lookup(fmt.Sprintf("look-%02d", n))
-			r.note("requester sends %s to %s, timeout_ms of the route is 3000", q.id, h.name)
 			a := send(h.callerAddr(), q, lookTimeout+lateMargin+time.Second)
-			all.add(a)
-			r.note("requester of %s: %v", q.id, a)
+			if !all.add(a) {
+				r.note("requester of %s at %s: %v", q.id, h.name, a)
+			}
 		})
+		time.Sleep(time.Until(began.Add(time.Duration(n+1) * time.Second / perSecond)))
 	}
 	wg.Wait()
 	// All requesters have left. A sound host has nothing to do now.
