forwarder: a table counts as confirmed by its own version only

Cause: the agent sets a version and its confirmation at once; the routing table is decoded from it later. In between, the host used the old table with the confirmation of the new version.

Change: a table is kept with its version and is fresh by the last confirmation of that version. The agent keeps the confirmations of replaced versions until they expire, so that a change refuses nothing while a table is decoded.

--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -87,7 +87,7 @@
 	gateway            *gateway.Gateway
 	sender             *proxier.Sender
 	proxy              *proxier.Server
-	index              atomic.Pointer[router.Index]
+	active             atomic.Pointer[activeTable]
 	entries            atomic.Pointer[[]cataloguer.Entry]
 	stopping           atomic.Bool
 	startedParticipant atomic.Pointer[participant.Participant]
@@ -187,10 +187,28 @@
 	return nil
 }
 
-// table returns the table in force and whether its configuration is confirmed recently enough to be used.
+// activeTable is the routing table in force and the version of the configuration that it was decoded from.
+type activeTable struct {
+	index   *router.Index
+	version uint64
+}
+
+// table returns the table in force and whether its own version is confirmed recently enough to be used. The agent confirms a new
+// version before its table is decoded.
 func (h *Host) table() (*router.Index, bool) {
-	_, _, fresh := h.participant.Config()
-	return h.index.Load(), fresh
+	active := h.active.Load()
+	if active == nil {
+		return nil, false
+	}
+	return active.index, h.participant.IsFresh(active.version)
+}
+
+// index returns the routing table in force, or nil before the first one.
+func (h *Host) index() *router.Index {
+	if active := h.active.Load(); active != nil {
+		return active.index
+	}
+	return nil
 }
 
 func (h *Host) applyConfig(version uint64, cfg *configurer.Config) {
@@ -205,7 +223,7 @@
 	}
 	x := router.NewIndex(table)
 	h.gateway.SetTable(x)
-	h.index.Store(x)
+	h.active.Store(&activeTable{index: x, version: version})
 	h.applyEndpoints()
 	klog.InfoS("forwarder: configuration in force", "version", version, "revision", table.Revision, "rules", len(table.Rules),
 		"pools", len(table.Pools), "workspaces", len(table.Workspaces))
@@ -213,7 +231,7 @@
 
 // applyEndpoints passes the endpoint list, joined with the pool settings, to the admitter and to the client of the coordinators.
 func (h *Host) applyEndpoints() {
-	list, index := h.entries.Load(), h.index.Load()
+	list, index := h.entries.Load(), h.index()
 	if list == nil {
 		return
 	}
--- a/internal/forwarder/usage.go
+++ b/internal/forwarder/usage.go
@@ -85,7 +85,7 @@
 	})
 	h.mergeLimits(o.GetLimits())
 	h.applyVersionShares(o.GetVersions())
-	index := h.index.Load()
+	index := h.index()
 	if o.GetOthers() == nil || index == nil {
 		return
 	}
--- a/internal/heartbeater/agent.go
+++ b/internal/heartbeater/agent.go
@@ -99,10 +99,12 @@
 
 	version uint64
 	// leaderVersion is the highest version that the leader has named.
-	leaderVersion  uint64
-	document       []byte
-	config         *configurer.Config
-	confirmedAt    time.Time
+	leaderVersion uint64
+	document      []byte
+	config        *configurer.Config
+	confirmedAt   time.Time
+	// superseded holds the last confirmations of earlier versions that have not expired.
+	superseded     []confirmation
 	relayedAt      time.Time
 	members        []marshaller.Member
 	membersVersion uint64
--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -1,6 +1,7 @@
 package heartbeater
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -26,6 +27,36 @@
 	return a.version, a.config, fresh
 }
 
+// confirmation is the time at which the leader last confirmed a version.
+type confirmation struct {
+	version uint64
+	at      time.Time
+}
+
+// IsFresh reports whether the leader has confirmed a version less than ConfirmationTTL ago. A subscriber that has not yet applied
+// the active version passes the version that it has applied: the confirmation of a version says nothing about earlier ones.
+func (a *Agent) IsFresh(version uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if version == a.version {
+		return version > 0 && a.Clock.Since(a.confirmedAt) < ConfirmationTTL
+	}
+	for _, c := range a.superseded {
+		if c.version == version {
+			return a.Clock.Since(c.at) < ConfirmationTTL
+		}
+	}
+	return false
+}
+
+// supersede records the last confirmation of the active version before a higher one replaces it, and forgets expired ones.
+func (a *Agent) supersede() {
+	a.superseded = slices.DeleteFunc(a.superseded, func(c confirmation) bool { return a.Clock.Since(c.at) >= ConfirmationTTL })
+	if a.version > 0 {
+		a.superseded = append(a.superseded, confirmation{version: a.version, at: a.confirmedAt})
+	}
+}
+
 // Subscribe registers a callback for each new version. If there is an active version, the callback is queued at once.
 func (a *Agent) Subscribe(fn func(version uint64, cfg *configurer.Config)) {
 	a.mu.Lock()
@@ -80,6 +111,7 @@
 			return
 		}
 		klog.Infof("heartbeater: configuration in force host=%s version=%d previous=%d", a.HostID, version, a.version)
+		a.supersede()
 		a.version, a.document, a.config = version, document, cfg
 		configVersion.Set(int64(version))
 		for _, fn := range a.subscribers {
--- a/internal/heartbeater/config_test.go
+++ b/internal/heartbeater/config_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 )
@@ -30,3 +32,36 @@
 		}
 	})
 }
+
+// Guards against a confirmation of the active version that also counts for an earlier one, which a subscriber may still use.
+func TestConfirmationsOfEarlierVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &heartbeater.Agent{HostID: "h", Clock: &clocker.Clock{Suspended: func() time.Duration { return 0 }}}
+		confirm := func(version uint64) { a.ApplyRelayedConfig(version, []byte("{}"), a.Clock.Now()) }
+		fresh := func() (out []uint64) {
+			for version := range uint64(5) {
+				if a.IsFresh(version) {
+					out = append(out, version)
+				}
+			}
+			return out
+		}
+		check := func(when string, want ...uint64) {
+			t.Helper()
+			if diff := cmp.Diff(want, fresh()); diff != "" {
+				t.Errorf("fresh versions %s (-want +got):\n%s", when, diff)
+			}
+		}
+		check("before the first version")
+		confirm(1)
+		time.Sleep(2 * heartbeater.ConfirmationTTL / 3)
+		confirm(3)
+		check("after version 3", 1, 3)
+		time.Sleep(2 * heartbeater.ConfirmationTTL / 3)
+		a.ApplyRelayedConfig(3, nil, a.Clock.Now())
+		check("after the confirmation of version 1 has expired", 3)
+		time.Sleep(2 * heartbeater.ConfirmationTTL)
+		confirm(4)
+		check("after an interruption", 4)
+	})
+}
--- a/internal/participant/participant.go
+++ b/internal/participant/participant.go
@@ -163,6 +163,10 @@
 	return p.agent.Config()
 }
 
+// IsFresh reports whether the leader has confirmed a version recently enough. Callers that apply versions with a delay pass the
+// one that they have applied.
+func (p *Participant) IsFresh(version uint64) bool { return p.agent.IsFresh(version) }
+
 // Subscribe registers a callback for each new configuration version.
 func (p *Participant) Subscribe(fn func(version uint64, cfg *configurer.Config)) {
 	p.agent.Subscribe(fn)
