server: the index of keys is read after the check of the configuration

Callers would see: a request accepted with a removed key, if the agent replaces and confirms the configuration between the two steps.

Cause: the index was read first, then the reason to refuse, so that the check could be that of a newer version.

Evidence: TestKeyRemovedDuringTheCheck changes the configuration within the check: the request was accepted before, 401 now.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -291,8 +291,10 @@
 			})
 			return
 		}
+		// The index is read after the check, so that it is at least as new as the configuration that the check found confirmed.
+		reason := s.RefusalReason()
 		index := s.currentIndex()
-		if reason := s.RefusalReason(); isNew && reason != "" || index == nil {
+		if isNew && reason != "" || index == nil {
 			if reason == "" {
 				reason = "no configuration is known"
 			}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,6 +235,34 @@
 	}
 }
 
+// Guards against a key that is looked up in an earlier configuration than the one that was found confirmed: the agent may replace
+// the configuration, and confirm the new one, between the two steps.
+func TestKeyRemovedDuringTheCheck(t *testing.T) {
+	var removed atomic.Bool
+	s := &Server{RefusalReason: func() string {
+		removed.Store(true)
+		return ""
+	}}
+	r, url := startServer(t, s)
+	config := s.Config
+	s.Config = func() (uint64, *configurer.Config, bool) {
+		if removed.Load() {
+			return 2, &configurer.Config{}, true
+		}
+		return config()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := post(ctx, url+"/v1/chat/completions", "fast", strings.NewReader(chatBody(100)), nil)
+	if err != nil {
+		t.Fatalf("%v, %d requests accepted; want status 401 and none", err, r.count())
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusUnauthorized || r.count() != 0 {
+		t.Errorf("status %d, %d requests accepted; want 401 and none", resp.StatusCode, r.count())
+	}
+}
+
 // Guards against a panic in the handler of one request that ends other requests.
 func TestPanic(t *testing.T) {
 	_, url := startServer(t, &Server{RefusalReason: func() string { panic("fault") }})
