heartbeater: a parent serves a host only if it confirms the active version

A host counted as served by its parent in the relay tree whatever version the parent confirmed: a lower one, or a higher one whose document it had not got or could not decode.

Evidence: TestParentsConfirmationOfAnotherVersion failed for both before.

--- a/internal/heartbeater/config.go
+++ b/internal/heartbeater/config.go
@@ -83,13 +83,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	if !confirmedAt.IsZero() && a.Clock.Since(confirmedAt) < maxRelayedAge {
+	a.applyConfig(version, document, confirmedAt)
+	if version == a.version && !confirmedAt.IsZero() && a.Clock.Since(confirmedAt) < maxRelayedAge {
 		a.relayedAt = a.Clock.Now()
 	}
-	a.applyConfig(version, document, confirmedAt)
 }
 
-// relayed reports whether a parent has confirmed the configuration within relayedTTL, and the leader has named no higher version. A
+// relayed reports whether a parent has confirmed the active version within relayedTTL, and the leader has named no higher version. A
 // parent that is cut off from the leader goes on to confirm its version for some time.
 func (a *Agent) relayed(now time.Time) bool {
 	return a.version >= a.leaderVersion && !a.relayedAt.IsZero() && now.Sub(a.relayedAt) < relayedTTL
--- a/internal/heartbeater/config_test.go
+++ b/internal/heartbeater/config_test.go
@@ -1,13 +1,16 @@
 package heartbeater_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
+	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
 )
 
@@ -65,3 +68,41 @@
 		check("after an interruption", 4)
 	})
 }
+
+// leaderNetwork records the heartbeats of an agent and answers as the leader.
+type leaderNetwork struct {
+	heartbeater.Network
+	heartbeats []*controllerpb.Heartbeat
+}
+
+func (n *leaderNetwork) Call(_ context.Context, _, _ string, req, resp proto.Message) error {
+	n.heartbeats = append(n.heartbeats, req.(*controllerpb.Heartbeat))
+	resp.(*controllerpb.HeartbeatReply).Incarnation = 1
+	return nil
+}
+
+// Guards against a host that counts as served by its parent in the relay tree though the parent has confirmed another version than
+// the active one. The leader then leaves a document out, and the host asks less often.
+func TestParentsConfirmationOfAnotherVersion(t *testing.T) {
+	for name, confirmed := range map[string]uint64{"lower": 1, "active": 2, "higher, without its document": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := &leaderNetwork{}
+				a := &heartbeater.Agent{
+					HostID: "h", Network: network, ControlHosts: []string{"c"},
+					Clock: &clocker.Clock{Suspended: func() time.Duration { return 0 }},
+				}
+				a.ApplyRelayedConfig(2, []byte("{}"), time.Time{})
+				a.ApplyRelayedConfig(confirmed, nil, a.Clock.Now())
+				ctx, cancel := context.WithTimeout(t.Context(), heartbeater.HeartbeatInterval/2)
+				defer cancel()
+				if err := a.Run(ctx); err != nil {
+					t.Fatal(err)
+				}
+				if len(network.heartbeats) == 0 || network.heartbeats[0].GetRelayed() != (confirmed == 2) {
+					t.Errorf("heartbeats %v; want relayed only for the active version", network.heartbeats)
+				}
+			})
+		})
+	}
+}
