forwarder: a newer list of endpoints is not replaced by the one before

Callers would see: requests go to an endpoint that has left, until the list changes again (DRAIN).

Cause: entry hosts join the list with the table on two goroutines. One that had taken the earlier list could apply it after the other had applied the newer one. Control hosts held a lock; both now use one type, endpointList, that applies changes in their order.

--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
 	"github.com/dragonflycroft/dragonflycroft/internal/cataloguer"
 	"github.com/dragonflycroft/dragonflycroft/internal/configurer"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
@@ -46,10 +47,10 @@
 	coordinator *coordinator.Coordinator
 	cataloguer  *cataloguer.Cataloguer
 
+	endpointList endpointList
+
 	mu    sync.Mutex
 	hosts []sharder.Host
-	list  []cataloguer.Entry
-	index *router.Index
 }
 
 // Register adds the coordinator's methods to the transport. Call it before the transport runs.
@@ -70,12 +71,14 @@
 	})
 	c.Participant.Subscribe(c.applyConfig)
 	relay.Register()
-	c.cataloguer = &cataloguer.Cataloguer{Source: relay, Interval: controlListInterval, OnChange: func(list []cataloguer.Entry) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.list = list
-		c.applyEndpoints()
-	}}
+	c.endpointList.Apply = func(endpoints []balancer.Endpoint, index *router.Index) {
+		if index != nil {
+			c.coordinator.SetEndpoints(endpoints)
+		}
+	}
+	c.cataloguer = &cataloguer.Cataloguer{
+		Source: relay, Interval: controlListInterval, OnChange: c.endpointList.setEntries,
+	}
 	c.Transport.HandleStream(coordinator.MethodPlace, func(ctx context.Context, peer transporter.Peer, s *transporter.Stream) error {
 		return c.coordinator.Serve(ctx, peer.HostID, peer.Zone, s)
 	})
@@ -132,16 +135,6 @@
 		klog.ErrorS(err, "forwarder: decoding imported configuration failed", "version", version, "revision", cfg.Import.Revision)
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.index = router.NewIndex(table)
 	c.coordinator.SetLimits(gateway.LimitsOf(table))
-	c.applyEndpoints()
-}
-
-// applyEndpoints passes the endpoint list to the coordinator once the pools are known. The caller holds the lock.
-func (c *Control) applyEndpoints() {
-	if c.index != nil && c.list != nil {
-		c.coordinator.SetEndpoints(joinEndpoints(c.list, c.index))
-	}
+	c.endpointList.setIndex(router.NewIndex(table))
 }
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -88,7 +88,7 @@
 	sender             *proxier.Sender
 	proxy              *proxier.Server
 	active             atomic.Pointer[activeTable]
-	entries            atomic.Pointer[[]cataloguer.Entry]
+	endpointList       endpointList
 	stopping           atomic.Bool
 	startedParticipant atomic.Pointer[participant.Participant]
 	sharedUse          sharedUse
@@ -180,10 +180,8 @@
 	// The random part keeps hosts that start together from reading from the platform at the same time.
 	fallbackDelay := listFallbackDelay + rand.N(listFallbackDelay)
 	relay := &cataloguer.Relay{Platform: h.Endpoints, Network: h.transport, ReaderAddr: h.acquirer.HomeAddr, FallbackDelay: fallbackDelay, MinInterval: minPlatformInterval}
-	h.cataloguer = &cataloguer.Cataloguer{Source: relay, Interval: listInterval, OnChange: func(list []cataloguer.Entry) {
-		h.entries.Store(&list)
-		h.applyEndpoints()
-	}}
+	h.endpointList.Apply = h.applyEndpoints
+	h.cataloguer = &cataloguer.Cataloguer{Source: relay, Interval: listInterval, OnChange: h.endpointList.setEntries}
 	return nil
 }
 
@@ -224,18 +222,13 @@
 	x := router.NewIndex(table)
 	h.gateway.SetTable(x)
 	h.active.Store(&activeTable{index: x, version: version})
-	h.applyEndpoints()
+	h.endpointList.setIndex(x)
 	klog.InfoS("forwarder: configuration in force", "version", version, "revision", table.Revision, "rules", len(table.Rules),
 		"pools", len(table.Pools), "workspaces", len(table.Workspaces))
 }
 
-// applyEndpoints passes the endpoint list, joined with the pool settings, to the admitter and to the client of the coordinators.
-func (h *Host) applyEndpoints() {
-	list, index := h.entries.Load(), h.index()
-	if list == nil {
-		return
-	}
-	endpoints := joinEndpoints(*list, index)
+// applyEndpoints passes the endpoint list to the admitter and to the client of the coordinators.
+func (h *Host) applyEndpoints(endpoints []balancer.Endpoint, index *router.Index) {
 	h.admitter.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), endpoints) })
 	h.acquirer.SetEndpoints(endpoints)
 	if index != nil {
@@ -243,23 +236,6 @@
 	}
 }
 
-// joinEndpoints combines the platform's list with the pool settings of a table, which may be nil.
-func joinEndpoints(list []cataloguer.Entry, index *router.Index) []balancer.Endpoint {
-	endpoints := make([]balancer.Endpoint, 0, len(list))
-	for _, e := range list {
-		endpoint := balancer.Endpoint{
-			ID: e.ID, Addr: e.Addr, Zone: e.Zone, Pool: e.Pool, Slots: e.Slots, Leaving: e.Leaving, Version: e.Version,
-		}
-		if index != nil {
-			if p := index.Pool(e.Pool); p != nil && p.Engine != nil {
-				endpoint.Engine, endpoint.MemoryTokens = true, p.Engine.MemoryTokens
-			}
-		}
-		endpoints = append(endpoints, endpoint)
-	}
-	return endpoints
-}
-
 // controlHosts returns the control hosts among the members, except the one with excludedID.
 func controlHosts(members []marshaller.Member, excludedID string) []sharder.Host {
 	var out []sharder.Host
