forwarder: the age of the list is that of the one the coordinator uses

Callers would see: a stream that is taken up goes on at an endpoint of another software version (ORDER), since the coordinator takes a version for the only one by a list that another has already replaced.

Cause: the relay sets the time of a list when it has read it, the coordinator gets the list later.

Evidence: TestReadIsReportedOnceItsListIsInForce; it fails if the report comes before the list.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -81,8 +81,10 @@
 	Source Source
 	// Interval is the maximum time between the starts of two reads; 0 means DefaultInterval.
 	Interval time.Duration
-	// OnChange is called with each list that differs from the previous one.
+	// OnChange is called with each list that differs from the previous one. OnRead, if set, is called after each successful read,
+	// once OnChange has returned.
 	OnChange func([]Entry)
+	OnRead   func()
 
 	mu             sync.Mutex
 	list           map[string]Entry
@@ -143,12 +145,14 @@
 	for _, e := range entries {
 		next[e.ID] = e
 	}
-	if maps.Equal(next, c.list) && !first {
-		return
+	if !maps.Equal(next, c.list) || first {
+		c.logChanges(next)
+		c.list = next
+		c.OnChange(entries)
+	}
+	if c.OnRead != nil {
+		c.OnRead()
 	}
-	c.logChanges(next)
-	c.list = next
-	c.OnChange(entries)
 }
 
 func (c *Cataloguer) logChanges(next map[string]Entry) {
--- a/internal/cataloguer/cataloguer_test.go
+++ b/internal/cataloguer/cataloguer_test.go
@@ -79,3 +79,28 @@
 		}
 	})
 }
+
+// Guards against a list that counts as read before it is in force. A coordinator relies on the age of the list that it uses.
+func TestReadIsReportedOnceItsListIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps []string
+		lists := [][]cataloguer.Entry{{{ID: "a"}}, {{ID: "a"}}, {{ID: "b"}}}
+		reads := 0
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cataloguer.Cataloguer{
+			Source: source(func() ([]cataloguer.Entry, error) {
+				if reads++; reads > len(lists) {
+					cancel()
+					return nil, context.Canceled
+				}
+				return lists[reads-1], nil
+			}),
+			OnChange: func(l []cataloguer.Entry) { steps = append(steps, "in force "+l[0].ID) },
+			OnRead:   func() { steps = append(steps, "read") },
+		}
+		_ = c.Run(ctx)
+		if diff := cmp.Diff([]string{"in force a", "read", "read", "in force b", "read"}, steps); diff != "" {
+			t.Errorf("steps (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -51,6 +51,8 @@
 
 	mu    sync.Mutex
 	hosts []sharder.Host
+	// listedAt is the time at which the platform was asked for the list that the coordinator uses.
+	listedAt time.Time
 }
 
 // Register adds the coordinator's methods to the transport. Call it before the transport runs.
@@ -58,7 +60,7 @@
 	relay := &cataloguer.Relay{Platform: c.Endpoints, Network: c.Transport, ReaderAddr: c.readerAddr, MinInterval: minPlatformInterval}
 	c.coordinator = &coordinator.Coordinator{
 		HostID: c.HostID, Zone: c.Transport.Zone, Network: c.Transport, Peers: c.peers, AllotmentWindow: c.AllotmentWindow,
-		HistoryPath: c.HistoryPath, Bootstrap: c.Bootstrap, ListedAt: relay.ListedAt,
+		HistoryPath: c.HistoryPath, Bootstrap: c.Bootstrap, ListedAt: c.listUsedAt,
 	}
 	if c.Rollouts {
 		c.coordinator.Rollouts, c.coordinator.Exposure = Rollouts{c.Participant.Client()}, c.Exposure
@@ -78,6 +80,7 @@
 	}
 	c.cataloguer = &cataloguer.Cataloguer{
 		Source: relay, Interval: controlListInterval, OnChange: c.endpointList.setEntries,
+		OnRead: func() { c.setListedAt(relay.ListedAt()) },
 	}
 	c.Transport.HandleStream(coordinator.MethodPlace, func(ctx context.Context, peer transporter.Peer, s *transporter.Stream) error {
 		return c.coordinator.Serve(ctx, peer.HostID, peer.Zone, s)
@@ -138,3 +141,17 @@
 	c.coordinator.SetLimits(gateway.LimitsOf(table))
 	c.endpointList.setIndex(router.NewIndex(table))
 }
+
+// listUsedAt returns the time at which the platform was asked for the list that the coordinator uses. The relay holds a newer list
+// before the coordinator does.
+func (c *Control) listUsedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listedAt
+}
+
+func (c *Control) setListedAt(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listedAt = at
+}
--- a/internal/forwarder/endpoint.go
+++ b/internal/forwarder/endpoint.go
@@ -60,4 +60,3 @@
 	}
 	return endpoints
 }
-
