lister: one odd host does not take the whole list with it

Callers of serve would see: a host whose state is not known, or whose entry can't be read, made the list unreadable, so that hosts that leave went on to get work.

Cause: the list was refused as a whole.

--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/connector"
 )
@@ -26,17 +26,6 @@
 	Fetch(ctx context.Context) (List, error)
 }
 
-// StateError reports a host with a state that the list format does not know.
-type StateError struct {
-	Name  string
-	State string
-}
-
-// Error implements error.
-func (e *StateError) Error() string {
-	return fmt.Sprintf("host list: %q has unknown state %q", e.Name, e.State)
-}
-
 // HTTPSource reads the list as JSON from GET /v1/hosts.
 type HTTPSource struct {
 	Addr     string
@@ -46,7 +35,7 @@
 // Path is where the platform serves its list.
 const Path = "/v1/hosts"
 
-// Fetch returns the current list. A list that is wrong in any part is refused as a whole.
+// Fetch returns the current list.
 func (s *HTTPSource) Fetch(ctx context.Context) (List, error) {
 	service := connector.NewService("host list", s.Addr, s.Timeouts)
 	response, err := service.Do(ctx, connector.Call{Method: http.MethodGet, Path: Path}, func() {})
@@ -59,14 +48,18 @@
 	return Decode(response.Body)
 }
 
-// Decode parses the JSON form of the list.
+// host is one entry of the list.
+type host struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+// Decode parses the JSON form of the list. An entry that can't be read does not affect the others. A host in a state that is not known
+// counts as leaving: it gets no new work, and its work in progress is not given up.
 func Decode(data []byte) (List, error) {
 	var wire struct {
-		AgeMS int64 `json:"age_ms"`
-		Hosts []struct {
-			Name  string `json:"name"`
-			State string `json:"state"`
-		} `json:"hosts"`
+		AgeMS int64             `json:"age_ms"`
+		Hosts []json.RawMessage `json:"hosts"`
 	}
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return List{}, eris.Wrap(err, "decode host list")
@@ -75,14 +68,15 @@
 		return List{}, errors.New("host list: negative age")
 	}
 	list := List{Age: time.Duration(wire.AgeMS) * time.Millisecond}
-	for _, h := range wire.Hosts {
-		switch h.State {
-		case "live":
+	for _, raw := range wire.Hosts {
+		var h host
+		switch err := json.Unmarshal(raw, &h); {
+		case err != nil || h.Name == "":
+			klog.V(1).InfoS("lister: entry skipped", "host", h.Name, "reason", err)
+		case h.State == "live":
 			list.Live = append(list.Live, h.Name)
-		case "leaving":
-			list.Leaving = append(list.Leaving, h.Name)
 		default:
-			return List{}, &StateError{Name: h.Name, State: h.State}
+			list.Leaving = append(list.Leaving, h.Name)
 		}
 	}
 	return list, nil
