--- a/review/stand-in-3/main.go
+++ b/review/stand-in-3/main.go
@@ -26,10 +26,10 @@
 }
 
 var cases = map[string]reviewCase{
-	"11": {3, 3, lastKey},
-	"12": {5, 4, takeUp},
-	"13": {3, 3, quota},
-	"14": {3, 4, manyParts},
+	"12": {3, 3, lastKey},
+	"13": {5, 4, takeUp},
+	"14": {3, 3, quota},
+	"15": {3, 4, manyParts},
 }
 
 func main() { os.Exit(play()) }
