--- a/review/stand-in-3/lastkey.go
+++ b/review/stand-in-3/lastkey.go
@@ -51,7 +51,7 @@
 	return id, resp.StatusCode
 }
 
-// lastKey is a case: a version takes away the key of the only workspace, and leaves none.
+// lastKey is case 12: a version takes away the key of the only workspace, and leaves none.
 func lastKey(w *world, trouble bool) int {
 	var runners []*runner
 	for range 3 {
--- a/review/stand-in-3/main.go
+++ b/review/stand-in-3/main.go
@@ -25,11 +25,14 @@
 	play          func(w *world, trouble bool) int
 }
 
+// cases are the cases by number, and by name those that were left out.
 var cases = map[string]reviewCase{
-	"12": {3, 3, lastKey},
-	"13": {5, 4, takeUp},
-	"14": {3, 3, quota},
-	"15": {3, 4, manyParts},
+	"12":         {3, 3, lastKey},
+	"13":         {3, 3, upload},
+	"14":         {5, 4, takeUp},
+	"15":         {3, 3, brokenHeads},
+	"quota":      {3, 3, quota},
+	"many-parts": {3, 4, manyParts},
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand-in-3/manyparts.go
+++ b/review/stand-in-3/manyparts.go
@@ -145,7 +145,7 @@
 	return strings.Join(append(parts, fmt.Sprintf("%08x:20", rand.Uint32())), ",")
 }
 
-// manyParts is a case: a late part of long threads crashes runners.
+// manyParts is a case that was left out: a late part of long threads crashes runners.
 func manyParts(w *world, trouble bool) int {
 	log := &crashLog{}
 	for i := range crashEngines {
--- a/review/stand-in-3/quota.go
+++ b/review/stand-in-3/quota.go
@@ -62,7 +62,7 @@
 	status int
 }
 
-// quota is case 14: a version without a workspace is followed by one that has it again.
+// quota is a case that was left out: a version without a workspace is followed by one that has it again.
 func quota(w *world, trouble bool) int {
 	var runners []*runner
 	for range 12 {
--- a/review/stand-in-3/takeup.go
+++ b/review/stand-in-3/takeup.go
@@ -213,7 +213,7 @@
 	return time.Now().Add(contact), nil
 }
 
-// takeUp is case 13: all control hosts and one front machine are killed at the same moment; the callers of its streams take them up.
+// takeUp is case 14: all control hosts and one front machine are killed at the same moment; the callers of its streams take them up.
 func takeUp(w *world, trouble bool) int {
 	var runners []*runner
 	for i := range 8 {
