--- a/review/stand-in-3/upload.go
+++ b/review/stand-in-3/upload.go
@@ -35,17 +35,29 @@
 type uploadRunner struct {
 	w     *world
 	entry entry
-	// spoils is true while the runner spoils answers; answered and spoilt count its answers.
+	// spoils is true while the runner spoils answers; answered and spoilt count its answers in that time.
 	spoils           atomic.Bool
-	answered, spoilt atomic.Int64
+	mu               sync.Mutex
+	answered, spoilt int
 	reset            *sync.Map
 	// brokenHead is true if the spoilt answers have a head that is none, and false if they are answers to long uploads that are reset.
 	brokenHead bool
 }
 
+// countAnswer counts an answer in the time of the disruption, and reports whether it is spoilt: if it fits, at most one in spoiltEvery.
+func (r *uploadRunner) countAnswer(fits bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered++
+	if !fits || (r.spoilt+1)*spoiltEvery > r.answered {
+		return false
+	}
+	r.spoilt++
+	return true
+}
+
 // spoil writes a spoilt answer, after which the channel is closed.
 func (r *uploadRunner) spoil(c net.Conn, id, head string) {
-	r.spoilt.Add(1)
 	r.reset.Store(id, true)
 	if r.brokenHead {
 		r.w.note("%s answers %s with a head that has a blank before a colon: \"Transfer-Encoding : chunked\"", r.entry.ID, id)
@@ -103,8 +115,8 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nX-Dragonflycroft-Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
-		n, fits := r.answered.Add(1), r.brokenHead || q.ContentLength == uploadBytes
-		if fits && r.spoils.Load() && (r.spoilt.Load()+1)*spoiltEvery <= n {
+		fits := r.brokenHead || q.ContentLength == uploadBytes
+		if r.spoils.Load() && r.countAnswer(fits) {
 			if r.brokenHead {
 				_, _ = io.Copy(io.Discard, q.Body)
 			}
@@ -162,7 +174,9 @@
 	}
 	u.wg.Wait()
 	for _, r := range runners {
-		w.note("runner %s: %d answers, %d of them spoilt", r.entry.ID, r.answered.Load(), r.spoilt.Load())
+		r.mu.Lock()
+		w.note("runner %s: %d answers in the time of the disruption, %d of them spoilt", r.entry.ID, r.answered, r.spoilt)
+		r.mu.Unlock()
 	}
 	w.note("answers at the callers: %v", u.counts)
 	fmt.Printf("answers at the callers: %v\n", u.counts)
