exchanger: a reset during the upload ends no answer

What callers saw: a part of an answer as a complete one, with status 200 and a Content-Length, when an endpoint answered a long upload early with a 200 without a length and then reset the connection. Also as the answer to a repeatable request, which was not repeated, and as the end of a stream that could have been taken up.

Cause: the kernel reports a reset to one call only. Bodies above 8 KiB are written by a goroutine of its own. If its write gets the error, the read of the answer returns EOF, which is the proper end of an answer without a length. Nobody looked at the result of the write.

Evidence: the new gateway.TestBrokenAnswers has 50 cases, four plays each, on new and on kept connections. On the code before 8 fail, all of them resets during an upload of 4 MiB without a length; those of 2 B and 20 KiB pass, whose upload is in the buffers of the kernel before the reset. Framed answers that are cut, and the 30 sound answers, pass as well.

Change: at the end of an answer without a length the upload is aborted and its result decides. A deadline means that the connection was sound, and EPIPE that the end of the stream came before the reset. Any other error is a *LostEndError in place of the end. The early return for a failed write stays for bodies that are written before the answer is read.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -180,30 +180,23 @@
 		}
 		return nil, &InterruptedError{Addr: addr, Reused: k.reused, ResponseStarted: k.header.limited && k.header.remaining < maxHeaderBytes, Err: err}
 	}
-	written := make(chan error, 1)
-	raw := encodeRequest(req)
-	if len(req.Body) <= inlineBodyBytes {
-		_, err = k.Write(append(raw, req.Body...))
-		written <- err
-		if err != nil {
-			return fail(err)
-		}
-	} else {
-		go func() {
-			buffers := net.Buffers{raw, req.Body}
-			_, err := buffers.WriteTo(k.Conn)
-			written <- err
-		}()
+	sent, err := startUpload(k.Conn, encodeRequest(req), req.Body)
+	if err != nil {
+		return fail(err)
 	}
 	resp, err := readResponse(k, req)
 	if err != nil {
 		return fail(err)
 	}
+	framed, body := resp.ContentLength >= 0 || isChunked(resp), io.Reader(resp.Body)
+	if !framed {
+		body = &unframedBody{Reader: resp.Body, addr: addr, upload: sent}
+	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, framed: resp.ContentLength >= 0 || isChunked(resp),
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength, framed: framed,
 		close: func(complete bool) {
 			stopped := stop()
-			c.finish(k, resp, complete && stopped, written)
+			c.finish(k, resp, complete && stopped, sent)
 		},
 	}, nil
 }
@@ -253,15 +246,11 @@
 func (r *Response) Close() { r.close(r.complete) }
 
 // finish keeps the connection of an exchange for reuse, or closes it.
-func (c *Client) finish(k *conn, resp *http.Response, keep bool, written <-chan error) {
+func (c *Client) finish(k *conn, resp *http.Response, keep bool, sent *upload) {
 	keep = keep && !resp.Close && (resp.ContentLength >= 0 || isChunked(resp))
-	select {
-	case err := <-written:
-		keep = keep && err == nil
-	default:
-		// The endpoint responded before the request body was written completely.
-		keep = false
-	}
+	// The endpoint may have responded before the request was written completely.
+	ended, err := sent.result()
+	keep = keep && ended && err == nil
 	if !keep || k.reader.Buffered() > 0 {
 		_ = k.Close()
 		return
