connector: a reset ends no answer without a length

What callers saw (by the request path of serve): a part of an answer, or an empty one, as a complete answer when an endpoint reset the connection of an answer without a length. Load reports were taken in the same way.

Cause: hertz reads such a body until any error, and returns none. The connection reports a reset once, so that a later read returns EOF.

Change: the connection keeps its first read error other than EOF, and the end of a body that is the end of its connection is judged by it. Streams need no such check: they end with their last chunk, and chunks that arrived before a reset are kept, as before.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -9,7 +9,6 @@
 	"time"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
@@ -37,11 +36,14 @@
 // maxResponseBytes bounds the memory for the body of one response that isn't streamed.
 const maxResponseBytes = 64 << 20
 
+// identityLength is hertz's length of a body that ends with its connection.
+const identityLength = -2
+
 // exchange is one request and its response on a new connection. Connections aren't pooled: a request written to a dead
 // pooled connection may have run, so it could not be retried.
 type exchange struct {
 	endpoint string
-	conn     network.Conn
+	conn     *watchedConn
 	resp     *protocol.Response
 	stop     func() bool
 	cancel   context.CancelFunc
@@ -85,7 +87,7 @@
 }
 
 // dial connects within the timeout or until ctx ends, whichever is first.
-func dial(ctx context.Context, addr string, timeout time.Duration) (network.Conn, error) {
+func dial(ctx context.Context, addr string, timeout time.Duration) (*watchedConn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -93,7 +95,10 @@
 		timeout = min(timeout, time.Until(deadline))
 	}
 	conn, err := standard.NewDialer().DialConnection("tcp", addr, timeout, nil)
-	return conn, eris.Wrapf(err, "connect to %s", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", addr)
+	}
+	return &watchedConn{Conn: conn}, nil
 }
 
 func newRequest(addr string, call Call) *protocol.Request {
@@ -141,6 +146,9 @@
 // readAll returns the whole response body and closes the exchange.
 func (e *exchange) readAll() ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(e.resp.BodyStream(), maxResponseBytes+1))
+	if err == nil && e.endsWithConn() {
+		err = e.conn.readErr
+	}
 	if err != nil {
 		return nil, e.fail(err)
 	}
@@ -154,6 +162,11 @@
 	return body, nil
 }
 
+// endsWithConn reports whether the end of the response body is the end of the connection.
+func (e *exchange) endsWithConn() bool {
+	return e.resp.Header.ContentLength() == identityLength && !e.resp.MustSkipBody()
+}
+
 // rejection reads the body of an error status, closes the exchange and returns the status and body as an error.
 func (e *exchange) rejection() error {
 	status := e.resp.StatusCode()
