headvalidator: a status that HTTP does not define is no answer

What callers saw: an answer that was not the endpoint's. The head with status 000 or 099 was skipped as an interim one, and the bytes of its body were taken for the answer; 600 and 999 were passed on. By the request path of serve, 000 was passed on as 200, other numbers as they were.

Cause: net/http takes any three digits for a status, and everything below 200 was interim. hertz takes any digits, and reports 000 as its own default, 200.

Change: headvalidator reads the bytes of each head before the parser does. A status must be of 100 to 599, but not 101, and the version HTTP/1; anything else is an interrupted exchange. The other path had two more faults that the same reading ends: it skipped one interim response only, and a head without an end had no limit.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
@@ -14,6 +15,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/rotisserie/eris"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/headvalidator"
 )
 
 // Timeouts bound the phases of an exchange with an endpoint.
@@ -36,6 +39,13 @@
 // maxResponseBytes bounds the memory for the body of one response that isn't streamed.
 const maxResponseBytes = 64 << 20
 
+const (
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the 1xx responses before the final response.
+	maxInterimResponses = 16
+)
+
 // identityLength is hertz's length of a body that ends with its connection.
 const identityLength = -2
 
@@ -72,6 +82,9 @@
 		return nil, e.fail(err)
 	}
 	_ = conn.SetReadTimeout(timeouts.FirstByte)
+	if err := skipInterimHeads(conn); err != nil {
+		return nil, e.fail(err)
+	}
 	if err := resp.ReadHeaderBodyStream(e.resp, conn, maxResponseBytes, keepOpen); err != nil {
 		return nil, e.fail(err)
 	}
@@ -79,6 +92,20 @@
 	return e, nil
 }
 
+// skipInterimHeads waits for the final head, and discards those of interim responses before it.
+func skipInterimHeads(conn *watchedConn) error {
+	for range maxInterimResponses {
+		head, err := headvalidator.Await(conn, maxHeadBytes)
+		if err != nil || head.Status >= http.StatusOK {
+			return err
+		}
+		if err := conn.Skip(head.Length); err != nil {
+			return err
+		}
+	}
+	return eris.Errorf("more than %d interim responses", maxInterimResponses)
+}
+
 func withTotalTimeout(ctx context.Context, total time.Duration) (context.Context, context.CancelFunc) {
 	if total > 0 {
 		return context.WithTimeout(ctx, total)
@@ -125,6 +152,8 @@
 func (e *exchange) fail(err error) error {
 	cause := CauseReset
 	var timeout net.Error
+	var invalid *headvalidator.InvalidError
+	var tooLong *headvalidator.TooLongError
 	// Hertz reports some read timeouts as its own errors, which don't wrap the cause.
 	libraryTimeout := errors.Is(err, hertzerrors.ErrTimeout)
 	switch {
@@ -132,6 +161,8 @@
 		cause = CauseCanceled
 	case libraryTimeout, errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(), e.ctx.Err() != nil:
 		cause = CauseTimeout
+	case errors.As(err, &invalid), errors.As(err, &tooLong):
+		cause = CauseProtocol
 	}
 	e.close()
 	return &InterruptedError{Endpoint: e.endpoint, Cause: cause, Err: err}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/headvalidator"
 )
 
 const (
@@ -123,6 +126,21 @@
 	idleTimeout time.Duration
 }
 
+// Len implements headvalidator.Source.
+func (k *conn) Len() int { return k.reader.Buffered() }
+
+// Peek implements headvalidator.Source. The buffer grows with the head.
+func (k *conn) Peek(n int) ([]byte, error) {
+	if n > k.reader.Size() {
+		buffered, err := k.reader.Peek(k.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		k.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), k.header), 2*n)
+	}
+	return k.reader.Peek(n)
+}
+
 // headerLimiter is a reader that fails with a *HeaderTooLargeError while limited is set and remaining is used up.
 type headerLimiter struct {
 	io.Reader
@@ -208,6 +226,9 @@
 func readResponse(k *conn, req *Request) (*http.Response, error) {
 	for mismatched, informational := 0, 0; ; {
 		k.header.limited, k.header.remaining = true, maxHeaderBytes
+		if _, err := headvalidator.Await(k, maxHeaderBytes); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(k.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -203,3 +204,31 @@
 		t.Error("the connection was not closed within 5s")
 	}
 }
+
+// Guards against a head above the size of the buffer whose fields or body are lost, on the first response of a connection or a later one.
+func TestLongHead(t *testing.T) {
+	for size := 3 << 10; size < maxHeaderBytes; size *= 2 {
+		addr, conns := startServer(t, func(_, n int) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Long: %s\r\nContent-Length: 6\r\n\r\nbody %d", strings.Repeat("x", size), n)
+		})
+		client := &Client{DialTimeout: time.Second}
+		var got []string
+		for range 3 {
+			r, err := client.Do(t.Context(), addr, request())
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, fmt.Sprintf("%s %d", body, len(r.Header.Get("X-Long"))))
+			r.MarkComplete()
+			r.Close()
+		}
+		want := []string{fmt.Sprintf("body 1 %d", size), fmt.Sprintf("body 2 %d", size), fmt.Sprintf("body 3 %d", size)}
+		if diff := cmp.Diff(want, got); diff != "" || conns.Load() != 1 {
+			t.Errorf("bodies and lengths, %d connections (-want +got):\n%s", conns.Load(), diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/headvalidator/headvalidator.go
@@ -0,0 +1,63 @@
+// Package headvalidator checks the heads of HTTP/1 responses before a parser reads them. Parsers repair some heads that are not valid, so
+// that the body that they return is not the body that was sent.
+package headvalidator
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+const (
+	minStatus = http.StatusContinue
+	// maxStatus is the largest status of the classes that HTTP defines.
+	maxStatus = 599
+	// statusDigits is the length of a status.
+	statusDigits = 3
+)
+
+// Part is a part of a head.
+type Part string
+
+// The parts of a head that may be invalid.
+const (
+	Version Part = "version"
+	Status  Part = "status"
+)
+
+// InvalidError reports a head that is not valid HTTP.
+type InvalidError struct {
+	Part  Part
+	Value string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("response head with an invalid %s %.80q", e.Part, e.Value)
+}
+
+// ValidateStatus returns an *InvalidError if a response may not have a status. The switch to another protocol is never requested.
+func ValidateStatus(status int) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return &InvalidError{Part: Status, Value: strconv.Itoa(status)}
+	}
+	return nil
+}
+
+// parseStatusLine returns the status of a status line. Like net/http, it accepts several blanks before the status.
+func parseStatusLine(line string) (status int, err error) {
+	version, rest, _ := strings.Cut(line, " ")
+	if minor, ok := strings.CutPrefix(version, "HTTP/1."); !ok || len(minor) != 1 || !isDigits(minor) {
+		return 0, &InvalidError{Part: Version, Value: version}
+	}
+	text, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	if status, err = strconv.Atoi(text); err != nil || len(text) != statusDigits || !isDigits(text) || ValidateStatus(status) != nil {
+		return 0, &InvalidError{Part: Status, Value: text}
+	}
+	return status, nil
+}
+
+func isDigits(text string) bool {
+	return text != "" && strings.Trim(text, "0123456789") == ""
+}
