headvalidator: fields that leave the end of a body open are no answer

What callers saw: a body that was not the endpoint's. An answer of HTTP/1.0 that names the chunked coding was passed on with the bytes of the coding as its body, as a first answer, as the answer to a repeat, to an upload before it was in, and in a stream. By the request path of serve, also bodies with a coding that is not known, read as chunks.

Cause: net/http deletes the coding of HTTP/1.0 before anybody can see it (RFC 9112, 6.1: the framing of such a message is faulty). hertz takes any coding for chunks, the last of several lengths, and no length if it can't read it; answers with such lengths failed later, as they did not fit.

Change: a coding must be one, "chunked", and not in HTTP/1.0; lengths must be digits, and the same if repeated; neither field may be folded. A length beside the coding is still overridden by it.

--- a/internal/headvalidator/headvalidator.go
+++ b/internal/headvalidator/headvalidator.go
@@ -27,6 +27,8 @@
 	Version Part = "version"
 	Status  Part = "status"
 	Field   Part = "field"
+	// Framing is a field that states where the body ends.
+	Framing Part = "framing"
 )
 
 // InvalidError reports a head that is not valid HTTP.
@@ -67,17 +69,18 @@
 	return nil
 }
 
-// parseStatusLine returns the status of a status line. Like net/http, it accepts several blanks before the status.
-func parseStatusLine(line string) (status int, err error) {
+// parseStatusLine returns the minor version and the status of a status line. Like net/http, it accepts several blanks before the status.
+func parseStatusLine(line string) (minor string, status int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
-	if minor, ok := strings.CutPrefix(version, "HTTP/1."); !ok || len(minor) != 1 || !isDigits(minor) {
-		return 0, &InvalidError{Part: Version, Value: version}
+	minor, ok := strings.CutPrefix(version, "HTTP/1.")
+	if !ok || len(minor) != 1 || !isDigits(minor) {
+		return "", 0, &InvalidError{Part: Version, Value: version}
 	}
 	text, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if status, err = strconv.Atoi(text); err != nil || len(text) != statusDigits || !isDigits(text) || ValidateStatus(status) != nil {
-		return 0, &InvalidError{Part: Status, Value: text}
+		return "", 0, &InvalidError{Part: Status, Value: text}
 	}
-	return status, nil
+	return minor, status, nil
 }
 
 func isDigits(text string) bool {
--- a/internal/headvalidator/scanner.go
+++ b/internal/headvalidator/scanner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/textproto"
 	"strings"
 )
 
@@ -57,8 +58,9 @@
 type scanner struct {
 	head Head
 	// fields is the number of fields, and name the name of the last one.
-	fields int
-	name   string
+	fields  int
+	name    string
+	framing framing
 }
 
 // scan checks the lines that b adds to the bytes of earlier calls, and reports whether the head is complete.
@@ -72,7 +74,7 @@
 		text := string(bytes.TrimSuffix(line, []byte("\r")))
 		switch {
 		case c.head.Status == 0:
-			if c.head.Status, err = parseStatusLine(text); err != nil {
+			if c.framing.minor, c.head.Status, err = parseStatusLine(text); err != nil {
 				return false, err
 			}
 		case text == "":
@@ -92,10 +94,15 @@
 	switch {
 	case folded && c.fields == 0, !folded && !found:
 		return &InvalidError{Part: Field, Value: line}
+	case folded && isFraming(c.name):
+		return &InvalidError{Part: Framing, Value: line}
 	case folded:
 		return validateField(c.name, line)
 	}
 	c.fields++
 	c.name = name
-	return validateField(name, value)
+	if err := validateField(name, value); err != nil {
+		return err
+	}
+	return c.framing.check(name, textproto.TrimString(value))
 }
