connector: a field over several lines is no answer

What callers saw (by the request path of serve): a body that was not the endpoint's, such as "ongng" for "wrong", when a field of the head went on in a second line; a second line with a colon was read as a field of its own, such as a length.

Cause: hertz joins the lines in the buffer that holds the body too, and moves the wrong bytes.

Change: such a head is an interrupted exchange, as RFC 9112, 5.2 allows. Interim responses are skipped without hertz, and may have such lines.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -96,8 +96,14 @@
 func skipInterimHeads(conn *watchedConn) error {
 	for range maxInterimResponses {
 		head, err := headvalidator.Await(conn, maxHeadBytes)
-		if err != nil || head.Status >= http.StatusOK {
+		switch {
+		case err != nil:
 			return err
+		case head.Status >= http.StatusOK && head.Folded != "":
+			// Hertz joins the lines within its buffer, and overwrites bytes of the body.
+			return &headvalidator.InvalidError{Part: headvalidator.Field, Value: head.Folded}
+		case head.Status >= http.StatusOK:
+			return nil
 		}
 		if err := conn.Skip(head.Length); err != nil {
 			return err
--- a/internal/headvalidator/scanner.go
+++ b/internal/headvalidator/scanner.go
@@ -22,6 +22,8 @@
 	Status int
 	// Length is the number of bytes up to the body.
 	Length int
+	// Folded is the last line that goes on with the field before it, or empty. Not all parsers join such lines correctly.
+	Folded string
 }
 
 // TooLongError reports a head that is not complete within a number of bytes.
@@ -97,6 +99,7 @@
 	case folded && isFraming(c.name):
 		return &InvalidError{Part: Framing, Value: line}
 	case folded:
+		c.head.Folded = line
 		return validateField(c.name, line)
 	}
 	c.fields++
