proxier: the head of an answer that a host passes on is checked

What callers saw: during an upgrade, an answer with a status or a field name that is not valid HTTP, when their host had no path to the endpoint and the host that passed the answer on runs the version before.

Cause: the message of a head was taken as it came; the version before does not check it.

Evidence: of 10 cases of the new TestInvalidHeadOfHost 9 fail on the code before.

Change: the status and the fields of such a head are checked like those of an endpoint; an interim one is not taken for an answer. A host of the version before still hides a reset of an answer without a length, and the coding of HTTP/1.0: the message does not show them.

--- a/internal/proxier/exchange.go
+++ b/internal/proxier/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
+	"github.com/dragonflycroft/dragonflycroft/internal/headvalidator"
 	"github.com/dragonflycroft/dragonflycroft/internal/proxier/proxierpb"
 )
 
@@ -96,8 +98,8 @@
 		end()
 		return nil, decodeFailure(addr, f)
 	}
-	if err == nil && reply.GetHead() == nil {
-		err = eris.New("the first part of the response is no head")
+	if err == nil {
+		err = validateHead(reply.GetHead())
 	}
 	if err != nil {
 		end()
@@ -110,6 +112,21 @@
 	return exchanger.NewResponse(int(h.GetStatus()), decodeHeader(h.GetHeader()), &body{x: x, ctx: ctx}, h.GetLength(), h.GetFramed(), end), nil
 }
 
+// validateHead returns an error for a head that is missing or not valid HTTP. Hosts of earlier versions do not check the heads of endpoints.
+func validateHead(h *proxierpb.Head) error {
+	status := int(h.GetStatus())
+	switch {
+	case h == nil:
+		return eris.New("the first part of the response is no head")
+	case status < http.StatusOK:
+		return &headvalidator.InvalidError{Part: headvalidator.Status, Value: strconv.Itoa(status)}
+	}
+	if err := headvalidator.ValidateStatus(status); err != nil {
+		return err
+	}
+	return headvalidator.ValidateFields(decodeHeader(h.GetHeader()))
+}
+
 // body reads the body of a response.
 type body struct {
 	x    *exchange
