gateway: a health check or a report that is broken off does not count

What callers saw: requests at an endpoint that had said it leaves, because a broken answer to its health check returned it to service.

Cause: the body of a health check was read to keep the connection, and an error of that read was ignored. Health checks, reports and refusals were also taken for complete at the limit of what is read, with more to come.

Change: one function reads such bodies. It keeps the connection only behind their end, and its error fails a health check or a report. A refusal still counts by its head.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -299,9 +299,7 @@
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(q.g.Headers.NotRun) != "" {
 		// The head is sufficient; an endless body must not delay the caller.
 		defer time.AfterFunc(refusalBodyTimeout, cancel).Stop()
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err == nil {
-			response.MarkComplete()
-		}
+		_ = copyBody(io.Discard, response, maxResponseBytes)
 		if response.Status == http.StatusServiceUnavailable {
 			grant.EndRejected(time.Now())
 		} else {
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -8,12 +8,16 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflycroft/dragonflycroft/internal/balancer"
+	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 )
 
 // Each line of the file is a case: its name, the path and the size of the request, the bytes of the answer, how its connection goes on, and
@@ -148,3 +152,45 @@
 		})
 	}
 }
+
+// Guards against a health check that returns an endpoint to service, and against a report that is used, although the answer was broken off or is not
+// valid HTTP, and against a connection that is kept with a part of such an answer.
+func TestBrokenChecks(t *testing.T) {
+	const started = "1700000000000"
+	head := "HTTP/1.1 200 OK\r\nX-Instance-Id: e1\r\n"
+	for name, c := range map[string]struct {
+		answer, end string
+		sound       bool
+	}{
+		"sound":                  {head + "Content-Length: 13\r\n\r\n" + started, "keep", true},
+		"sound without a length": {head + "\r\n" + started, "fin", true},
+		"reset":                  {head + "\r\n" + started, "reset", false},
+		"cut length":             {head + "Content-Length: 14\r\n\r\n" + started, "fin", false},
+		"cut chunks":             {head + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + started + "\r\n", "fin", false},
+		"status 000":             {"HTTP/1.1 000 None\r\n\r\n" + head + "Content-Length: 13\r\n\r\n" + started, "keep", false},
+		"blank in a name":        {head + "X Odd: 1\r\nContent-Length: 13\r\n\r\n" + started, "keep", false},
+		"control in a name":      {head + "X\x01Odd: 1\r\nContent-Length: 13\r\n\r\n" + started, "keep", false},
+		"coding of HTTP/1.0":     {"HTTP/1.0 200 OK\r\nX-Instance-Id: e1\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n" + started + "\r\n0\r\n\r\n", "fin", false},
+		"too large":              {head + "Content-Length: 9000000\r\n\r\n" + started + strings.Repeat(" ", 9_000_000-len(started)), "keep", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &rawEndpoint{answer: c.answer, end: c.end}
+			endpoint := balancer.Endpoint{ID: "e1", Pool: "p", Addr: e.start(t)}
+			h := startTestHost(t, &fakeEndpoint{id: "e1", addr: endpoint.Addr})
+			var returned bool
+			h.gateway.OnEndpointStatus = func(s gateway.EndpointStatus) { returned = returned || s.Returned }
+			h.gateway.CheckHealth(endpoint, "/health")
+			e.requests.Store(0)
+			h.gateway.SelfReport = gateway.SelfReport{Path: "/report", DecodeStart: func(body []byte) (time.Time, bool) {
+				ms, err := strconv.ParseInt(strings.TrimSpace(string(body)), 10, 64)
+				return time.UnixMilli(ms), err == nil
+			}}
+			_, known := h.gateway.ReadStart(t.Context(), endpoint)
+			got := []any{returned, known, h.sendLong(t, "order", 2)}
+			if diff := cmp.Diff([]any{c.sound, c.sound, "200 " + soundEvent}, got); diff != "" {
+				t.Errorf("endpoint returned, start known, next answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/gateway/endpoint_status.go
+++ b/internal/gateway/endpoint_status.go
@@ -202,8 +202,9 @@
 		return
 	}
 	defer response.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err == nil {
-		response.MarkComplete()
+	if err := copyBody(io.Discard, response, maxResponseBytes); err != nil {
+		klog.V(1).InfoS("gateway: health check failed", "endpoint", e.ID, "reason", err)
+		return
 	}
 	draining := response.Header.Get(g.Headers.Leaving) != "" || response.Status != http.StatusOK
 	if draining || response.Header.Get(g.Headers.InstanceID) != e.ID {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,11 +15,30 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 )
 
+// tooLargeError reports a response body above a limit.
+type tooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *tooLargeError) Error() string { return fmt.Sprintf("response body exceeds %d bytes", e.Limit) }
+
+// copyBody copies a response body of up to limit bytes. The connection can be kept only if it returns no error.
+func copyBody(to io.Writer, response *exchanger.Response, limit int) error {
+	n, err := io.Copy(to, io.LimitReader(response.Body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return err
+	case n > int64(limit):
+		return &tooLargeError{Limit: limit}
+	}
+	response.MarkComplete()
+	return nil
+}
+
 // bufferResponse reads a response completely before any of it is forwarded, so that a truncated response is never forwarded.
 func (q *request) bufferResponse(grant *admitter.Grant, response *exchanger.Response, f *failover) (sendOutcome, bufferedResponse, error) {
 	body, err := connlimiter.ReadBody(q.bounded, io.LimitReader(bodyReader{response.Body, f}, maxResponseBytes+1), response.Length)
 	if err == nil && len(body) > maxResponseBytes {
-		err = eris.Errorf("response body exceeds %d bytes", maxResponseBytes)
+		err = &tooLargeError{Limit: maxResponseBytes}
 	}
 	if err != nil {
 		return q.recordInterrupted(grant, err)
--- a/internal/gateway/restart.go
+++ b/internal/gateway/restart.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -62,13 +62,9 @@
 		return time.Time{}, false
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-	if err != nil {
-		return time.Time{}, false
-	}
-	response.MarkComplete()
-	if response.Status != http.StatusOK {
+	var body bytes.Buffer
+	if err := copyBody(&body, response, maxReportBytes); err != nil || response.Status != http.StatusOK {
 		return time.Time{}, false
 	}
-	return g.SelfReport.DecodeStart(body)
+	return g.SelfReport.DecodeStart(body.Bytes())
 }
