--- a/internal/headvalidator/scanner.go
+++ b/internal/headvalidator/scanner.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// scanner checks a head line by line. Its Length is that of the lines that were checked.
+// scanner checks a head line by line. The length of its head is that of the lines checked so far.
 type scanner struct {
 	head Head
 	// fields is the number of fields, and name the name of the last one.
