replicator: an added host gets the log at once

Cause: the leader set the next entry of an added peer behind the entry that adds it, so it sent nothing until another entry was proposed. A new data folder starts the replication by its incarnation. An initial voter that was removed and is added again has the incarnation 0 that a new member is given, so nothing started it: in a quiet cluster it stayed a learner that cannot be promoted.

Evidence: TestHostThatIsAddedAgainCatchesUp fails with the incarnation 0 in all six cases and passes with another one; two new scripts of TestAckedConfigurationSurvivesVoterChanges fail for 6 of the 10 pairs of lost disks. All pass with this change.

Change: an added peer is probed with the entry that adds it. A response that shows a peer behind, although all entries were sent and answered, starts a probe too: the late response to an append that was sent twice was counted for the next one, and when that was lost the peer stayed behind until the next proposal (TestLostAppendBesideLateResponse, which failed before).

--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -27,8 +27,15 @@
 	p.next, p.probing, p.inflight, p.snapshot, p.offset = p.match+1, true, 0, nil, 0
 }
 
-// syncPeers adds and removes peers according to the membership.
-func (c *Core) syncPeers() {
+// isStalled reports whether a peer lacks entries although all of them have been sent and answered. The responses to an append that
+// was sent twice can be counted for the next one, which may have been lost.
+func (p *peer) isStalled(last uint64) bool {
+	return p.match < last && p.next > last && p.inflight == 0 && p.snapshot == nil
+}
+
+// syncPeers adds and removes peers according to the membership. An added peer is probed with the entry at next, which must be in the log
+// by the time of the next Ready: without a probe, a peer in a quiet cluster would lack entries until the next proposal.
+func (c *Core) syncPeers(next uint64) {
 	for id := range c.peers {
 		if _, ok := c.members.Find(id); !ok {
 			delete(c.peers, id)
@@ -36,7 +43,7 @@
 	}
 	for _, m := range c.members {
 		if m.ID != c.opts.ID && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &peer{next: c.log.LastIndex() + 1, probing: true, addedAt: c.now, incarnation: m.Incarnation}
+			c.peers[m.ID] = &peer{next: next, probing: true, addedAt: c.now, incarnation: m.Incarnation}
 		}
 	}
 }
@@ -47,7 +54,7 @@
 	c.log.Append(e)
 	if e.Kind == EntryMembers {
 		c.members, c.membersIndex = e.Members, e.Index
-		c.syncPeers()
+		c.syncPeers(e.Index)
 	}
 }
 
@@ -221,6 +228,9 @@
 		p.inflight = max(0, p.inflight-1)
 	}
 	if m.Match <= p.match {
+		if p.isStalled(c.log.LastIndex()) {
+			p.probe()
+		}
 		return
 	}
 	p.match, p.probing = m.Match, false
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -89,7 +89,7 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes = Leader, c.opts.ID, nil
 	c.peers = map[string]*peer{}
-	c.syncPeers()
+	c.syncPeers(c.log.LastIndex() + 1)
 	c.appendEntry(Entry{Kind: EntryNoop})
 	c.termStart = c.log.LastIndex()
 	c.sendHeartbeats()
