controller: an acknowledgement waits for a condition instead of 2 s

Callers and operators saw: a configuration was acknowledged while one of the voters that it counts on was gone for good.

Cause: an acknowledgement waited while the voters had to change, but 2 s at most, whatever had become of them. Nothing stated what it promises.

Change: docs/design/acknowledgements.md states the invariant, and View.CheckAcknowledgement keeps it: the live voters must bear the loss of as many disks as is left to bear, with a quorum left. What the leader knows of the hosts moves from controller to membershipplanner.View, so that the model plays the same code. So that the wait ends: a learner that answers no messages of the log is passed over, hosts are added while another one still receives the log, and of more voters than the target an absent one is always removed.

--- a/internal/controller/acknowledgement.go
+++ b/internal/controller/acknowledgement.go
@@ -5,22 +5,14 @@
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"github.com/dragonflycroft/dragonflycroft/internal/membershipplanner"
 )
 
-const (
-	// maxAcknowledgementDelay is how long changes of the voters may delay acknowledgements. It bounds the effect of a change that
-	// cannot be completed.
-	maxAcknowledgementDelay = 2 * time.Second
-	// acknowledgementInterval is the interval at which a pending acknowledgement is reconsidered.
-	acknowledgementInterval = 10 * time.Millisecond
-)
+// acknowledgementInterval is the interval at which a pending acknowledgement is reconsidered.
+const acknowledgementInterval = 10 * time.Millisecond
 
-// awaitVoters delays the acknowledgement of a committed configuration until the voters can lose as many data folders as Voters
-// allows and still elect a leader that has it. A voter that has left or is lost counts towards the quorum but cannot vote, so a host
-// that can take its place has to do so first. If there is none, the acknowledgement is not delayed. It returns the reason why the
-// configuration cannot be acknowledged by this leader, or an empty string.
+// awaitVoters delays the acknowledgement of a committed configuration until no loss of data folders that is to be borne can take it away;
+// see docs/design/acknowledgements.md. It returns the reason why the configuration cannot be acknowledged by this leader, or an empty
+// string. The operator then sends the configuration again.
 func (s *Service) awaitVoters(ctx context.Context) string {
 	if s.Voters == 0 {
 		return ""
@@ -47,6 +39,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			klog.Infof("controller: acknowledgement withheld host=%s term=%d after=%v reason=%q", s.HostID, lead.term, s.now()-committedAt, reason)
 			return reason
 		case <-tick.C:
 		}
@@ -56,44 +49,19 @@
 // votersIncomplete returns why a configuration that was committed at a time cannot be acknowledged yet, or an empty string. The
 // caller holds s.mu.
 func (s *Service) votersIncomplete(lead *leadership, committedAt time.Duration) string {
-	now := s.now()
-	if since := lead.votersChangingSince; since != 0 && now-since >= maxAcknowledgementDelay {
-		return ""
-	}
-	change, known := s.planVoterChange(lead, now)
-	switch {
-	case !known:
-		return "not all members have sent a heartbeat in this term"
-	case change.Action != membershipplanner.None && !change.LearnersOnly:
-		return "voters have to change: " + change.Reason
-	case lead.inFlight[voterChangeName]:
+	if lead.inFlight[voterChangeName] {
 		return "a change of the voters is in progress"
-	case !s.hasStandby(lead, now):
-		return ""
 	}
-	for _, m := range s.Log.Members() {
-		if m.Voter && lead.folderReports[m.ID].receivedAt < committedAt {
-			return "no heartbeat since the commit from voter " + m.ID
-		}
+	if err := lead.voters.CheckAcknowledgement(s.now(), committedAt, s.members()); err != nil {
+		return err.Error()
 	}
 	return ""
 }
 
-// hasStandby reports whether a live learner can take the place of a voter. The caller holds s.mu.
-func (s *Service) hasStandby(lead *leadership, now time.Duration) bool {
-	for _, m := range s.Log.Members() {
-		r, reported := lead.folderReports[m.ID]
-		if !m.Voter && reported && !r.leaving && now-r.receivedAt <= voterAliveTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // requestVoterHeartbeats requests heartbeats from the voters that have sent none since a time. The caller holds s.mu.
 func (s *Service) requestVoterHeartbeats(ctx context.Context, lead *leadership, since time.Duration) {
-	for _, m := range s.Log.Members() {
-		if m.Voter && lead.folderReports[m.ID].receivedAt < since {
+	for _, m := range s.members().Membership {
+		if m.Voter && !lead.voters.HeardSince(m.ID, since) {
 			s.heartbeatRequester.Request(ctx, m.Addr, "acknowledgement")
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,9 +7,9 @@
 
 	"github.com/dragonflycroft/dragonflycroft/internal/applier"
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeater"
-	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
+	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
 )
 
@@ -66,6 +66,6 @@
 	AddLearner(ctx context.Context, id, addr string) error
 	Promote(ctx context.Context, id string) error
 	Remove(ctx context.Context, id string) error
-	// Members returns the latest membership in this host's log.
-	Members() journaler.Membership
+	// Status returns the state of this host's log, with the latest membership in it, and the index of the last applied entry.
+	Status() (status replicator.Status, applied uint64)
 }
--- a/internal/controller/fake_network_test.go
+++ b/internal/controller/fake_network_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dragonflycroft/dragonflycroft/internal/controller"
-	"github.com/dragonflycroft/dragonflycroft/internal/journaler"
+	"github.com/dragonflycroft/dragonflycroft/internal/replicator"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
 
@@ -311,8 +311,9 @@
 
 func (r *logReplica) AddLearner(context.Context, string, string) error { return nil }
 func (r *logReplica) Promote(context.Context, string) error            { return nil }
-func (r *logReplica) Remove(context.Context, string) error             { return errors.New("not a voter") }
-func (r *logReplica) Members() journaler.Membership                    { return nil }
+func (r *logReplica) Remove(context.Context, string) error { return errors.New("not a voter") }
+
+func (r *logReplica) Status() (replicator.Status, uint64) { return replicator.Status{}, 0 }
 
 // runUntilDone runs a component in the background until ctx ends, and fails the test if it returns an error.
 func runUntilDone(ctx context.Context, t *testing.T, wg *sync.WaitGroup, fn func(context.Context) error) {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/controller/controllerpb"
 	"github.com/dragonflycroft/dragonflycroft/internal/failuredetector"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
+	"github.com/dragonflycroft/dragonflycroft/internal/membershipplanner"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
 )
@@ -123,9 +124,9 @@
 		return nil, errStaleHeartbeat
 	}
 	if f := hb.GetFolder(); f != nil {
-		lead.folderReports[hb.GetHost()] = folderReport{
-			incarnation: f.GetIncarnation(), addr: hb.GetAddr(), leaving: hb.GetLeaving(), receivedAt: now,
-		}
+		lead.voters.Record(now, membershipplanner.Report{
+			ID: hb.GetHost(), Addr: hb.GetAddr(), FolderIncarnation: f.GetIncarnation(), Leaving: hb.GetLeaving(),
+		})
 		if hb.GetLeaving() {
 			s.requestStep()
 		}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/heartbeatrequester"
 	"github.com/dragonflycroft/dragonflycroft/internal/leaser"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
+	"github.com/dragonflycroft/dragonflycroft/internal/membershipplanner"
 	"github.com/dragonflycroft/dragonflycroft/internal/permitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/submitter"
 	"github.com/dragonflycroft/dragonflycroft/internal/transporter"
@@ -92,12 +93,9 @@
 	inFlight         map[string]bool
 	announcedVersion uint64
 	// announcedAt is the time at which the leader notified its children of the version.
-	announcedAt   time.Duration
-	lastExpiryAt  time.Duration
-	startedAt     time.Duration
-	folderReports map[string]folderReport
-	// votersChangingSince is the time since which changes of the voters have been pending, or 0 if none are.
-	votersChangingSince time.Duration
+	announcedAt  time.Duration
+	lastExpiryAt time.Duration
+	voters       *membershipplanner.View
 }
 
 // Register adds the service's RPC handlers to the network. Call it before the network and the log run.
@@ -230,11 +228,10 @@
 			Term: term, PermitTTL: PermitTTL, Margin: leaseMargin, ReportTTL: LeaseTTL + leaseMargin,
 		}),
 		inFlight:         map[string]bool{},
-		folderReports:    map[string]folderReport{},
 		announcedVersion: version,
 		announcedAt:      now,
 		lastExpiryAt:     now,
-		startedAt:        now,
+		voters:           s.newView(now),
 	}
 	klog.Infof("controller: leadership started host=%s term=%d config_version=%d", s.HostID, term, version)
 	// Live records each lease as renewed now, because the times of renewal are not replicated.
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -24,50 +24,32 @@
 	voterChangeName = "voters"
 )
 
-// folderReport is the latest report of a control host's data folder in a heartbeat.
-type folderReport struct {
-	incarnation uint64
-	addr        string
-	leaving     bool
-	receivedAt  time.Duration
+// newView returns an empty view for a leadership that begins now.
+func (s *Service) newView(now time.Duration) *membershipplanner.View {
+	return &membershipplanner.View{
+		Options: membershipplanner.Options{
+			TargetVoters: s.Voters, HeartbeatTimeout: voterAliveTimeout, RemoveLearnerAfter: learnerRemovalTimeout, Standbys: s.Voters / 2,
+		},
+		StartedAt: now, FirstReportTimeout: firstReportTimeout, HasLeft: s.hasLeft,
+	}
 }
 
-// planVoterChange returns the next voter change that is needed to match the voters to the control hosts that are alive. It returns
-// false while a new leader waits for the first heartbeats of its term. The caller holds s.mu.
-func (s *Service) planVoterChange(lead *leadership, now time.Duration) (change membershipplanner.Change, known bool) {
-	hosts := make([]membershipplanner.Host, 0, len(lead.folderReports))
-	for id, f := range lead.folderReports {
-		hosts = append(hosts, membershipplanner.Host{
-			ID: id, Addr: f.addr, FolderIncarnation: f.incarnation, SinceHeartbeat: now - f.receivedAt, Leaving: f.leaving,
-		})
-	}
-	members := s.Log.Members()
-	for _, m := range members {
-		if _, reported := lead.folderReports[m.ID]; reported {
-			continue
-		}
-		if now-lead.startedAt < firstReportTimeout && !s.hasLeft(m.ID) {
-			return membershipplanner.Change{}, false
-		}
-		hosts = append(hosts, membershipplanner.Host{
-			ID: m.ID, Addr: m.Addr, FolderIncarnation: m.Incarnation, SinceHeartbeat: max(now-lead.startedAt, voterAliveTimeout+1), Leaving: s.hasLeft(m.ID),
-		})
+// members returns the members of the log as far as this host knows.
+func (s *Service) members() membershipplanner.Members {
+	status, _ := s.Log.Status()
+	return membershipplanner.Members{
+		Membership: status.Members, Unresponsive: status.Unresponsive, Lagging: status.Lagging, Committed: status.MembersCommitted,
 	}
-	change = membershipplanner.Next(members, hosts, membershipplanner.Options{
-		TargetVoters: s.Voters, HeartbeatTimeout: voterAliveTimeout, RemoveLearnerAfter: learnerRemovalTimeout, Standbys: s.Voters / 2,
-	})
-	// In a new cluster, the hosts that are no initial voters are not known before their first heartbeat.
-	complete := members.Voters() >= s.Voters || now-lead.startedAt >= firstReportTimeout
-	return change, complete || change.Action != membershipplanner.None
 }
 
 // replacing reports whether another host is about to take the place of a voter that leaves. The caller holds s.mu.
 func (s *Service) replacing(lead *leadership, now time.Duration, id string) bool {
-	m, _ := s.Log.Members().Find(id)
+	members := s.members()
+	m, _ := members.Find(id)
 	if s.Voters == 0 || !m.Voter {
 		return false
 	}
-	change, known := s.planVoterChange(lead, now)
+	change, known := lead.voters.Next(now, members)
 	return !known || lead.inFlight[voterChangeName] || change.Action != membershipplanner.None && !change.LearnersOnly
 }
 
@@ -82,13 +64,7 @@
 	if s.Voters == 0 || lead.inFlight[voterChangeName] {
 		return
 	}
-	change, known := s.planVoterChange(lead, now)
-	switch {
-	case known && (change.Action == membershipplanner.None || change.LearnersOnly):
-		lead.votersChangingSince = 0
-	case lead.votersChangingSince == 0:
-		lead.votersChangingSince = now
-	}
+	change, _ := lead.voters.Next(now, s.members())
 	if change.Action == membershipplanner.None {
 		return
 	}
@@ -105,7 +81,7 @@
 			return
 		}
 		klog.Infof("controller: voters changed action=%s host=%s reason=%q voters=%d term=%d", change.Action, change.ID, change.Reason,
-			s.Log.Members().Voters(), lead.term)
+			s.members().Voters(), lead.term)
 	})
 }
 
--- a/internal/membershipplanner/membershipplanner.go
+++ b/internal/membershipplanner/membershipplanner.go
@@ -3,6 +3,7 @@
 package membershipplanner
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -21,6 +22,10 @@
 	SinceHeartbeat time.Duration
 	// Leaving is true if the host stops or has stopped as planned.
 	Leaving bool
+	// Unresponsive is true if the host is a member that answers no messages of the log, for example because its disk hangs.
+	Unresponsive bool
+	// Lagging is true if the host is a member that lacks too many entries of the log to be promoted.
+	Lagging bool
 }
 
 // Options are the parameters of Next.
@@ -64,15 +69,21 @@
 	hosts   map[string]Host
 }
 
-// Next returns the next change, or one with the action None. A voter with a lost data folder is removed first, because it counts
-// towards the quorum but can never vote again. A voter that leaves or is silent is removed as soon as the target number of other
-// voters is live: until then it may return with its data folder, and from then on it only makes the quorum larger.
-func Next(members journaler.Membership, hosts []Host, o Options) Change {
+func newPlanner(members journaler.Membership, hosts []Host, o Options) *planner {
 	p := &planner{options: o, members: members, hosts: make(map[string]Host, len(hosts))}
 	for _, h := range hosts {
 		p.hosts[h.ID] = h
 	}
-	for _, next := range []func() Change{p.removeLostFolder, p.removeVoter, p.promoteLearner, p.addHost, p.removeLearner, p.addStandby} {
+	return p
+}
+
+// Next returns the next change, or one with the action None. A voter with a lost data folder is removed first, because it counts
+// towards the quorum but can never vote again. A voter that leaves or is silent is removed as soon as the target number of other
+// voters is live: until then it may return with its data folder, and from then on it only makes the quorum larger. So it does at any time
+// while there are more voters than the target number.
+func Next(members journaler.Membership, hosts []Host, o Options) Change {
+	p := newPlanner(members, hosts, o)
+	for _, next := range []func() Change{p.removeLostFolder, p.removeVoter, p.promoteLearner, p.addHost, p.awaitLearner, p.removeLearner, p.addStandby} {
 		if c := next(); c.Action != None {
 			return c
 		}
@@ -86,6 +97,22 @@
 	return h, ok && !h.Leaving && h.SinceHeartbeat <= p.options.HeartbeatTimeout
 }
 
+// isUsable reports whether a host is alive and, if it is a member, takes part in the log.
+func (p *planner) isUsable(id string) bool {
+	h, ok := p.alive(id)
+	return ok && !h.Unresponsive
+}
+
+func (p *planner) countUsable() int {
+	n := 0
+	for id := range p.hosts {
+		if p.isUsable(id) {
+			n++
+		}
+	}
+	return n
+}
+
 // isLiveVoter reports whether a member is a live voter with the data folder recorded in the membership.
 func (p *planner) isLiveVoter(m journaler.Member) bool {
 	h, ok := p.alive(m.ID)
@@ -116,17 +143,31 @@
 	return Change{}
 }
 
-// removeVoter removes a voter that leaves or is silent if the target number of voters is live.
+// removeVoter removes a voter that leaves or is silent if the target number of voters is live, or if there are more voters than that and
+// the live ones are a majority of the others. The one that has left, or has been silent for longest, is the least likely to return.
 func (p *planner) removeVoter() Change {
-	if p.liveVoters() < p.options.TargetVoters {
+	live, voters := p.liveVoters(), p.members.Voters()
+	surplus := voters > p.options.TargetVoters && live > (voters-1)/2
+	if live < p.options.TargetVoters && !surplus {
 		return Change{}
 	}
+	var absent []Host
 	for _, m := range p.members {
 		if h, ok := p.alive(m.ID); m.Voter && !ok {
-			return Change{Action: Remove, ID: m.ID, Reason: p.absence(h)}
+			h.ID = m.ID
+			absent = append(absent, h)
 		}
 	}
-	return Change{}
+	if len(absent) == 0 {
+		return Change{}
+	}
+	h := slices.MaxFunc(absent, func(a, b Host) int {
+		if a.Leaving != b.Leaving {
+			return map[bool]int{true: 1, false: -1}[a.Leaving]
+		}
+		return cmp.Compare(a.SinceHeartbeat, b.SinceHeartbeat)
+	})
+	return Change{Action: Remove, ID: h.ID, Reason: p.absence(h)}
 }
 
 // removeLearner removes a learner that leaves or has been silent for long.
@@ -147,12 +188,23 @@
 	return fmt.Sprintf("silent for %v, and %d voters are alive", h.SinceHeartbeat, p.liveVoters())
 }
 
+// promoteLearner promotes a learner that has the log.
 func (p *planner) promoteLearner() Change {
+	return p.promote(func(h Host) bool { return !h.Lagging })
+}
+
+// awaitLearner promotes a learner that is still receiving the log, which is refused until it has it. Other hosts are added before, so
+// that they receive the log at the same time.
+func (p *planner) awaitLearner() Change {
+	return p.promote(func(h Host) bool { return h.Lagging })
+}
+
+func (p *planner) promote(eligible func(Host) bool) Change {
 	if p.liveVoters() >= p.options.TargetVoters {
 		return Change{}
 	}
 	for _, m := range p.members {
-		if _, ok := p.alive(m.ID); ok && !m.Voter {
+		if h, ok := p.alive(m.ID); ok && !h.Unresponsive && !m.Voter && eligible(h) {
 			return Change{Action: Promote, ID: m.ID, Reason: fmt.Sprintf("%d of %d voters are alive", p.liveVoters(), p.options.TargetVoters)}
 		}
 	}
--- a/internal/membershipplanner/membershipplanner_test.go
+++ b/internal/membershipplanner/membershipplanner_test.go
@@ -3,6 +3,7 @@
 import (
 	"embed"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -54,6 +55,9 @@
 					hosts = append(hosts, membershipplanner.Host{ID: id, Addr: id, FolderIncarnation: folder, SinceHeartbeat: silence})
 				case "leaving":
 					hosts = append(hosts, membershipplanner.Host{ID: rest, Addr: rest, Leaving: true})
+				case "unresponsive", "lagging":
+					i := slices.IndexFunc(hosts, func(h membershipplanner.Host) bool { return h.ID == rest })
+					hosts[i].Unresponsive, hosts[i].Lagging = hosts[i].Unresponsive || kind == "unresponsive", hosts[i].Lagging || kind == "lagging"
 				case "next":
 					want = rest
 				default:
--- a/internal/participant/network_test.go
+++ b/internal/participant/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	hosts map[string]*fakeTransport
 	// isolated hosts are up, but RPCs from and to them hang.
 	isolated map[string]bool
+	// stalled hosts answer no messages of the log.
+	stalled  map[string]bool
 	handlers sync.WaitGroup
 }
 
@@ -32,7 +35,7 @@
 }
 
 func newFakeNetwork() *fakeNetwork {
-	return &fakeNetwork{hosts: map[string]*fakeTransport{}, isolated: map[string]bool{}}
+	return &fakeNetwork{hosts: map[string]*fakeTransport{}, isolated: map[string]bool{}, stalled: map[string]bool{}}
 }
 
 func (n *fakeNetwork) attach(id string) *fakeTransport {
@@ -49,6 +52,12 @@
 	n.isolated[id] = isolated
 }
 
+func (n *fakeNetwork) setStalled(id string, stalled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled[id] = stalled
+}
+
 // Addr implements participant.Network.
 func (t *fakeTransport) Addr() string { return t.id }
 
@@ -76,6 +85,8 @@
 		return nil, errRefused
 	case addr != t.id && (t.network.isolated[t.id] || t.network.isolated[addr]):
 		return nil, nil
+	case t.network.stalled[addr] && strings.HasPrefix(method, "sequencer."):
+		return nil, nil
 	case to.methods[method] == nil:
 		return nil, &transporter.RemoteError{Method: method, Code: transporter.CodeUnknownMethod}
 	}
--- a/internal/participant/voters_test.go
+++ b/internal/participant/voters_test.go
@@ -217,6 +217,8 @@
 		c.remove(args[0]).kill()
 	case "isolate", "join":
 		c.network.setIsolated(args[0], words[0] == "isolate")
+	case "stall", "resume":
+		c.network.setStalled(args[0], words[0] == "stall")
 	case "ack":
 		timeout := ackTimeout
 		if len(args) > 0 {
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -25,6 +25,9 @@
 	maxPromoteLag = 64
 	// resendHeartbeats is the number of heartbeat intervals after which unanswered appends are resent.
 	resendHeartbeats = 3
+	// unresponsiveTimeouts is the number of election timeouts without an answer after which a member is unresponsive. A disk that is only
+	// slow answers earlier.
+	unresponsiveTimeouts = 4
 )
 
 // Options configures a Core. Zero values select the defaults.
@@ -123,12 +126,34 @@
 // Status returns the current status.
 func (c *Core) Status() Status {
 	s := Status{Role: c.role, Term: c.state.Term, Leader: c.leader, Commit: c.commit, Last: c.log.LastIndex(), Members: c.members}
+	s.MembersCommitted = c.membersIndex <= c.commit
 	if c.role == Leader {
 		s.LeaseUntil = c.leaseUntil()
+		s.Unresponsive, s.Lagging = c.filterMembers(c.isUnresponsive), c.filterMembers(c.isLagging)
 	}
 	return s
 }
 
+// isUnresponsive reports whether the last answer of a peer, or its addition, is long ago.
+func (c *Core) isUnresponsive(p *peer) bool {
+	return c.now-max(time.Duration(p.acked), p.addedAt) > unresponsiveTimeouts*c.opts.ElectionTimeout
+}
+
+// isLagging reports whether a peer lacks too many entries to be promoted.
+func (c *Core) isLagging(p *peer) bool {
+	return p.match == 0 || c.log.LastIndex()-p.match > maxPromoteLag
+}
+
+// filterMembers returns the members whose peers satisfy a condition. This host is not among them.
+func (c *Core) filterMembers(condition func(*peer) bool) (ids []string) {
+	for _, m := range c.members {
+		if p := c.peers[m.ID]; p != nil && condition(p) {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // leaseUntil returns the end of the leader lease, or 0 without a lease. The lease starts at the send time of the newest message
 // that a quorum answered and is a tenth shorter than the election timeout, since clocks may run at different speeds.
 func (c *Core) leaseUntil() time.Duration {
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -68,8 +68,8 @@
 		return nil, &ChangeError{ID: change.ID, Reason: "it is a voter already"}
 	}
 	p := c.peers[change.ID]
-	if behind := c.log.LastIndex() - p.match; p.match == 0 || behind > maxPromoteLag || !c.inContact(p) {
-		return nil, &NotCaughtUpError{ID: change.ID, Behind: behind}
+	if c.isLagging(p) || !c.inContact(p) {
+		return nil, &NotCaughtUpError{ID: change.ID, Behind: c.log.LastIndex() - p.match}
 	}
 	next[at].Voter, next[at].Incarnation = true, p.incarnation
 	return next, nil
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -144,6 +144,12 @@
 	Commit  uint64
 	Last    uint64
 	Members Membership
+	// MembersCommitted is true if Members is known to be committed.
+	MembersCommitted bool
+	// Unresponsive are the members that have answered no message of this leader for a long time, for example because their disks hang.
+	Unresponsive []string
+	// Lagging are the members that lack too many entries to be promoted.
+	Lagging []string
 	// LeaseUntil is the time until which no other leader can be elected. It is set on a leader only; 0 means no lease.
 	LeaseUntil time.Duration
 }
