platform: what the operator sent decides whether keys are required

Cause: keys were required if the table had a workspace. Taking away the last one took the check with it.

Evidence: requests with the unknown key ran too, so neither an old table nor a kept identity explains it.

A configuration that never had the member is served as before. config check and the log warn of tables without keys.

--- a/internal/configchecker/configchecker.go
+++ b/internal/configchecker/configchecker.go
@@ -67,6 +67,12 @@
 	for _, w := range t.Workspaces {
 		checkWorkspace(&w, warn)
 	}
+	switch x := router.NewIndex(t); {
+	case !x.RequiresKeys():
+		warn("workspaces", "there is no list, so that requests need no key")
+	case x.KeyCount() == 0:
+		warn("workspaces", "no workspace has a key, so that only public rules are served")
+	}
 	if limits.HeaderBytes > 0 && t.Limits.MaxHeaderBytes > limits.HeaderBytes {
 		warn("limits", "heads of %d bytes are allowed, but hosts accept at most %d", t.Limits.MaxHeaderBytes, limits.HeaderBytes)
 	}
@@ -124,6 +130,9 @@
 	out = append(out, compare("rules", inForce.Rules, next.Rules, func(r router.Rule) string { return r.Name })...)
 	out = append(out, compare("pools", inForce.Pools, next.Pools, func(p router.Pool) string { return p.Name })...)
 	out = append(out, compare("workspaces", inForce.Workspaces, next.Workspaces, func(w router.Workspace) string { return w.Name })...)
+	if before, after := router.NewIndex(inForce).RequiresKeys(), router.NewIndex(next).RequiresKeys(); before != after {
+		out = append(out, Finding{Severity: Change, Path: "workspaces", Message: fmt.Sprintf("keys required: %t, then %t", before, after)})
+	}
 	if fields := changedFields(inForce.Limits, next.Limits); len(fields) > 0 {
 		out = append(out, Finding{Severity: Change, Path: "limits", Message: strings.Join(fields, "; ")})
 	}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -225,6 +225,12 @@
 	h.endpointList.setIndex(x)
 	klog.InfoS("forwarder: configuration in force", "version", version, "revision", table.Revision, "rules", len(table.Rules),
 		"pools", len(table.Pools), "workspaces", len(table.Workspaces))
+	switch {
+	case !x.RequiresKeys():
+		klog.Warning("forwarder: the configuration has no list of workspaces, requests need no key")
+	case x.KeyCount() == 0:
+		klog.Warning("forwarder: no workspace has a key, only public rules are served")
+	}
 }
 
 // applyEndpoints passes the endpoint list to the admitter and to the client of the coordinators.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -208,7 +208,7 @@
 
 // authenticate sets the workspace of the API key. It returns false if the key is unknown and the rule is not public.
 func (q *request) authenticate(index *router.Index) bool {
-	if !index.HasKeys() {
+	if !index.RequiresKeys() {
 		return true
 	}
 	key, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), q.g.Headers.KeyScheme+" ")
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -79,8 +79,11 @@
 // Workspace returns the workspace with a name, or nil.
 func (x *Index) Workspace(name string) *Workspace { return x.workspacesByName[name] }
 
-// HasKeys reports whether requests need an API key, which they do if the table has any workspace.
-func (x *Index) HasKeys() bool { return len(x.table.Workspaces) > 0 }
+// RequiresKeys reports whether requests of rules that are not public need an API key. A table with workspaces always requires them.
+func (x *Index) RequiresKeys() bool { return x.table.RequiresKeys || len(x.table.Workspaces) > 0 }
+
+// KeyCount returns the number of API keys.
+func (x *Index) KeyCount() int { return len(x.workspacesByKey) }
 
 // ChoosePool selects the pool of a request by weight, from a hash of the request ID, so that all hosts select the same pool.
 func (r *Rule) ChoosePool(requestID string) string {
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -27,7 +27,10 @@
 	Rules      []Rule
 	Pools      []Pool
 	Workspaces []Workspace
-	Limits     Limits
+	// RequiresKeys is true if requests of rules that are not public need the key of a workspace. It does not follow from Workspaces, since
+	// the last workspace may be taken away.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // MaxTiers is the exclusive upper bound of rule tiers, so that the tiers of a workspace and a rule fit into one number.
