duplicator: a second entry host knows which version began a stream

Cause: which version began a stream was known only to the host that brought it and to the memory of the coordinators. What nobody knows is refused.

Evidence: take-ups got stream_unknown also seconds after the coordinators had started, which placed new streams meanwhile.

Change: each entry host sends the origins of its streams to the next one of its zone, which keeps them for the same minute and tells them to coordinators that it connects to (docs/design/second-holder-of-streams.md). A holder that restarts or does not answer is replaced; one of an earlier build is passed over. Only streams of pools whose endpoints state a version are copied.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -89,6 +89,8 @@
 	EndpointLimits func() []*coordinatorpb.EndpointLimit
 	// Applies the usage, the crashes and the limits that other hosts have reported.
 	ApplyOrders func(*coordinatorpb.Orders)
+	// OnOrigin is called after this host has recorded or changed the origin of a stream; it may be nil.
+	OnOrigin func()
 
 	started       time.Time
 	shards        atomic.Pointer[sharder.Map]
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -25,6 +25,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/clocker"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/duplicator"
 	"github.com/dragonflycroft/dragonflycroft/internal/sharder"
 )
 
@@ -55,9 +56,11 @@
 	listAge time.Duration
 	streams map[string][]*pipe
 	clients []*acquirer.Acquirer
-	locals  []*admitter.Admitter
-	running map[string]int
-	peak    map[string]int
+	// duplicators are those of the clients.
+	duplicators []*duplicator.Duplicator
+	locals      []*admitter.Admitter
+	running     map[string]int
+	peak        map[string]int
 	// overloadedAt is when a request was last placed at an engine without a free place.
 	overloadedAt time.Time
 	slots        int
@@ -191,9 +194,46 @@
 	a.Init()
 	local.Update(func(b *balancer.Balancer) { b.SetEndpoints(time.Now(), f.endpoints) })
 	a.SetEndpoints(f.endpoints)
-	f.clients, f.locals = append(f.clients, a), append(f.locals, local)
-	ctx := f.processContext(fmt.Sprintf("h%d", i))
+	id := fmt.Sprintf("h%d", i)
+	d := &duplicator.Duplicator{HostID: id, Zone: zones[i%3], Network: network{f: f, from: id}, Origins: a, Peers: func() []duplicator.Peer { return f.peersOf(i) }}
+	d.Init()
+	a.OnOrigin = d.Notify
+	f.mu.Lock()
+	if i < len(f.clients) {
+		f.clients[i], f.locals[i], f.duplicators[i] = a, local, d
+	} else {
+		f.clients, f.locals, f.duplicators = append(f.clients, a), append(f.locals, local), append(f.duplicators, d)
+	}
+	f.alive[id] = true
+	f.mu.Unlock()
+	ctx := f.processContext(id)
 	f.wg.Go(func() { _ = a.Run(ctx) })
+	f.wg.Go(func() { _ = d.Run(ctx) })
+}
+
+// peersOf returns the entry hosts except one, whether they run or not.
+func (f *fixture) peersOf(host int) (out []duplicator.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.clients {
+		if id := fmt.Sprintf("h%d", i); i != host {
+			out = append(out, duplicator.Peer{ID: id, Zone: zones[i%3], Addr: id})
+		}
+	}
+	return out
+}
+
+// keep delivers a request of the duplicator of one entry host to that of another.
+func (f *fixture) keep(addr string, payload []byte) ([]byte, error) {
+	f.mu.Lock()
+	i, _ := strconv.Atoi(strings.TrimPrefix(addr, "h"))
+	if !f.alive[addr] || i >= len(f.duplicators) {
+		f.mu.Unlock()
+		return nil, errNoHost
+	}
+	d := f.duplicators[i]
+	f.mu.Unlock()
+	return d.Handle(payload)
 }
 
 // owner returns the n-th control host in the order of precedence.
@@ -230,6 +270,12 @@
 // Call implements acquirer.Network and coordinator.Network.
 func (n network) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
 	time.Sleep(oneWayDelay)
+	if method == duplicator.Method {
+		payload, _ := proto.Marshal(req)
+		answer, err := n.f.keep(addr, payload)
+		time.Sleep(oneWayDelay)
+		return errors.Join(err, proto.Unmarshal(answer, resp))
+	}
 	c, err := n.lookup(addr)
 	if err != nil {
 		return err
--- a/internal/acquirer/link.go
+++ b/internal/acquirer/link.go
@@ -256,7 +256,7 @@
 	l.fullReportSent = false
 	l.connected, l.receivedAt, l.unansweredSince = true, now, now
 	a.origins.Sweep(now)
-	origins, last := a.origins.Since(0)
+	origins, last := a.origins.All()
 	hello.Hello.Streams, l.sentOriginSeq = coordinator.EncodeStreams(origins), last
 	owner := map[string]*link{}
 	hosts := a.ControlHosts()
--- a/internal/acquirer/origin.go
+++ b/internal/acquirer/origin.go
@@ -36,6 +36,37 @@
 	a.mu.Unlock()
 	if isNew {
 		a.sendOrigins()
+		a.notifyOrigin()
+	}
+}
+
+func (a *Acquirer) notifyOrigin() {
+	if a.OnOrigin != nil {
+		a.OnOrigin()
+	}
+}
+
+// OwnOrigins returns at most limit of the origins that this host has recorded itself after a sequence number, and the number to go on
+// with.
+func (a *Acquirer) OwnOrigins(seq uint64, limit int) (records []registrar.Record, last uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.origins.Sweep(time.Now())
+	return a.origins.SinceUpTo(seq, limit)
+}
+
+// KeepOrigins records origins for another entry host, which reports them to the coordinators itself. Coordinators learn them from this host
+// only when it connects to them, since they may have started then.
+func (a *Acquirer) KeepOrigins(records []registrar.Record) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range records {
+		// A host that has taken a stream up passes its origin on itself.
+		if !a.origins.Owns(r.Request, r.Origin) {
+			r.Learnt = true
+			a.origins.Add(now, r)
+		}
 	}
 }
 
@@ -164,6 +195,7 @@
 // applyVersions records the versions in the endpoint list.
 func (a *Acquirer) applyVersions(list []balancer.Endpoint) {
 	now := time.Now()
+	defer a.notifyOrigin()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	versions, pools := make(map[string]string, len(list)), map[string]map[string]bool{}
--- a/internal/acquirer/origin_test.go
+++ b/internal/acquirer/origin_test.go
@@ -139,11 +139,17 @@
 			for i := range originHosts {
 				f.kill(fmt.Sprintf("h%d", i))
 			}
-			f.clients, f.locals = nil, nil
+			f.mu.Lock()
+			f.clients, f.locals, f.duplicators = nil, nil, nil
+			f.mu.Unlock()
 		}
 		for _, id := range ids {
 			f.kill(id)
 		}
+	case "end":
+		f.kill(fmt.Sprintf("h%d", host))
+	case "begin":
+		f.addHost(host)
 	case "start":
 		ids, hosts := f.processes(step[1])
 		f.bootstrap = false
--- a/internal/coordinator/origin.go
+++ b/internal/coordinator/origin.go
@@ -41,11 +41,9 @@
 // recordStreams records the origins of streams. Those that other coordinators have reported are learnt: they are not passed on. The
 // caller holds c.mu.
 func (c *Coordinator) recordStreams(now time.Time, groups []*coordinatorpb.StreamOrigins, learnt bool) {
-	for _, g := range groups {
-		o := registrar.Origin{Pool: g.GetPool(), Version: g.GetVersion(), Joinable: !g.GetUnjoinable()}
-		for _, request := range g.GetRequest() {
-			c.origins.Add(now, registrar.Record{Request: request, Origin: o, Learnt: learnt})
-		}
+	for _, r := range DecodeStreams(groups) {
+		r.Learnt = learnt
+		c.origins.Add(now, r)
 	}
 }
 
@@ -68,6 +66,18 @@
 	return out
 }
 
+// DecodeStreams returns the origins in a message.
+func DecodeStreams(groups []*coordinatorpb.StreamOrigins) []registrar.Record {
+	var out []registrar.Record
+	for _, g := range groups {
+		o := registrar.Origin{Pool: g.GetPool(), Version: g.GetVersion(), Joinable: !g.GetUnjoinable()}
+		for _, request := range g.GetRequest() {
+			out = append(out, registrar.Record{Request: request, Origin: o})
+		}
+	}
+	return out
+}
+
 // AppendStream adds the origin of a stream to a message.
 func AppendStream(groups []*coordinatorpb.StreamOrigins, request uint64, o registrar.Origin) []*coordinatorpb.StreamOrigins {
 	for _, g := range groups {
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflycroft/dragonflycroft/internal/connlimiter"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator"
 	"github.com/dragonflycroft/dragonflycroft/internal/coordinator/coordinatorpb"
+	"github.com/dragonflycroft/dragonflycroft/internal/duplicator"
 	"github.com/dragonflycroft/dragonflycroft/internal/exchanger"
 	"github.com/dragonflycroft/dragonflycroft/internal/gateway"
 	"github.com/dragonflycroft/dragonflycroft/internal/marshaller"
@@ -83,6 +84,7 @@
 	participant        *participant.Participant
 	cataloguer         *cataloguer.Cataloguer
 	acquirer           *acquirer.Acquirer
+	duplicator         *duplicator.Duplicator
 	admitter           *admitter.Admitter
 	gateway            *gateway.Gateway
 	sender             *proxier.Sender
@@ -119,6 +121,7 @@
 	group.Go(func() error { return h.participant.Run(runCtx) })
 	group.Go(func() error { return h.cataloguer.Run(runCtx) })
 	group.Go(func() error { return h.acquirer.Run(runCtx) })
+	group.Go(func() error { return h.duplicator.Run(runCtx) })
 	group.Go(func() error { return h.gateway.Run(runCtx) })
 	group.Go(func() error {
 		if err := health.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -168,6 +171,7 @@
 			return h.gateway.ChargeAllotment(workspace, units)
 		},
 	}
+	h.buildDuplicator()
 	h.acquirer.Init()
 	client := &exchanger.Client{DialTimeout: dialTimeout, Dial: h.DialEndpoint}
 	h.buildProxy(client)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -154,12 +154,27 @@
 	return r.origins[e.origin], true
 }
 
+// Owns reports whether an origin is known and is to be passed on.
+func (r *Registry) Owns(request uint64, o Origin) bool {
+	e, ok := r.records[request]
+	return ok && !e.learnt && r.origins[e.origin] == o
+}
+
 // Since returns the records with a sequence number above seq that are to be passed on, and the last sequence number in use. A seq
 // of 0 returns all.
 func (r *Registry) Since(seq uint64) ([]Record, uint64) { return r.SinceUpTo(seq, len(r.log)) }
 
 // SinceUpTo is like Since, but looks at no more than limit records and returns the sequence number of the last one of them.
 func (r *Registry) SinceUpTo(seq uint64, limit int) ([]Record, uint64) {
+	return r.slice(seq, limit, func(e entry) bool { return !e.learnt })
+}
+
+// All returns all records, also those that need not be passed on, and the last sequence number in use.
+func (r *Registry) All() ([]Record, uint64) {
+	return r.slice(0, len(r.log), func(entry) bool { return true })
+}
+
+func (r *Registry) slice(seq uint64, limit int, include func(entry) bool) ([]Record, uint64) {
 	first := int(min(max(seq, r.dropped), r.last()) - r.dropped)
 	end := min(first+limit, len(r.log))
 	if first == end {
@@ -167,7 +182,7 @@
 	}
 	out := make([]Record, 0, end-first)
 	for i := first; i < end; i++ {
-		if e, ok := r.at(i); ok && !e.learnt {
+		if e, ok := r.at(i); ok && include(e) {
 			out = append(out, r.record(r.log[i].request, e))
 		}
 	}
