membershipplanner: bound the learners that are added at once

A learner that still receives the log no longer keeps other hosts from being added, so that with many control hosts and one missing voter all of them would become learners. Now there are at most as many as voters are missing, and the standbys. membershipplanner.TestNext fails without the bound.

--- a/internal/duplicator/duplicator.go
+++ b/internal/duplicator/duplicator.go
@@ -3,6 +3,7 @@
 package duplicator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -157,14 +158,19 @@
 	if len(peers) == 0 {
 		return Peer{}, false
 	}
-	return slices.MinFunc(peers, func(a, b Peer) int {
-		if inZone, other := a.Zone == d.Zone, b.Zone == d.Zone; inZone != other {
-			return map[bool]int{true: -1, false: 1}[inZone]
+	// A lower rank goes first: the zone, then whether the host follows this one.
+	rank := func(p Peer) int {
+		n := 0
+		if p.Zone != d.Zone {
+			n += 2
 		}
-		if follows, other := a.ID > d.HostID, b.ID > d.HostID; follows != other {
-			return map[bool]int{true: -1, false: 1}[follows]
+		if p.ID < d.HostID {
+			n++
 		}
-		return strings.Compare(a.ID, b.ID)
+		return n
+	}
+	return slices.MinFunc(peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), strings.Compare(a.ID, b.ID))
 	}), true
 }
 
--- a/internal/membershipplanner/membershipplanner.go
+++ b/internal/membershipplanner/membershipplanner.go
@@ -162,8 +162,11 @@
 		return Change{}
 	}
 	h := slices.MaxFunc(absent, func(a, b Host) int {
-		if a.Leaving != b.Leaving {
-			return map[bool]int{true: 1, false: -1}[a.Leaving]
+		switch {
+		case a.Leaving && !b.Leaving:
+			return 1
+		case b.Leaving && !a.Leaving:
+			return -1
 		}
 		return cmp.Compare(a.SinceHeartbeat, b.SinceHeartbeat)
 	})
@@ -211,22 +214,28 @@
 	return Change{}
 }
 
-// addHost adds a host as a learner that is promoted next.
+// addHost adds a host as a learner that is promoted next, unless there are enough learners already.
 func (p *planner) addHost() Change {
-	if p.liveVoters() >= p.options.TargetVoters {
+	missing := p.options.TargetVoters - p.liveVoters()
+	if missing <= 0 || p.liveLearners() >= missing+p.options.Standbys {
 		return Change{}
 	}
 	return p.add(fmt.Sprintf("%d of %d voters are alive", p.liveVoters(), p.options.TargetVoters))
 }
 
-// addStandby adds a host as a learner that replaces a voter later.
-func (p *planner) addStandby() Change {
-	standbys := 0
+func (p *planner) liveLearners() int {
+	n := 0
 	for _, m := range p.members {
-		if _, ok := p.alive(m.ID); ok && !m.Voter {
-			standbys++
+		if !m.Voter && p.isUsable(m.ID) {
+			n++
 		}
 	}
+	return n
+}
+
+// addStandby adds a host as a learner that replaces a voter later.
+func (p *planner) addStandby() Change {
+	standbys := p.liveLearners()
 	if standbys >= p.options.Standbys {
 		return Change{}
 	}
