acquirer: copy origins only of pools with several versions

In a pool that has had one version, the history of versions tells the origin of any stream, so that copies cost calls between entry hosts and gain nothing.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -109,6 +109,9 @@
 	// listedVersions are the versions in the endpoint list by endpoint, and poolVersions by pool.
 	listedVersions map[string]string
 	poolVersions   map[string]map[string]bool
+	// recentVersions are the times at which the versions of each pool were last listed, as far as origins are kept.
+	recentVersions map[string]map[string]time.Time
+	originsEpoch   uint64
 	wake           chan struct{}
 	wg             sync.WaitGroup
 }
@@ -117,6 +120,7 @@
 func (a *Acquirer) Init() {
 	a.started = time.Now()
 	a.links, a.runs, a.zoneUsedAt = map[string]*link{}, map[uint64]*run{}, map[string]time.Time{}
+	a.recentVersions = map[string]map[string]time.Time{}
 	a.wake = make(chan struct{}, 1)
 }
 
--- a/internal/acquirer/origin.go
+++ b/internal/acquirer/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,13 +47,21 @@
 	}
 }
 
-// OwnOrigins returns at most limit of the origins that this host has recorded itself after a sequence number, and the number to go on
-// with.
+// OwnOrigins returns the origins among the next limit ones after a sequence number that this host has recorded itself, of pools that have had
+// several versions lately, and the number to go on with. In other pools the history of versions tells the origin.
 func (a *Acquirer) OwnOrigins(seq uint64, limit int) (records []registrar.Record, last uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.origins.Sweep(time.Now())
-	return a.origins.SinceUpTo(seq, limit)
+	records, last = a.origins.SinceUpTo(seq, limit)
+	return slices.DeleteFunc(records, func(r registrar.Record) bool { return len(a.recentVersions[r.Pool]) < 2 }), last
+}
+
+// OriginsEpoch returns a number that grows when OwnOrigins has to be read from the start again, since a further pool has had several versions.
+func (a *Acquirer) OriginsEpoch() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.originsEpoch
 }
 
 // KeepOrigins records origins for another entry host, which reports them to the coordinators itself. Coordinators learn them from this host
@@ -195,13 +204,20 @@
 // applyVersions records the versions in the endpoint list.
 func (a *Acquirer) applyVersions(list []balancer.Endpoint) {
 	now := time.Now()
-	defer a.notifyOrigin()
+	if a.recordVersions(now, list) {
+		a.notifyOrigin()
+	}
+}
+
+// recordVersions records the versions in the endpoint list and reports whether origins have changed, or have to be copied from now on.
+func (a *Acquirer) recordVersions(now time.Time, list []balancer.Endpoint) (changed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	versions, pools := make(map[string]string, len(list)), map[string]map[string]bool{}
 	for _, e := range list {
 		if before, known := a.listedVersions[e.ID]; known && before != e.Version {
 			a.origins.EndpointChanged(now, e.ID)
+			changed = true
 		}
 		versions[e.ID] = e.Version
 		if pools[e.Pool] == nil {
@@ -210,4 +226,24 @@
 		pools[e.Pool][e.Version] = true
 	}
 	a.listedVersions, a.poolVersions = versions, pools
+	for pool, listed := range pools {
+		recent := a.recentVersions[pool]
+		if recent == nil {
+			recent = map[string]time.Time{}
+			a.recentVersions[pool] = recent
+		}
+		before := len(recent)
+		for version := range listed {
+			recent[version] = now
+		}
+		if before < 2 && len(recent) >= 2 {
+			a.originsEpoch++
+			changed = true
+		}
+	}
+	maps.DeleteFunc(a.recentVersions, func(_ string, recent map[string]time.Time) bool {
+		maps.DeleteFunc(recent, func(_ string, at time.Time) bool { return now.Sub(at) > registrar.Retention })
+		return len(recent) == 0
+	})
+	return changed
 }
--- a/internal/duplicator/duplicator.go
+++ b/internal/duplicator/duplicator.go
@@ -46,9 +46,11 @@
 
 // Origins are the origins of streams that a host knows.
 type Origins interface {
-	// OwnOrigins returns at most limit of the origins that this host has recorded itself after a sequence number, and the number to
-	// go on with, which stays the same if there are no further ones. It starts with the oldest one for 0.
+	// OwnOrigins returns the origins to copy among the next limit ones after a sequence number, and the number to go on with, which
+	// stays the same if there are no further ones. It starts with the oldest one for 0.
 	OwnOrigins(seq uint64, limit int) (records []registrar.Record, last uint64)
+	// OriginsEpoch returns a number that grows when OwnOrigins has to be read from the start again.
+	OriginsEpoch() uint64
 	// KeepOrigins records origins for another host.
 	KeepOrigins(records []registrar.Record)
 }
@@ -68,6 +70,7 @@
 	holder        string
 	holderProcess uint64
 	seq           uint64
+	epoch         uint64
 	// sentAt is the time at which origins were last sent.
 	sentAt time.Time
 	// passedOverUntil are the times until which hosts are not asked.
@@ -124,6 +127,9 @@
 	if peer.ID != d.holder {
 		d.holder, d.holderProcess, d.seq = peer.ID, 0, 0
 	}
+	if epoch := d.Origins.OriginsEpoch(); epoch != d.epoch {
+		d.epoch, d.seq = epoch, 0
+	}
 	records, last := d.Origins.OwnOrigins(d.seq, maxPerRequest)
 	// In pools without versions, a stream may go on at any endpoint.
 	records = slices.DeleteFunc(records, func(r registrar.Record) bool { return r.Version == "" })
--- a/internal/duplicator/duplicator_test.go
+++ b/internal/duplicator/duplicator_test.go
@@ -30,6 +30,8 @@
 	return r.origins.SinceUpTo(seq, limit)
 }
 
+func (r *registry) OriginsEpoch() uint64 { return 0 }
+
 func (r *registry) KeepOrigins(records []registrar.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
