--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -80,7 +80,9 @@
 	}
 	r := &fakeRequests{arrived: make(chan struct{}, 64)}
 	s.ListenAddr, s.Requests = "127.0.0.1:0", r
-	s.Config = func() (uint64, *configurer.Config, bool) { return 1, cfg, true }
+	if s.Config == nil {
+		s.Config = func() (uint64, *configurer.Config, bool) { return 1, cfg, true }
+	}
 	s.UnreadyReason = func() string { return "" }
 	if s.RefusalReason == nil {
 		s.RefusalReason = s.UnreadyReason
@@ -117,6 +119,25 @@
 	return strings.Replace(body, `""`, `"`+strings.Repeat("x", max(0, size-len(body)))+`"`, 1)
 }
 
+// Guards against a configuration without workspaces that lets callers in without a known key.
+func TestKeysWithoutWorkspaces(t *testing.T) {
+	cfg := &configurer.Config{Tiers: []configurer.Tier{{Name: "fast"}}, Pools: []configurer.Pool{{Name: "chat", Kind: configurer.KindModel, Models: []string{"m"}}}}
+	r, url := startServer(t, &Server{Config: func() (uint64, *configurer.Config, bool) { return 1, cfg, true }})
+	for _, key := range []string{"Bearer key", "Bearer other", ""} {
+		resp, err := post(t.Context(), url+"/v1/chat/completions", "fast", strings.NewReader(chatBody(100)), map[string]string{"Authorization": key})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("status %d with %q, want 401", resp.StatusCode, key)
+		}
+	}
+	if n := r.count(); n > 0 {
+		t.Errorf("%d requests were accepted", n)
+	}
+}
+
 // Guards against three failures when the memory for bodies is used up: requests are refused, bodies of one tier block those of
 // another, or the reserved bytes are not released.
 func TestBodyMemory(t *testing.T) {
