--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -134,26 +134,6 @@
 	return s
 }
 
-// isUnresponsive reports whether the last answer of a peer, or its addition, is long ago.
-func (c *Core) isUnresponsive(p *peer) bool {
-	return c.now-max(time.Duration(p.acked), p.addedAt) > unresponsiveTimeouts*c.opts.ElectionTimeout
-}
-
-// isLagging reports whether a peer lacks too many entries to be promoted.
-func (c *Core) isLagging(p *peer) bool {
-	return p.match == 0 || c.log.LastIndex()-p.match > maxPromoteLag
-}
-
-// filterMembers returns the members whose peers satisfy a condition. This host is not among them.
-func (c *Core) filterMembers(condition func(*peer) bool) (ids []string) {
-	for _, m := range c.members {
-		if p := c.peers[m.ID]; p != nil && condition(p) {
-			ids = append(ids, m.ID)
-		}
-	}
-	return ids
-}
-
 // leaseUntil returns the end of the leader lease, or 0 without a lease. The lease starts at the send time of the newest message
 // that a quorum answered and is a tenth shorter than the election timeout, since clocks may run at different speeds.
 func (c *Core) leaseUntil() time.Duration {
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -90,3 +90,23 @@
 		c.members, c.membersIndex = m, index
 	}
 }
+
+// isUnresponsive reports whether the last answer of a peer, or its addition, is long ago.
+func (c *Core) isUnresponsive(p *peer) bool {
+	return c.now-max(time.Duration(p.acked), p.addedAt) > unresponsiveTimeouts*c.opts.ElectionTimeout
+}
+
+// isLagging reports whether a peer lacks too many entries to be promoted.
+func (c *Core) isLagging(p *peer) bool {
+	return p.match == 0 || c.log.LastIndex()-p.match > maxPromoteLag
+}
+
+// filterMembers returns the members whose peers satisfy a condition. This host is not among them.
+func (c *Core) filterMembers(condition func(*peer) bool) (ids []string) {
+	for _, m := range c.members {
+		if p := c.peers[m.ID]; p != nil && condition(p) {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
